--- /dev/null
+++ b/bench/fleet/process.cpp
@@ -0,0 +1,116 @@
+#include "fleet/process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+extern char** environ;
+
+namespace oakpier {
+
+namespace {
+
+constexpr int kSignalExitBase = 128;
+
+int exitCodeOf(int status) {
+  return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalExitBase + WTERMSIG(status);
+}
+
+}  // namespace
+
+Process::Process(const std::string& program, const std::vector<std::string>& arguments,
+                 const std::string& logFile) {
+  std::vector<char*> pointers{const_cast<char*>(program.c_str())};
+  for (const auto& argument : arguments) {
+    pointers.push_back(const_cast<char*>(argument.c_str()));
+  }
+  pointers.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kLogMode = 0644;
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                   kLogMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int problem = posix_spawn(&id_, program.c_str(), &actions, nullptr, pointers.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (problem != 0) {
+    throw std::runtime_error("cannot start " + program);
+  }
+}
+
+Process::Process(Process&& other) noexcept
+    : id_(std::exchange(other.id_, -1)), exitCode_(std::exchange(other.exitCode_, -1)) {}
+
+Process& Process::operator=(Process&& other) noexcept {
+  std::swap(id_, other.id_);
+  std::swap(exitCode_, other.exitCode_);
+  return *this;
+}
+
+Process::~Process() {
+  if (running()) {
+    kill(id_, SIGKILL);
+    wait();
+  }
+}
+
+bool Process::running() {
+  if (id_ <= 0) {
+    return false;
+  }
+  int status = 0;
+  if (waitpid(id_, &status, WNOHANG) == id_) {
+    exitCode_ = exitCodeOf(status);
+    id_ = -1;
+  }
+  return id_ > 0;
+}
+
+void Process::signal(int number) {
+  if (running()) {
+    kill(id_, number);
+  }
+}
+
+int Process::wait() {
+  if (id_ > 0) {
+    int status = 0;
+    waitpid(id_, &status, 0);
+    exitCode_ = exitCodeOf(status);
+    id_ = -1;
+  }
+  return exitCode_;
+}
+
+std::vector<unsigned short> freePorts(std::size_t count) {
+  std::vector<int> sockets;
+  std::vector<unsigned short> ports;
+  for (std::size_t number = 0; number < count; ++number) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    // All stay bound until the last one is drawn, so that none comes twice.
+    if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), length) != 0 ||
+        getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length) != 0) {
+      throw std::runtime_error("no free port");
+    }
+    sockets.push_back(descriptor);
+    ports.push_back(ntohs(address.sin_port));
+  }
+  for (const int descriptor : sockets) {
+    close(descriptor);
+  }
+  return ports;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/control_plane.cpp
@@ -0,0 +1,416 @@
+#include "coordination/control_plane.h"
+
+#include <algorithm>
+
+#include "state/configuration_change.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr Duration kChangesAskPeriod = std::chrono::milliseconds(300);
+/// Each daemon on the platform's list waits its turn to found the cluster, so that they rarely collide.
+constexpr Duration kFoundingTurn = std::chrono::milliseconds(500);
+/// After a pause a daemon that hears from nobody serves again after this long: it may be cut off.
+constexpr Duration kRevalidationLimit = std::chrono::seconds(2);
+/// How long the fate of an undecided change is watched for.
+constexpr Duration kAwaitTime = std::chrono::seconds(3);
+constexpr std::size_t kMostWaitingRequests = 32;
+constexpr std::uint32_t kControlTimeToLiveMs = 3000;
+
+}  // namespace
+
+ControlPlane::ControlPlane(const SelfMember& self, const ControlSettings& settings, std::uint64_t randomSeed)
+    : self_(self),
+      selfAddress_(Endpoint::parse(self.process.address).value_or(Endpoint())),
+      settings_(settings),
+      random_(randomSeed),
+      membership_(selfAddress_, self.zone, self.process.incarnation, settings.membership,
+                  RandomEngine(random_())),
+      voter_(self.process, store_),
+      proposer_(self.process.address + "#" + std::to_string(self.process.incarnation),
+                RandomEngine(random_())) {}
+
+void ControlPlane::setPlatformReport(const PlatformReport& report) {
+  platform_ = report;
+  voter_.setFirstVoters(firstVotersOf(report.daemons, settings_.voters));
+  std::vector<Endpoint> seeds = staticSeeds_;
+  seeds.insert(seeds.end(), report.daemons.begin(), report.daemons.end());
+  membership_.setSeeds(std::move(seeds));
+}
+
+void ControlPlane::setStaticSeeds(std::vector<Endpoint> seeds) {
+  staticSeeds_ = std::move(seeds);
+  setPlatformReport(PlatformReport(platform_));
+}
+
+ControlActions ControlPlane::onMessage(const PeerEnvelope& envelope, Moment now) {
+  detectPause(now);
+  if (const auto sender = Endpoint::parse(envelope.sender())) {
+    handle(*sender, envelope, now);
+  }
+  return flush(now);
+}
+
+void ControlPlane::handle(const Endpoint& sender, const PeerEnvelope& envelope, Moment now) {
+  revalidating_ = revalidating_ && sender == selfAddress_;
+  switch (envelope.body_case()) {
+    case PeerEnvelope::kProbe:
+      carryOut(membership_.onProbe(sender, envelope.probe(), now));
+      hearRevision(sender, envelope.probe().revision(), now);
+      return;
+    case PeerEnvelope::kProbeReply:
+      carryOut(membership_.onReply(envelope.probe_reply(), now));
+      hearRevision(sender, envelope.probe_reply().revision(), now);
+      return;
+    default:
+      break;
+  }
+  // Below, only daemons of one cluster understand each other; a daemon that holds nothing yet belongs to any.
+  const bool sameCluster =
+      envelope.cluster() == 0 || store_.cluster() == 0 || envelope.cluster() == store_.cluster();
+  if (sameCluster) {
+    handleAgreement(sender, envelope, now);
+  }
+}
+
+void ControlPlane::handleAgreement(const Endpoint& sender, const PeerEnvelope& envelope, Moment now) {
+  PeerEnvelope reply = envelopeOf();
+  switch (envelope.body_case()) {
+    case PeerEnvelope::kChangesRequest:
+      if (store_.revision() > envelope.changes_request().revision()) {
+        *reply.mutable_changes_reply() = store_.changesSince(envelope.changes_request().revision());
+        send(sender, std::move(reply));
+      }
+      return;
+    case PeerEnvelope::kChangesReply:
+      learn(envelope.changes_reply(), now);
+      return;
+    case PeerEnvelope::kPrepare:
+      *reply.mutable_promise() = voter_.onPrepare(envelope.prepare());
+      send(sender, std::move(reply));
+      return;
+    case PeerEnvelope::kAccept:
+      *reply.mutable_accepted() = voter_.onAccept(envelope.accept(), now);
+      send(sender, std::move(reply));
+      return;
+    case PeerEnvelope::kPromise:
+      carryOut(proposer_.onPromise(sender, envelope.promise(), now), now);
+      return;
+    case PeerEnvelope::kAccepted:
+      carryOut(proposer_.onAccepted(sender, envelope.accepted(), now), now);
+      return;
+    default:
+      return;
+  }
+}
+
+ControlActions ControlPlane::onTime(Moment now) {
+  detectPause(now);
+  if (startedAt_ == Moment{}) {
+    startedAt_ = now;
+  }
+  if (revalidating_ && now >= revalidateUntil_) {
+    revalidating_ = false;
+  }
+  carryOut(membership_.onTime(now));
+  carryOut(proposer_.onTime(now), now);
+  resolveAwaited(now);
+  if (now >= nextVoterCheckAt_) {
+    nextVoterCheckAt_ = now + settings_.voterCheckPeriod;
+    maybeFoundCluster(now);
+    keepVoters(now);
+    completeOpenProposal(now);
+  }
+  startNextRequest(now);
+  return flush(now);
+}
+
+ControlActions ControlPlane::submit(ChangeRequest request, Moment now) {
+  if (store_.revision() == 0) {
+    report(request, ChangeEnd::kNotReady);
+  } else if (waiting_.size() >= kMostWaitingRequests) {
+    report(request, ChangeEnd::kNoMajority);
+  } else {
+    waiting_.push_back(std::move(request));
+    startNextRequest(now);
+  }
+  return flush(now);
+}
+
+ControlActions ControlPlane::leave(Moment now) {
+  carryOut(membership_.leave(now));
+  return flush(now);
+}
+
+std::uint64_t ControlPlane::revisionOf(const Endpoint& address) const {
+  if (address == selfAddress_) {
+    return store_.revision();
+  }
+  const auto known = revisions_.find(address);
+  return known == revisions_.end() ? 0 : known->second;
+}
+
+/// A process that was stopped wakes with old news in its queues and must not act on them.
+void ControlPlane::detectPause(Moment now) {
+  if (lastTimeAt_ != Moment{} && now - lastTimeAt_ > settings_.pauseThreshold) {
+    ++pauses_;
+    membership_.onPause(now);
+    revalidating_ = true;
+    revalidateUntil_ = now + kRevalidationLimit;
+  }
+  lastTimeAt_ = now;
+}
+
+void ControlPlane::hearRevision(const Endpoint& sender, std::uint64_t revision, Moment now) {
+  if (sender == selfAddress_) {
+    return;
+  }
+  revisions_[sender] = revision;
+  if (revision > store_.revision()) {
+    askForChanges(sender, now);
+  }
+}
+
+void ControlPlane::askForChanges(const Endpoint& peer, Moment now) {
+  if (now - changesAskedAt_ < kChangesAskPeriod) {
+    return;
+  }
+  changesAskedAt_ = now;
+  PeerEnvelope envelope = envelopeOf();
+  envelope.mutable_changes_request()->set_revision(store_.revision());
+  send(peer, std::move(envelope));
+}
+
+void ControlPlane::learn(const ChangesReply& reply, Moment now) {
+  const std::uint64_t former = store_.revision();
+  if (store_.adopt(reply)) {
+    passOn(former);
+    resolveAwaited(now);
+  }
+}
+
+/// Tells a few random members what was learnt; each that did not know passes it on again.
+void ControlPlane::passOn(std::uint64_t formerRevision) {
+  if (formerRevision == 0) {
+    return;
+  }
+  std::vector<Endpoint> serving;
+  for (const auto& record : membership_.members().records()) {
+    if (record.serving()) {
+      serving.push_back(record.address);
+    }
+  }
+  std::vector<Endpoint> chosen;
+  std::sample(serving.begin(), serving.end(), std::back_inserter(chosen), settings_.changeFanout, random_);
+  for (const auto& peer : chosen) {
+    PeerEnvelope envelope = envelopeOf();
+    *envelope.mutable_changes_reply() = store_.changesSince(formerRevision);
+    send(peer, std::move(envelope));
+  }
+}
+
+/// Revision 1 is decided among daemons on the platform's list, from the platform's configuration.
+void ControlPlane::maybeFoundCluster(Moment now) {
+  if (store_.revision() != 0 || !platform_.configuration || !proposer_.idle()) {
+    return;
+  }
+  const VoterSet voters = firstVotersOf(platform_.daemons, settings_.voters);
+  for (int turn = 0; turn < voters.voters_size(); ++turn) {
+    const bool ourTurn = voters.voters(turn).address() == self_.process.address;
+    if (ourTurn && now >= startedAt_ + kFoundingTurn * (turn + 1)) {
+      Proposal proposal;
+      *proposal.mutable_change() = differenceBetween(Configuration(), *platform_.configuration);
+      proposal.mutable_change()->set_revision(1);
+      proposal.mutable_change()->set_id(self_.process.address + "#founding#" + std::to_string(nextChange_++));
+      *proposal.mutable_voters() = selectVoters({}, membership_.members(), self_, settings_.voters);
+      proposal.set_cluster(random_() | 1U);
+      carryOut(proposer_.start(1, voters, std::move(proposal), now), now);
+    }
+  }
+}
+
+void ControlPlane::keepVoters(Moment now) {
+  if (store_.revision() == 0 || !proposer_.idle() || !ready()) {
+    return;
+  }
+  if (!keepsVoters(store_.voters(), membership_.members(), self_)) {
+    return;
+  }
+  const VoterSet wanted = selectVoters(store_.voters(), membership_.members(), self_, settings_.voters);
+  if (!sameVoters(wanted, store_.voters())) {
+    propose(proposalOf(ConfigurationChange()), now);
+  }
+}
+
+/// A proposer may have died between the voters' acceptance and telling anybody.
+void ControlPlane::completeOpenProposal(Moment now) {
+  const auto openSince = voter_.openSince();
+  if (openSince && now - *openSince >= settings_.completionDelay && proposer_.idle() &&
+      store_.revision() != 0) {
+    propose(std::nullopt, now);
+  }
+}
+
+void ControlPlane::startNextRequest(Moment now) {
+  while (!waiting_.empty() && proposer_.idle()) {
+    ChangeRequest request = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (request.baseRevision != 0 && request.baseRevision != store_.revision()) {
+      report(request, ChangeEnd::kConflict);
+      continue;
+    }
+    Proposal proposal = proposalOf(request.change);
+    request.change = proposal.change();
+    running_ = std::move(request);
+    propose(std::move(proposal), now);
+  }
+}
+
+Proposal ControlPlane::proposalOf(const ConfigurationChange& change) {
+  Proposal proposal;
+  *proposal.mutable_change() = change;
+  proposal.mutable_change()->set_revision(store_.revision() + 1);
+  proposal.mutable_change()->set_id(self_.process.address + "#" + std::to_string(self_.process.incarnation) +
+                                    "#" + std::to_string(nextChange_++));
+  *proposal.mutable_voters() = selectVoters(store_.voters(), membership_.members(), self_, settings_.voters);
+  proposal.set_cluster(store_.cluster());
+  return proposal;
+}
+
+void ControlPlane::propose(std::optional<Proposal> own, Moment now) {
+  carryOut(proposer_.start(store_.revision() + 1, store_.voters(), std::move(own), now), now);
+}
+
+void ControlPlane::carryOut(ProposerActions actions, Moment now) {
+  for (auto& outgoing : actions.prepares) {
+    PeerEnvelope envelope = envelopeOf();
+    *envelope.mutable_prepare() = std::move(outgoing.prepare);
+    send(outgoing.to, std::move(envelope));
+  }
+  for (auto& outgoing : actions.accepts) {
+    PeerEnvelope envelope = envelopeOf();
+    *envelope.mutable_accept() = std::move(outgoing.accept);
+    send(outgoing.to, std::move(envelope));
+  }
+  for (const auto& peer : actions.behind) {
+    PeerEnvelope envelope = envelopeOf();
+    *envelope.mutable_changes_reply() = store_.changesSince(revisionOf(peer));
+    send(peer, std::move(envelope));
+  }
+  if (actions.ended) {
+    endProposal(*actions.ended, now);
+  }
+}
+
+void ControlPlane::endProposal(const ProposalResult& result, Moment now) {
+  const std::uint64_t former = store_.revision();
+  const bool chosen = result.end == ProposalEnd::kChosen || result.end == ProposalEnd::kOtherChosen;
+  if (chosen && store_.adopt(result.chosen)) {
+    passOn(former);
+  }
+  if (result.end == ProposalEnd::kBehind) {
+    changesAskedAt_ = {};
+    askForChanges(result.ahead, now);
+  }
+  if (!running_) {
+    return;
+  }
+  const ChangeRequest request = std::move(*running_);
+  running_.reset();
+  switch (result.end) {
+    case ProposalEnd::kChosen:
+      report(request, ChangeEnd::kAccepted);
+      return;
+    case ProposalEnd::kOtherChosen:
+      // A request that names no base follows whatever came in between.
+      if (request.baseRevision == 0) {
+        waiting_.push_front(request);
+      } else {
+        report(request, ChangeEnd::kConflict);
+      }
+      return;
+    case ProposalEnd::kBehind:
+      report(request, ChangeEnd::kConflict);
+      return;
+    case ProposalEnd::kNoMajority:
+      report(request, ChangeEnd::kNoMajority);
+      return;
+    case ProposalEnd::kUndecided:
+      awaited_.push_back(Awaited{request, request.change.revision(), now + kAwaitTime});
+      return;
+  }
+}
+
+/// An undecided change is settled once its revision is known: it holds this change or another one.
+void ControlPlane::resolveAwaited(Moment now) {
+  for (std::size_t position = 0; position < awaited_.size();) {
+    const Awaited& awaited = awaited_[position];
+    std::optional<ChangeEnd> end;
+    if (store_.revision() >= awaited.revision) {
+      const ChangesReply later = store_.changesSince(awaited.revision - 1);
+      const bool told = later.changes_size() > 0 && later.changes(0).revision() == awaited.revision;
+      const bool ours = told && later.changes(0).id() == awaited.request.change.id();
+      end = !told ? ChangeEnd::kUndecided : (ours ? ChangeEnd::kAccepted : ChangeEnd::kConflict);
+    } else if (now >= awaited.until) {
+      end = ChangeEnd::kUndecided;
+    }
+    if (!end) {
+      ++position;
+      continue;
+    }
+    report(awaited.request, *end);
+    awaited_.erase(awaited_.begin() + static_cast<std::ptrdiff_t>(position));
+  }
+}
+
+void ControlPlane::report(const ChangeRequest& request, ChangeEnd end) {
+  results_.push_back(ChangeResult{request.token, end, store_.revision()});
+}
+
+PeerEnvelope ControlPlane::envelopeOf() const {
+  PeerEnvelope envelope;
+  envelope.set_sender(self_.process.address);
+  envelope.set_incarnation(self_.process.incarnation);
+  envelope.set_time_to_live_ms(kControlTimeToLiveMs);
+  envelope.set_cluster(store_.cluster());
+  return envelope;
+}
+
+void ControlPlane::send(const Endpoint& to, PeerEnvelope envelope) {
+  outbox_.push_back(OutgoingEnvelope{to, std::move(envelope)});
+}
+
+void ControlPlane::carryOut(MembershipActions actions) {
+  for (auto& outgoing : actions.probes) {
+    PeerEnvelope envelope = envelopeOf();
+    *envelope.mutable_probe() = std::move(outgoing.probe);
+    envelope.mutable_probe()->set_revision(store_.revision());
+    send(outgoing.to, std::move(envelope));
+  }
+  for (auto& outgoing : actions.replies) {
+    PeerEnvelope envelope = envelopeOf();
+    *envelope.mutable_probe_reply() = std::move(outgoing.reply);
+    envelope.mutable_probe_reply()->set_revision(store_.revision());
+    send(outgoing.to, std::move(envelope));
+  }
+}
+
+ControlActions ControlPlane::flush(Moment now) {
+  ControlActions actions;
+  while (!outbox_.empty()) {
+    std::vector<OutgoingEnvelope> batch;
+    batch.swap(outbox_);
+    for (auto& outgoing : batch) {
+      if (outgoing.to == selfAddress_) {
+        handle(selfAddress_, outgoing.envelope, now);
+      } else {
+        actions.messages.push_back(std::move(outgoing));
+      }
+    }
+  }
+  actions.results.swap(results_);
+  return actions;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/frame_age.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/// Tells how long a frame was on the way, without synchronised clocks: the quickest frame of a sender process
+/// is taken as immediate, and later ones are measured against it. So frames that waited in a queue while
+/// either side was paused, or a network was cut, are recognised as old.
+
+#include <algorithm>
+#include <cstdint>
+#include <unordered_map>
+
+#include "state/endpoint.h"
+#include "state/time.h"
+
+namespace oakpier {
+
+/// Not thread-safe; used by the receiving thread only.
+class FrameAge {
+ public:
+  /// `sentAtUs` is on the sender's steady clock.
+  Duration ageOf(const Endpoint& sender, std::uint64_t incarnation, std::uint64_t sentAtUs,
+                 Moment receivedAt) {
+    const std::int64_t offset = receivedAt.time_since_epoch().count() - static_cast<std::int64_t>(sentAtUs);
+    Baseline& baseline = baselines_[sender];
+    if (baseline.incarnation != incarnation) {
+      baseline = Baseline{incarnation, offset};
+    }
+    baseline.smallestOffset = std::min(baseline.smallestOffset, offset);
+    return Duration(offset - baseline.smallestOffset);
+  }
+
+ private:
+  struct Baseline {
+    std::uint64_t incarnation = 0;
+    std::int64_t smallestOffset = 0;
+  };
+  std::unordered_map<Endpoint, Baseline> baselines_;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,407 @@
+#include "coordination/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "state/erase.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr int kMostOwnTrouble = 5;
+constexpr Duration kForgetPeriod = std::chrono::seconds(30);
+/// A probe is given up after this many time-outs, the indirect ones included.
+constexpr int kProbeLifetimeTimeouts = 3;
+/// Members told directly of a planned leave.
+constexpr int kLeaveNotices = 5;
+/// More waiting updates than this means that messages should carry many.
+constexpr std::size_t kBacklog = 100;
+
+}  // namespace
+
+Membership::Membership(const Endpoint& self, const std::string& zone, std::uint64_t incarnation,
+                       const MembershipSettings& settings, RandomEngine random)
+    : self_(self), zone_(zone), incarnation_(incarnation), settings_(settings), random_(std::move(random)) {}
+
+void Membership::setSeeds(std::vector<Endpoint> seeds) {
+  eraseValue(seeds, self_);
+  seeds_ = std::move(seeds);
+}
+
+MembershipActions Membership::onProbe(const Endpoint& sender, const Probe& probe, Moment now) {
+  MembershipActions actions;
+  receive(probe, now);
+  if (!probe.target().empty()) {
+    const auto target = Endpoint::parse(probe.target());
+    if (target && *target != self_) {
+      PendingProbe onBehalf;
+      onBehalf.askedBy = sender;
+      onBehalf.askedSequence = probe.sequence();
+      sendProbe(*target, now, actions, &onBehalf);
+    }
+    return actions;
+  }
+  OutgoingProbeReply outgoing{sender, {}};
+  outgoing.reply.set_sequence(probe.sequence());
+  outgoing.reply.set_subject(self_.text());
+  attachUpdates(sender, outgoing.reply, probe.joining());
+  actions.replies.push_back(std::move(outgoing));
+  return actions;
+}
+
+MembershipActions Membership::onReply(const ProbeReply& reply, Moment now) {
+  MembershipActions actions;
+  receive(reply, now);
+  const auto found = pending_.find(reply.sequence());
+  if (found == pending_.end() || found->second.target.text() != reply.subject()) {
+    return actions;
+  }
+  const PendingProbe pending = found->second;
+  pending_.erase(found);
+  ownTrouble_ = std::max(0, ownTrouble_ - 1);
+  if (pending.askedBy) {
+    OutgoingProbeReply outgoing{*pending.askedBy, {}};
+    outgoing.reply.set_sequence(pending.askedSequence);
+    outgoing.reply.set_subject(reply.subject());
+    attachUpdates(*pending.askedBy, outgoing.reply);
+    actions.replies.push_back(std::move(outgoing));
+  }
+  return actions;
+}
+
+MembershipActions Membership::onTime(Moment now) {
+  MembershipActions actions;
+  if (leaving_) {
+    return actions;
+  }
+  checkPending(now, actions);
+  expireSuspicions(now);
+  if (now >= nextProbeAt_) {
+    nextProbeAt_ = now + settings_.probePeriod * (1 + ownTrouble_);
+    probeNext(now, actions);
+  }
+  if (now >= nextReconnectAt_) {
+    nextReconnectAt_ = now + (joined_ ? settings_.reconnectPeriod : settings_.probePeriod / 4);
+    reconnect(now, actions);
+  }
+  if (now >= nextForgetAt_) {
+    nextForgetAt_ = now + kForgetPeriod;
+    forgetTombstones(now);
+  }
+  return actions;
+}
+
+void Membership::onPause(Moment now) {
+  updates_.clear();
+  pending_.clear();
+  // Suspicions start again: during the pause nobody could refute them here.
+  for (auto& suspicion : suspicions_) {
+    suspicion.expiresAt = now + std::chrono::duration_cast<Duration>(
+                                    settings_.probePeriod * (settings_.suspicionPeriods * logMembers()));
+  }
+  nextProbeAt_ = now;
+  nextReconnectAt_ = now;
+}
+
+MembershipActions Membership::leave(Moment now) {
+  MembershipActions actions;
+  leaving_ = true;
+  for (int notice = 0; notice < kLeaveNotices; ++notice) {
+    if (const auto target = randomServing()) {
+      sendProbe(*target, now, actions);
+    }
+  }
+  return actions;
+}
+
+void Membership::probeNext(Moment now, MembershipActions& actions) {
+  if (const auto target = nextTarget()) {
+    sendProbe(*target, now, actions);
+  }
+}
+
+/// Round-robin over a shuffled list, so that every member is probed within a bounded time.
+std::optional<Endpoint> Membership::nextTarget() {
+  for (int pass = 0; pass < 2; ++pass) {
+    while (!probeOrder_.empty()) {
+      const Endpoint target = probeOrder_.back();
+      probeOrder_.pop_back();
+      const MemberRecord* record = members_.find(target);
+      if (record != nullptr && record->serving()) {
+        return target;
+      }
+    }
+    for (const auto& record : members_.records()) {
+      if (record.serving()) {
+        probeOrder_.push_back(record.address);
+      }
+    }
+    std::shuffle(probeOrder_.begin(), probeOrder_.end(), random_);
+  }
+  return std::nullopt;
+}
+
+void Membership::sendProbe(const Endpoint& target, Moment now, MembershipActions& actions,
+                           const PendingProbe* onBehalf) {
+  PendingProbe pending = onBehalf == nullptr ? PendingProbe{} : *onBehalf;
+  pending.target = target;
+  pending.sentAt = now;
+  const std::uint64_t sequence = nextSequence_++;
+  OutgoingProbe outgoing{target, {}};
+  outgoing.probe.set_sequence(sequence);
+  outgoing.probe.set_joining(!joined_);
+  attachUpdates(target, outgoing.probe);
+  actions.probes.push_back(std::move(outgoing));
+  pending_.emplace(sequence, std::move(pending));
+  ++counters_.probesSent;
+}
+
+void Membership::checkPending(Moment now, MembershipActions& actions) {
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    PendingProbe& pending = entry->second;
+    const Duration age = now - pending.sentAt;
+    const bool ended = age >= settings_.probeTimeout * kProbeLifetimeTimeouts;
+    if (ended) {
+      if (!pending.askedBy) {
+        ownTrouble_ = std::min(kMostOwnTrouble, ownTrouble_ + 1);
+        suspect(pending.target, now);
+      }
+      entry = pending_.erase(entry);
+      continue;
+    }
+    if (age >= settings_.probeTimeout && !pending.indirectSent && !pending.askedBy) {
+      pending.indirectSent = true;
+      askOthers(entry->first, pending, actions);
+    }
+    ++entry;
+  }
+}
+
+void Membership::askOthers(std::uint64_t sequence, PendingProbe& pending, MembershipActions& actions) {
+  for (std::size_t count = 0; count < settings_.indirectProbes; ++count) {
+    const auto helper = randomServing();
+    if (!helper || *helper == pending.target) {
+      continue;
+    }
+    OutgoingProbe outgoing{*helper, {}};
+    outgoing.probe.set_sequence(sequence);
+    outgoing.probe.set_target(pending.target.text());
+    attachUpdates(*helper, outgoing.probe);
+    actions.probes.push_back(std::move(outgoing));
+    ++counters_.indirectProbesSent;
+  }
+}
+
+void Membership::suspect(const Endpoint& subject, Moment now) {
+  MemberRecord* record = members_.find(subject);
+  if (record == nullptr || record->condition != MEMBER_ALIVE) {
+    return;
+  }
+  ++counters_.suspicionsRaised;
+  MemberRecord update = *record;
+  update.condition = MEMBER_SUSPECT;
+  mergeRecord(update, now);
+}
+
+void Membership::expireSuspicions(Moment now) {
+  for (std::size_t position = 0; position < suspicions_.size();) {
+    const Suspicion suspicion = suspicions_[position];
+    const MemberRecord* record = members_.find(suspicion.subject);
+    const bool open = record != nullptr && record->condition == MEMBER_SUSPECT;
+    if (open && now < suspicion.expiresAt) {
+      ++position;
+      continue;
+    }
+    suspicions_[position] = suspicions_.back();
+    suspicions_.pop_back();
+    if (open) {
+      ++counters_.deathsDeclared;
+      MemberRecord update = *record;
+      update.condition = MEMBER_DEAD;
+      mergeRecord(update, now);
+    }
+  }
+}
+
+/// Tries one seed or dead member: only so do two sides of a healed cut hear of each other again.
+void Membership::reconnect(Moment now, MembershipActions& actions) {
+  std::vector<Endpoint> candidates;
+  for (const auto& seed : seeds_) {
+    const MemberRecord* record = members_.find(seed);
+    if (record == nullptr || !record->serving()) {
+      candidates.push_back(seed);
+    }
+  }
+  for (const auto& record : members_.records()) {
+    if (record.condition == MEMBER_DEAD) {
+      candidates.push_back(record.address);
+    }
+  }
+  if (!candidates.empty()) {
+    sendProbe(candidates[draw(candidates.size())], now, actions);
+  }
+}
+
+void Membership::forgetTombstones(Moment now) {
+  std::vector<Endpoint> old;
+  for (const auto& record : members_.records()) {
+    if (!record.serving() && now - record.changedAt > settings_.tombstoneLifetime) {
+      old.push_back(record.address);
+    }
+  }
+  for (const auto& address : old) {
+    members_.remove(address);
+  }
+}
+
+template <typename Message>
+void Membership::receive(const Message& message, Moment now) {
+  joined_ = true;
+  for (const auto& update : message.updates()) {
+    merge(update, now);
+  }
+}
+
+void Membership::merge(const MemberUpdate& update, Moment now) {
+  const auto address = Endpoint::parse(update.address());
+  if (!address) {
+    return;
+  }
+  if (*address == self_) {
+    mergeSelf(update, now);
+    return;
+  }
+  MemberRecord record;
+  record.address = *address;
+  record.incarnation = update.incarnation();
+  record.refutation = update.refutation();
+  record.zone = members_.zoneNumber(update.zone());
+  record.condition = update.condition();
+  mergeRecord(record, now);
+}
+
+/// News about this process: anything but alive is refuted, unless it is true.
+void Membership::mergeSelf(const MemberUpdate& update, Moment /*now*/) {
+  const bool aboutThisProcess = update.incarnation() == incarnation_;
+  if (!aboutThisProcess || update.condition() == MEMBER_ALIVE || leaving_) {
+    return;
+  }
+  if (update.refutation() >= selfRefutation_) {
+    selfRefutation_ = update.refutation() + 1;
+    ownTrouble_ = std::min(kMostOwnTrouble, ownTrouble_ + 1);
+    ++counters_.refutations;
+    spread(self_);
+  }
+}
+
+void Membership::mergeRecord(const MemberRecord& update, Moment now) {
+  MemberRecord* known = members_.find(update.address);
+  if (known != nullptr && !supersedes(update, *known)) {
+    return;
+  }
+  const bool servedBefore = known != nullptr && known->serving();
+  const bool sameProcess = known != nullptr && known->incarnation == update.incarnation;
+  MemberRecord& record = known == nullptr ? members_.add(update) : (*known = update);
+  record.changedAt = now;
+  servingCount_ += (record.serving() ? 1 : 0) - (servedBefore ? 1 : 0);
+  if (servedBefore != record.serving() || !sameProcess) {
+    ++version_;
+  }
+  if (record.condition == MEMBER_SUSPECT) {
+    const auto patience = std::chrono::duration_cast<Duration>(settings_.probePeriod *
+                                                               (settings_.suspicionPeriods * logMembers()));
+    suspicions_.push_back(Suspicion{record.address, now + patience * (1 + ownTrouble_)});
+  }
+  if (record.serving() && !servedBefore) {
+    // Joins the current round at a random place.
+    probeOrder_.insert(probeOrder_.begin() + static_cast<std::ptrdiff_t>(draw(probeOrder_.size() + 1)),
+                       record.address);
+  }
+  spread(record.address);
+}
+
+/// Queues what is now believed of `subject` to be sent a bounded number of times.
+void Membership::spread(const Endpoint& subject) {
+  const int transmissions = static_cast<int>(std::ceil(settings_.updateTransmissions * logMembers()));
+  for (auto& update : updates_) {
+    if (update.subject == subject) {
+      update.transmissionsLeft = transmissions;
+      return;
+    }
+  }
+  updates_.push_front(PendingUpdate{subject, transmissions});
+}
+
+/// The sender's own record always rides along, so the receiver knows whom it hears; and what is believed of
+/// the receiver, when that is bad, so that it can refute it.
+template <typename Message>
+void Membership::attachUpdates(const Endpoint& receiver, Message& message, bool everything) {
+  *message.add_updates() = describeSelf();
+  const MemberRecord* receiverRecord = members_.find(receiver);
+  if (receiverRecord != nullptr && receiverRecord->condition != MEMBER_ALIVE) {
+    *message.add_updates() = describe(*receiverRecord);
+  }
+  if (everything) {
+    for (const auto& record : members_.records()) {
+      *message.add_updates() = describe(record);
+    }
+    return;
+  }
+  const std::size_t most =
+      updates_.size() > kBacklog ? settings_.updatesPerMessageWhenBehind : settings_.updatesPerMessage;
+  const std::size_t count = std::min(most, updates_.size());
+  for (std::size_t taken = 0; taken < count; ++taken) {
+    PendingUpdate update = updates_.front();
+    updates_.pop_front();
+    const MemberRecord* record = members_.find(update.subject);
+    if (record != nullptr) {
+      *message.add_updates() = describe(*record);
+    }
+    if (--update.transmissionsLeft > 0) {
+      updates_.push_back(update);
+    }
+  }
+}
+
+MemberUpdate Membership::describe(const MemberRecord& record) const {
+  MemberUpdate update;
+  update.set_address(record.address.text());
+  update.set_zone(members_.zoneName(record.zone));
+  update.set_incarnation(record.incarnation);
+  update.set_refutation(record.refutation);
+  update.set_condition(record.condition);
+  return update;
+}
+
+MemberUpdate Membership::describeSelf() const {
+  MemberUpdate update;
+  update.set_address(self_.text());
+  update.set_zone(zone_);
+  update.set_incarnation(incarnation_);
+  update.set_refutation(selfRefutation_);
+  update.set_condition(leaving_ ? MEMBER_LEFT : MEMBER_ALIVE);
+  return update;
+}
+
+std::optional<Endpoint> Membership::randomServing() {
+  const auto& records = members_.records();
+  constexpr int kDraws = 20;
+  for (int attempt = 0; attempt < kDraws && !records.empty(); ++attempt) {
+    const MemberRecord& record = records[draw(records.size())];
+    if (record.serving()) {
+      return record.address;
+    }
+  }
+  return std::nullopt;
+}
+
+double Membership::logMembers() const {
+  return std::max(1.0, std::log10(static_cast<double>(servingCount_) + 2));
+}
+
+std::size_t Membership::draw(std::size_t bound) {
+  return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/membership.h
@@ -0,0 +1,161 @@
+#pragma once
+
+/// Membership between daemons by probing: each period one member is probed, directly and then through others;
+/// what changes rides on probes and replies. The cost to a daemon does not grow with the number of daemons.
+///
+/// Invariants: only a member itself raises its refutation; a dead or left process never becomes alive again
+/// except by its own refutation (dead) or as a later process (higher incarnation); every update is sent a
+/// bounded number of times.
+
+#include <deque>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "oakpier/peer.pb.h"
+#include "state/member_table.h"
+
+namespace oakpier {
+
+using RandomEngine = std::mt19937_64;
+
+struct MembershipSettings {
+  Duration probePeriod = std::chrono::seconds(1);
+  Duration probeTimeout = std::chrono::milliseconds(300);
+  /// Members asked to probe on our behalf when a member does not answer.
+  std::size_t indirectProbes = 3;
+  /// A suspect is dead after this many probe periods times log10(members + 1).
+  double suspicionPeriods = 3.0;
+  /// Each update is sent this many times log10(members + 1).
+  double updateTransmissions = 4.0;
+  std::size_t updatesPerMessage = 8;
+  /// With many updates waiting, as after a healed cut, messages carry up to this many.
+  std::size_t updatesPerMessageWhenBehind = 40;
+  /// How often one dead member or seed is tried, so that healed cuts merge.
+  Duration reconnectPeriod = std::chrono::seconds(5);
+  /// How long the dead are remembered, so that old news cannot revive them.
+  Duration tombstoneLifetime = std::chrono::minutes(15);
+};
+
+struct OutgoingProbe {
+  Endpoint to;
+  Probe probe;
+};
+
+struct OutgoingProbeReply {
+  Endpoint to;
+  ProbeReply reply;
+};
+
+struct MembershipActions {
+  std::vector<OutgoingProbe> probes;
+  std::vector<OutgoingProbeReply> replies;
+};
+
+struct MembershipCounters {
+  std::uint64_t probesSent = 0;
+  std::uint64_t indirectProbesSent = 0;
+  std::uint64_t suspicionsRaised = 0;
+  std::uint64_t refutations = 0;
+  std::uint64_t deathsDeclared = 0;
+};
+
+class Membership {
+ public:
+  Membership(const Endpoint& self, const std::string& zone, std::uint64_t incarnation,
+             const MembershipSettings& settings, RandomEngine random);
+
+  /// Addresses to try when no member is known; from settings and the platform's list.
+  void setSeeds(std::vector<Endpoint> seeds);
+
+  MembershipActions onProbe(const Endpoint& sender, const Probe& probe, Moment now);
+  MembershipActions onReply(const ProbeReply& reply, Moment now);
+  MembershipActions onTime(Moment now);
+
+  /// After a pause: all that waited to be sent is old, and probes on the way prove nothing.
+  void onPause(Moment now);
+  /// Tells a few members that this process leaves in good order.
+  MembershipActions leave(Moment now);
+
+  const MemberTable& members() const { return members_; }
+  std::size_t servingCount() const { return servingCount_; }
+  /// Raised with every change that placement or readiness depends on.
+  std::uint64_t version() const { return version_; }
+  /// Some other member or seed was heard from.
+  bool joined() const { return joined_; }
+  const MembershipCounters& counters() const { return counters_; }
+  const Endpoint& self() const { return self_; }
+  std::uint64_t incarnation() const { return incarnation_; }
+
+ private:
+  struct PendingProbe {
+    Endpoint target;
+    Moment sentAt{};
+    bool indirectSent = false;
+    /// Set when probing for another member.
+    std::optional<Endpoint> askedBy;
+    std::uint64_t askedSequence = 0;
+  };
+  struct PendingUpdate {
+    Endpoint subject;
+    int transmissionsLeft = 0;
+  };
+  struct Suspicion {
+    Endpoint subject;
+    Moment expiresAt{};
+  };
+
+  void probeNext(Moment now, MembershipActions& actions);
+  void sendProbe(const Endpoint& target, Moment now, MembershipActions& actions,
+                 const PendingProbe* onBehalf = nullptr);
+  void checkPending(Moment now, MembershipActions& actions);
+  void askOthers(std::uint64_t sequence, PendingProbe& pending, MembershipActions& actions);
+  void expireSuspicions(Moment now);
+  void reconnect(Moment now, MembershipActions& actions);
+  void forgetTombstones(Moment now);
+  std::optional<Endpoint> nextTarget();
+  std::optional<Endpoint> randomServing();
+
+  template <typename Message>
+  void receive(const Message& message, Moment now);
+  void merge(const MemberUpdate& update, Moment now);
+  void mergeSelf(const MemberUpdate& update, Moment now);
+  void mergeRecord(const MemberRecord& update, Moment now);
+  void suspect(const Endpoint& subject, Moment now);
+  void spread(const Endpoint& subject);
+  template <typename Message>
+  void attachUpdates(const Endpoint& receiver, Message& message, bool everything = false);
+  MemberUpdate describe(const MemberRecord& record) const;
+  MemberUpdate describeSelf() const;
+  double logMembers() const;
+  std::size_t draw(std::size_t bound);
+
+  Endpoint self_;
+  std::string zone_;
+  std::uint64_t incarnation_;
+  MembershipSettings settings_;
+  RandomEngine random_;
+  MemberTable members_;
+  std::size_t servingCount_ = 0;
+  std::vector<Endpoint> seeds_;
+  std::vector<Endpoint> probeOrder_;
+  std::unordered_map<std::uint64_t, PendingProbe> pending_;
+  std::deque<PendingUpdate> updates_;
+  std::vector<Suspicion> suspicions_;
+  std::uint64_t nextSequence_ = 1;
+  std::uint32_t selfRefutation_ = 0;
+  std::uint64_t version_ = 1;
+  bool joined_ = false;
+  bool leaving_ = false;
+  Moment nextProbeAt_{};
+  Moment nextReconnectAt_{};
+  Moment nextForgetAt_{};
+  /// Grows while probes of ours fail and refutations reach us: then the fault may be here, and we judge
+  /// slower.
+  int ownTrouble_ = 0;
+  MembershipCounters counters_;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/owner_health.cpp
@@ -0,0 +1,34 @@
+#include "coordination/owner_health.h"
+
+namespace oakpier {
+
+void OwnerHealth::recordSent(const Endpoint& owner, Moment now) {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  Record& record = records_[owner];
+  if (record.unanswered == 0) {
+    record.unansweredSince = now;
+  }
+  ++record.unanswered;
+}
+
+void OwnerHealth::recordReply(const Endpoint& owner) {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  records_[owner].unanswered = 0;
+}
+
+bool OwnerHealth::suspected(const Endpoint& owner, Moment now) {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  const auto found = records_.find(owner);
+  if (found == records_.end()) {
+    return false;
+  }
+  Record& record = found->second;
+  const bool silent = record.unanswered >= kUnansweredLimit && now - record.unansweredSince > kSilenceLimit;
+  if (silent && now - record.triedAt > kRetryPeriod) {
+    record.triedAt = now;
+    return false;
+  }
+  return silent;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/common/logging.cpp
@@ -0,0 +1,69 @@
+#include "programs/common/logging.h"
+
+#include <unistd.h>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <chrono>
+#include <iostream>
+
+namespace oakpier {
+
+namespace {
+
+namespace trivial = boost::log::trivial;
+
+std::string programName;
+
+trivial::severity_level severityOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return trivial::debug;
+    case LogLevel::kInfo:
+      return trivial::info;
+    case LogLevel::kWarning:
+      return trivial::warning;
+    default:
+      return trivial::error;
+  }
+}
+
+}  // namespace
+
+void startLogging(LogLevel level, const std::string& program) {
+  programName = program;
+  boost::log::add_console_log(
+      std::clog,
+      boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
+      boost::log::keywords::auto_flush = true);
+  boost::log::core::get()->set_filter(trivial::severity >= severityOf(level));
+}
+
+void log(LogLevel level, const std::string& message, const std::vector<LogField>& fields) {
+  static boost::log::sources::severity_logger_mt<trivial::severity_level> logger;
+  const auto severity = severityOf(level);
+  auto record = logger.open_record(boost::log::keywords::severity = severity);
+  if (!record) {
+    return;
+  }
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  nlohmann::ordered_json line;
+  line["time_us"] = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+  line["level"] = trivial::to_string(severity);
+  line["program"] = programName;
+  line["pid"] = getpid();
+  line["message"] = message;
+  for (const auto& field : fields) {
+    line[field.name] = field.value;
+  }
+  boost::log::record_ostream stream(record);
+  stream << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  stream.flush();
+  logger.push_record(std::move(record));
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/daemon/control_loop.cpp
@@ -0,0 +1,154 @@
+#include "programs/daemon/control_loop.h"
+
+#include "programs/common/logging.h"
+#include "state/hashing.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(20);
+
+}  // namespace
+
+ControlLoop::ControlLoop(const SelfMember& self, const ControlSettings& settings, std::uint64_t randomSeed,
+                         std::vector<Endpoint> peers, Published<RoutingView>& view, Sender sender)
+    : view_(view),
+      sender_(std::move(sender)),
+      self_(self),
+      selfAddress_(Endpoint::parse(self.process.address).value_or(Endpoint())),
+      plane_(self, settings, randomSeed),
+      table_(view.read()->table) {
+  plane_.setStaticSeeds(std::move(peers));
+}
+
+ControlLoop::~ControlLoop() { stop(); }
+
+void ControlLoop::start() {
+  thread_ = std::thread([this] { run(); });
+}
+
+void ControlLoop::stop() {
+  stopping_ = true;
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void ControlLoop::run() {
+  Moment nextTick = steadyNow();
+  while (!stopping_) {
+    for (const auto& task : mailbox_.takeUntil(nextTick)) {
+      task(steadyNow());
+    }
+    const Moment now = steadyNow();
+    if (now >= nextTick) {
+      nextTick = now + kTick;
+      carryOut(plane_.onTime(now));
+    }
+    publishWhenChanged();
+  }
+}
+
+void ControlLoop::postMessage(PeerEnvelope envelope) {
+  mailbox_.push(
+      [this, envelope = std::move(envelope)](Moment now) { carryOut(plane_.onMessage(envelope, now)); });
+}
+
+void ControlLoop::postPlatform(PlatformReport report, PlatformLeaving leaving) {
+  mailbox_.push([this, report = std::move(report), leaving = std::move(leaving)](Moment /*now*/) {
+    plane_.setPlatformReport(report);
+    leavingChanged_ = leavingChanged_ || leaving.leaves != leaving_.leaves;
+    leaving_ = leaving;
+  });
+}
+
+std::future<ChangeResult> ControlLoop::submit(ConfigurationChange change, std::uint64_t baseRevision) {
+  auto promise = std::make_shared<std::promise<ChangeResult>>();
+  std::future<ChangeResult> result = promise->get_future();
+  mailbox_.push([this, promise, change = std::move(change), baseRevision](Moment now) {
+    const std::uint64_t token = nextToken_++;
+    promises_[token] = std::move(*promise);
+    carryOut(plane_.submit(ChangeRequest{token, change, baseRevision}, now));
+  });
+  return result;
+}
+
+void ControlLoop::leave() {
+  mailbox_.push([this](Moment now) {
+    stopOwning_ = true;
+    leavingChanged_ = true;
+    carryOut(plane_.leave(now));
+  });
+}
+
+void ControlLoop::inspect(const std::function<void(const ControlPlane&)>& read) {
+  std::promise<void> done;
+  mailbox_.push([this, &read, &done](Moment /*now*/) {
+    read(plane_);
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void ControlLoop::carryOut(ControlActions actions) {
+  for (auto& outgoing : actions.messages) {
+    sender_(outgoing.to, std::move(outgoing.envelope));
+  }
+  for (const auto& result : actions.results) {
+    const auto waiting = promises_.find(result.token);
+    if (waiting != promises_.end()) {
+      waiting->second.set_value(result);
+      promises_.erase(waiting);
+    }
+  }
+}
+
+void ControlLoop::publishWhenChanged() {
+  const bool tableChanged = plane_.store().revision() != table_->revision();
+  const bool membersChanged = plane_.membership().version() != publishedMembership_;
+  if (tableChanged || membersChanged || leavingChanged_ || plane_.ready() != publishedReady_) {
+    publish(tableChanged);
+  }
+}
+
+void ControlLoop::publish(bool tableChanged) {
+  if (tableChanged) {
+    table_ = std::make_shared<const RoutingTable>(plane_.store().configuration(), table_.get());
+    placement_.setLeaves(*table_);
+    log(LogLevel::kInfo, "configuration in force", {{"revision", table_->revision()}});
+  }
+  std::vector<Candidate> members;
+  const MemberTable& known = plane_.membership().members();
+  for (const auto& record : known.records()) {
+    if (record.serving()) {
+      members.push_back({record.address, hashText(known.zoneName(record.zone))});
+    }
+  }
+  if (!stopOwning_) {
+    members.push_back({selfAddress_, hashText(self_.zone)});
+  }
+  const std::size_t memberCount = members.size();
+  placement_.setMembers(std::move(members));
+  auto fresh = std::make_shared<RoutingView>();
+  fresh->table = table_;
+  fresh->owners = placement_.owners();
+  fresh->leaving.resize(table_->leaves().size());
+  for (std::size_t leaf = 0; leaf < fresh->leaving.size(); ++leaf) {
+    fresh->leaving[leaf] =
+        !leaving_.leaves.empty() &&
+        leaving_.leaves.count(table_->leaf(static_cast<LeafIndex>(leaf)).address.text()) != 0;
+  }
+  fresh->ready = plane_.ready();
+  log(LogLevel::kDebug, "routing view published",
+      {{"revision", table_->revision()},
+       {"members", memberCount},
+       {"moved", placement_.moved()},
+       {"ready", fresh->ready}});
+  publishedMembership_ = plane_.membership().version();
+  publishedReady_ = fresh->ready;
+  leavingChanged_ = false;
+  view_.publish(std::move(fresh));
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/daemon/control_loop.h
@@ -0,0 +1,74 @@
+#pragma once
+
+/// The control thread: feeds the control plane with messages and time, sends what it asks for, and publishes
+/// the routing view that requests read.
+
+#include <functional>
+#include <future>
+#include <set>
+#include <thread>
+#include <unordered_map>
+
+#include "coordination/control_plane.h"
+#include "coordination/placement.h"
+#include "programs/daemon/mailbox.h"
+#include "state/published.h"
+#include "state/routing_view.h"
+
+namespace oakpier {
+
+/// What the platform's list says besides the daemons: addresses of leafs that leave.
+struct PlatformLeaving {
+  std::set<std::string> leaves;
+};
+
+class ControlLoop {
+ public:
+  using Sender = std::function<void(const Endpoint& to, PeerEnvelope envelope)>;
+
+  ControlLoop(const SelfMember& self, const ControlSettings& settings, std::uint64_t randomSeed,
+              std::vector<Endpoint> peers, Published<RoutingView>& view, Sender sender);
+  ~ControlLoop();
+  ControlLoop(const ControlLoop&) = delete;
+  ControlLoop& operator=(const ControlLoop&) = delete;
+
+  void start();
+  void stop();
+
+  /// All below are thread-safe.
+  void postMessage(PeerEnvelope envelope);
+  void postPlatform(PlatformReport report, PlatformLeaving leaving);
+  std::future<ChangeResult> submit(ConfigurationChange change, std::uint64_t baseRevision);
+  /// Stops owning leafs and tells the others.
+  void leave();
+  /// Runs `read` on the control thread and waits for it.
+  void inspect(const std::function<void(const ControlPlane&)>& read);
+
+ private:
+  using Task = std::function<void(Moment)>;
+
+  void run();
+  void carryOut(ControlActions actions);
+  void publishWhenChanged();
+  void publish(bool tableChanged);
+
+  Published<RoutingView>& view_;
+  Sender sender_;
+  SelfMember self_;
+  Endpoint selfAddress_;
+  ControlPlane plane_;
+  Placement placement_;
+  std::shared_ptr<const RoutingTable> table_;
+  PlatformLeaving leaving_;
+  bool leavingChanged_ = false;
+  bool stopOwning_ = false;
+  std::uint64_t publishedMembership_ = 0;
+  bool publishedReady_ = false;
+  std::unordered_map<std::uint64_t, std::promise<ChangeResult>> promises_;
+  std::uint64_t nextToken_ = 1;
+  Mailbox<Task> mailbox_;
+  std::thread thread_;
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/daemon/daemon.cpp
@@ -0,0 +1,206 @@
+#include "programs/daemon/daemon.h"
+
+#include <random>
+
+#include "programs/common/logging.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr std::uint32_t kResultTimeToLiveMs = 10'000;
+/// HTTP threads beyond the admitted queries, so that refusals find one.
+constexpr unsigned kSpareCallerThreads = 32;
+constexpr unsigned kOperatorThreads = 8;
+constexpr unsigned kHttpUnavailable = 503;
+/// Operators send whole configurations.
+constexpr std::size_t kMaxOperatorBytes = std::size_t{64} << 20U;
+
+/// Rises from one start to the next at the same address, and is drawn so that two starts never share it.
+std::uint64_t drawIncarnation() {
+  constexpr unsigned kRandomBits = 10;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  return (static_cast<std::uint64_t>(milliseconds) << kRandomBits) | (std::random_device{}() >> 22U);
+}
+
+std::shared_ptr<const RoutingView> emptyView() {
+  auto view = std::make_shared<RoutingView>();
+  view->table = std::make_shared<const RoutingTable>(Configuration(), nullptr);
+  return view;
+}
+
+ControlSettings controlSettingsOf(const DaemonSettings& settings) {
+  ControlSettings control;
+  control.voters = settings.voters;
+  control.membership.probePeriod = settings.probePeriod;
+  control.membership.probeTimeout = std::min(control.membership.probeTimeout, settings.probePeriod / 3);
+  return control;
+}
+
+}  // namespace
+
+Daemon::Daemon(const DaemonSettings& settings)
+    : settings_(settings),
+      self_{{settings.peerAddress.text(), drawIncarnation()}, settings.zone},
+      view_(emptyView()),
+      peers_(
+          settings.peerAddress,
+          PeerTransport::Handlers{
+              [this](PeerEnvelope envelope, bool stale) { onEnvelope(std::move(envelope), stale); },
+              [this](const Endpoint& to, const PeerEnvelope& envelope) { onUndeliverable(to, envelope); }}),
+      control_(self_, controlSettingsOf(settings), std::random_device{}(), settings.peers, view_,
+               [this](const Endpoint& to, PeerEnvelope envelope) { peers_.send(to, std::move(envelope)); }),
+      owners_(settings.ownerThreads, view_, settings.admission,
+              [this](const ReplyToEntry& results) { reply(results); }),
+      entry_(settings, self_.process.incarnation, view_, metrics_,
+             [this](const Endpoint& to, PeerEnvelope envelope) { peers_.send(to, std::move(envelope)); }),
+      operators_(self_, control_, view_),
+      platform_(settings.platform, settings.platformPeriod, control_,
+                [this] { return view_.read()->table->revision() == 0; }),
+      callerServer_(
+          {settings.callerAddress, settings.maxQueries + kSpareCallerThreads, settings.maxRequestBytes}),
+      operatorServer_({settings.operatorAddress, kOperatorThreads, kMaxOperatorBytes}) {
+  callerServer_.addRpcService(entry_);
+  operatorServer_.addRpcService(operators_);
+  addPages();
+}
+
+std::string Daemon::start() {
+  std::string problem = peers_.start();
+  if (!problem.empty()) {
+    return problem;
+  }
+  owners_.start();
+  control_.start();
+  if (settings_.platform != Endpoint()) {
+    platform_.start();
+  }
+  problem = operatorServer_.start();
+  return problem.empty() ? callerServer_.start() : problem;
+}
+
+void Daemon::beginStop() {
+  stopping_ = true;
+  operators_.setStopping();
+  entry_.refuseNew();
+  control_.leave();
+}
+
+bool Daemon::idle() const { return entry_.inFlight() == 0 && owners_.busy() == 0; }
+
+void Daemon::stop() {
+  callerServer_.stop();
+  platform_.stop();
+  owners_.stop();
+  control_.stop();
+  peers_.stop();
+  operatorServer_.stop();
+}
+
+void Daemon::onEnvelope(PeerEnvelope envelope, bool stale) {
+  const auto sender = Endpoint::parse(envelope.sender());
+  if (!sender) {
+    return;
+  }
+  switch (envelope.body_case()) {
+    case PeerEnvelope::kWork:
+      if (stale) {
+        refuseStale(*sender, envelope.work());
+      } else {
+        owners_.onWork(*sender, std::move(*envelope.mutable_work()));
+      }
+      return;
+    case PeerEnvelope::kCancel:
+      owners_.onCancel(envelope.cancel());
+      return;
+    case PeerEnvelope::kResults:
+      entry_.onResults(*sender, std::move(*envelope.mutable_results()));
+      return;
+    default:
+      if (!stale) {
+        control_.postMessage(std::move(envelope));
+      }
+  }
+}
+
+/// Nothing of work that never left is running anywhere, and its query is told so.
+void Daemon::onUndeliverable(const Endpoint& to, const PeerEnvelope& envelope) {
+  if (!envelope.has_work()) {
+    return;
+  }
+  ResultBatch results;
+  results.set_work_id(envelope.work().work_id());
+  for (const auto& item : envelope.work().items()) {
+    WorkResult& result = *results.add_results();
+    result.set_attempt(item.attempt());
+    result.set_leaf(item.leaf());
+    result.set_shard(item.shard());
+    result.set_status(WORK_NOT_SENT);
+    result.set_reason(NOT_SENT_OWNER_UNREACHABLE);
+  }
+  entry_.onResults(to, std::move(results));
+}
+
+void Daemon::refuseStale(const Endpoint& sender, const WorkBatch& work) {
+  ReplyToEntry refusal{sender, {}};
+  refusal.results.set_work_id(work.work_id());
+  for (const auto& item : work.items()) {
+    WorkResult& result = *refusal.results.add_results();
+    result.set_attempt(item.attempt());
+    result.set_leaf(item.leaf());
+    result.set_shard(item.shard());
+    result.set_status(WORK_NOT_SENT);
+    result.set_reason(NOT_SENT_STALE_FRAME);
+  }
+  reply(refusal);
+}
+
+void Daemon::reply(const ReplyToEntry& reply) {
+  PeerEnvelope envelope;
+  envelope.set_sender(self_.process.address);
+  envelope.set_incarnation(self_.process.incarnation);
+  envelope.set_time_to_live_ms(kResultTimeToLiveMs);
+  *envelope.mutable_results() = reply.results;
+  peers_.send(reply.entry, std::move(envelope));
+}
+
+void Daemon::addPages() {
+  operatorServer_.addPage("/healthz", [] { return PageReply{200, "text/plain; charset=utf-8", "ok\n"}; });
+  operatorServer_.addPage("/readyz", [this] {
+    const bool ready = view_.read()->ready && !stopping_;
+    return ready ? PageReply{200, "text/plain; charset=utf-8", "ready\n"}
+                 : PageReply{kHttpUnavailable, "text/plain; charset=utf-8", "not ready\n"};
+  });
+  operatorServer_.addPage("/metrics", [this] {
+    return PageReply{200, "text/plain; version=0.0.4; charset=utf-8", metrics_.text(readGauges())};
+  });
+}
+
+DaemonGauges Daemon::readGauges() {
+  DaemonGauges gauges;
+  control_.inspect([&](const ControlPlane& plane) {
+    gauges.members = plane.membership().servingCount() + 1;
+    gauges.membership = plane.membership().counters();
+    gauges.pauses = plane.pauses();
+  });
+  const auto view = view_.read();
+  gauges.revision = view->table->revision();
+  gauges.ready = view->ready && !stopping_;
+  gauges.queriesInFlight = entry_.inFlight();
+  gauges.ownerBusy = owners_.busy();
+  gauges.leafConnections = owners_.openConnections();
+  gauges.platformFailures = platform_.failures();
+  gauges.dispatch = owners_.counters();
+  const PeerTransportCounters& frames = peers_.counters();
+  gauges.framesSent = frames.framesSent;
+  gauges.framesReceived = frames.framesReceived;
+  gauges.bytesSent = frames.bytesSent;
+  gauges.controlFramesSent = frames.controlFramesSent;
+  gauges.controlBytesSent = frames.controlBytesSent;
+  gauges.framesUndeliverable = frames.framesUndeliverable;
+  gauges.framesStale = frames.framesStale;
+  return gauges;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/daemon/daemon.h
@@ -0,0 +1,56 @@
+#pragma once
+
+/// oakpierd put together: the entry, owner and control roles of one process and the transports that feed
+/// them.
+
+#include <memory>
+
+#include "programs/daemon/control_loop.h"
+#include "programs/daemon/daemon_metrics.h"
+#include "programs/daemon/daemon_settings.h"
+#include "programs/daemon/entry_service.h"
+#include "programs/daemon/operator_service.h"
+#include "programs/daemon/owner_worker.h"
+#include "programs/daemon/platform_poller.h"
+#include "transport/http_server.h"
+#include "transport/peer_transport.h"
+
+namespace oakpier {
+
+class Daemon {
+ public:
+  explicit Daemon(const DaemonSettings& settings);
+
+  /// Empty when everything listens, else what does not.
+  std::string start();
+
+  /// Begins a planned stop: leaves the membership, refuses new queries.
+  void beginStop();
+  /// Nothing is in progress here, in either role.
+  bool idle() const;
+  void stop();
+
+ private:
+  void onEnvelope(PeerEnvelope envelope, bool stale);
+  void onUndeliverable(const Endpoint& to, const PeerEnvelope& envelope);
+  void refuseStale(const Endpoint& sender, const WorkBatch& work);
+  void reply(const ReplyToEntry& reply);
+  void addPages();
+  DaemonGauges readGauges();
+
+  DaemonSettings settings_;
+  SelfMember self_;
+  Published<RoutingView> view_;
+  DaemonMetrics metrics_;
+  PeerTransport peers_;
+  ControlLoop control_;
+  OwnerWorkers owners_;
+  EntryService entry_;
+  OperatorService operators_;
+  PlatformPoller platform_;
+  HttpServer callerServer_;
+  HttpServer operatorServer_;
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/daemon/mailbox.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/// Hands values from many threads to one, which waits with a deadline.
+
+#include <condition_variable>
+#include <mutex>
+#include <vector>
+
+#include "state/time.h"
+
+namespace oakpier {
+
+inline Moment steadyNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+template <typename Value>
+class Mailbox {
+ public:
+  void push(Value value) {
+    {
+      const std::lock_guard<std::mutex> guard(mutex_);
+      values_.push_back(std::move(value));
+    }
+    filled_.notify_one();
+  }
+
+  /// All values, as soon as there is one; none when `deadline` passes first.
+  std::vector<Value> takeUntil(Moment deadline) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    filled_.wait_until(lock, deadline, [this] { return !values_.empty(); });
+    std::vector<Value> taken;
+    taken.swap(values_);
+    return taken;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable filled_;
+  std::vector<Value> values_;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/daemon/main.cpp
@@ -0,0 +1,92 @@
+/// oakpierd: reads its settings, runs the daemon, and stops it in order on SIGTERM or SIGINT.
+
+#include <pthread.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "programs/common/exit_codes.h"
+#include "programs/daemon/daemon.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr Duration kIdleCheckPeriod = std::chrono::milliseconds(20);
+/// Others may not have heard that this daemon leaves; it serves their work until none came for this long.
+constexpr Duration kQuietTime = std::chrono::milliseconds(1000);
+
+sigset_t stopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+/// True when another stop signal comes within `time`.
+bool signalledWithin(const sigset_t& signals, Duration time) {
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
+  const auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(time - seconds);
+  const timespec wait{seconds.count(), rest.count()};
+  return sigtimedwait(&signals, nullptr, &wait) > 0;
+}
+
+void finishWork(const Daemon& daemon, const sigset_t& signals, Duration limit) {
+  const Moment giveUpAt = steadyNow() + limit;
+  Moment busyAt = steadyNow();
+  while (steadyNow() < giveUpAt && steadyNow() - busyAt < kQuietTime) {
+    if (signalledWithin(signals, kIdleCheckPeriod)) {
+      log(LogLevel::kWarning, "second signal: stopping at once");
+      return;
+    }
+    if (!daemon.idle()) {
+      busyAt = steadyNow();
+    }
+  }
+}
+
+int runDaemon(const DaemonSettings& settings) {
+  const sigset_t signals = stopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  Daemon daemon(settings);
+  const std::string problem = daemon.start();
+  if (!problem.empty()) {
+    log(LogLevel::kError, problem);
+    daemon.stop();
+    return kExitUnreachable;
+  }
+  log(LogLevel::kInfo, "started",
+      {{"zone", settings.zone},
+       {"callers", settings.callerAddress.text()},
+       {"operators", settings.operatorAddress.text()},
+       {"peers", settings.peerAddress.text()}});
+  int received = 0;
+  sigwait(&signals, &received);
+  log(LogLevel::kInfo, "stopping", {{"signal", received}});
+  daemon.beginStop();
+  finishWork(daemon, signals, settings.stopTimeout);
+  daemon.stop();
+  log(LogLevel::kInfo, "stopped");
+  return kExitOk;
+}
+
+}  // namespace
+
+}  // namespace oakpier
+
+int main(int argumentCount, char** arguments) {
+  const auto read = oakpier::readDaemonSettings(argumentCount, arguments);
+  if (const auto* exit = std::get_if<oakpier::SettingsExit>(&read)) {
+    (exit->code == oakpier::kExitOk ? std::cout : std::cerr) << exit->text;
+    return exit->code;
+  }
+  const auto& settings = std::get<oakpier::DaemonSettings>(read);
+  if (settings.checkConfigOnly) {
+    std::cout << "settings are valid\n";
+    return oakpier::kExitOk;
+  }
+  oakpier::startLogging(settings.logLevel, "oakpierd");
+  return oakpier::runDaemon(settings);
+}
--- /dev/null
+++ b/src/state/erase.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/// Erasure from containers by value or condition, as C++20 has it.
+
+#include <algorithm>
+
+namespace oakpier {
+
+template <typename Container, typename Predicate>
+void eraseIf(Container& container, Predicate matches) {
+  container.erase(std::remove_if(container.begin(), container.end(), matches), container.end());
+}
+
+template <typename Container, typename Value>
+void eraseValue(Container& container, const Value& value) {
+  container.erase(std::remove(container.begin(), container.end(), value), container.end());
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,73 @@
+#pragma once
+
+/// Serves schema-defined services and plain pages over cxxtools HTTP.
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <google/protobuf/service.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "state/endpoint.h"
+
+namespace oakpier {
+
+/// What a plain page answers.
+struct PageReply {
+  unsigned status = 200;
+  std::string contentType = "text/plain; charset=utf-8";
+  std::string body;
+};
+
+/// Runs one listener on a thread of its own. A call holds one worker thread until its handler returns, so
+/// `threads` bounds the calls in progress.
+class HttpServer {
+ public:
+  struct Options {
+    Endpoint listen;
+    unsigned threads = 64;
+    /// Larger bodies get HTTP 413 with ERROR_TOO_LARGE; the connection lives on.
+    std::size_t maxBodyBytes = 1U << 20U;
+  };
+
+  explicit HttpServer(const Options& options);
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  ~HttpServer();
+
+  /// The service must outlive the server. Call before `start`.
+  void addRpcService(google::protobuf::Service& service);
+  void addPage(const std::string& path, std::function<PageReply()> page);
+
+  /// Begins to accept; returns a text when the address cannot be listened on, else an empty one.
+  std::string start();
+
+  void stop();
+
+ private:
+  friend class RpcResponder;
+  class Dispatcher;
+
+  Options options_;
+  std::map<std::string, google::protobuf::Service*> services_;
+  std::map<std::string, std::function<PageReply()>> pages_;
+  cxxtools::EventLoop loop_;
+  std::unique_ptr<cxxtools::http::Server> server_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  std::thread thread_;
+};
+
+/// The socket of the HTTP request that the calling thread serves, for handlers that watch for a caller's
+/// departure. -1 outside of a handler.
+int currentCallerSocket();
+
+/// True when the caller of the request on this thread has closed its connection.
+bool currentCallerGone();
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/peer_transport.cpp
@@ -0,0 +1,268 @@
+#include "transport/peer_transport.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+#include <zmq.hpp>
+
+#include "coordination/frame_age.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr int kIoThreads = 2;
+/// Frames that ZeroMQ holds for one peer; more are refused at once.
+constexpr int kHighWaterMark = 1000;
+constexpr std::int64_t kMaxFrameBytes = std::int64_t{64} << 20U;
+constexpr int kReconnectMs = 50;
+constexpr int kReconnectMaxMs = 1000;
+/// Frames for a peer whose connection is not up wait this long at most.
+constexpr Duration kConnectGrace = std::chrono::milliseconds(30);
+constexpr std::size_t kMostWaitingFrames = 256;
+constexpr Duration kIdleSocketTime = std::chrono::seconds(60);
+constexpr std::chrono::milliseconds kPollTime(20);
+constexpr std::chrono::milliseconds kPollTimeWhileWaiting(2);
+constexpr int kFramesPerRound = 256;
+
+Moment steadyNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+bool isWork(const PeerEnvelope& envelope) {
+  return envelope.has_work() || envelope.has_results() || envelope.has_cancel();
+}
+
+}  // namespace
+
+class PeerTransport::Loop {
+ public:
+  explicit Loop(PeerTransport& owner)
+      : owner_(owner),
+        context_(kIoThreads),
+        receiver_(context_, zmq::socket_type::pull),
+        wake_(eventfd(0, EFD_NONBLOCK)) {
+    receiver_.set(zmq::sockopt::linger, 0);
+    receiver_.set(zmq::sockopt::rcvhwm, kHighWaterMark * kIoThreads);
+    receiver_.set(zmq::sockopt::maxmsgsize, kMaxFrameBytes);
+    receiver_.bind("tcp://" + owner_.listen_.text());
+  }
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+  ~Loop() { close(wake_); }
+
+  void run() {
+    while (!stopping_) {
+      std::array<zmq::pollitem_t, 2> items{
+          {{receiver_.handle(), 0, ZMQ_POLLIN, 0}, {nullptr, wake_, ZMQ_POLLIN, 0}}};
+      zmq::poll(items.data(), items.size(), waitingFrames_ == 0 ? kPollTime : kPollTimeWhileWaiting);
+      clearWake();
+      receiveFrames();
+      sendFrames();
+      const Moment now = steadyNow();
+      retryWaiting(now);
+      closeIdle(now);
+    }
+  }
+
+  void requestStop() {
+    stopping_ = true;
+    wake();
+  }
+
+  void enqueue(const Endpoint& to, const PeerEnvelope& envelope) {
+    Frame frame{to, envelope.SerializeAsString(), isWork(envelope), {}};
+    bool first = false;
+    {
+      const std::lock_guard<std::mutex> guard(mutex_);
+      first = outgoing_.empty();
+      outgoing_.push_back(std::move(frame));
+    }
+    if (first) {
+      wake();
+    }
+  }
+
+ private:
+  struct Frame {
+    Endpoint to;
+    std::string bytes;
+    bool work = false;
+    Moment giveUpAt{};
+  };
+  struct Peer {
+    zmq::socket_t socket;
+    std::deque<Frame> waiting;
+    Moment usedAt{};
+  };
+
+  void wake() const {
+    const std::uint64_t one = 1;
+    // A full counter means that a wake-up is pending already.
+    [[maybe_unused]] const auto written = write(wake_, &one, sizeof(one));
+  }
+
+  void clearWake() const {
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto got = read(wake_, &count, sizeof(count));
+  }
+
+  void receiveFrames() {
+    for (int count = 0; count < kFramesPerRound; ++count) {
+      zmq::message_t message;
+      if (!receiver_.recv(message, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      PeerEnvelope envelope;
+      const auto sender = envelope.ParseFromArray(message.data(), static_cast<int>(message.size()))
+                              ? Endpoint::parse(envelope.sender())
+                              : std::nullopt;
+      if (!sender) {
+        ++owner_.counters_.framesMalformed;
+        continue;
+      }
+      ++owner_.counters_.framesReceived;
+      const Duration age = age_.ageOf(*sender, envelope.incarnation(), envelope.sent_at_us(), steadyNow());
+      const bool stale = age > fromMilliseconds(envelope.time_to_live_ms());
+      owner_.counters_.framesStale += stale ? 1 : 0;
+      owner_.handlers_.onEnvelope(std::move(envelope), stale);
+    }
+    wake();
+  }
+
+  void sendFrames() {
+    std::vector<Frame> frames;
+    {
+      const std::lock_guard<std::mutex> guard(mutex_);
+      frames.swap(outgoing_);
+    }
+    const Moment now = steadyNow();
+    for (auto& frame : frames) {
+      Peer& peer = peerOf(frame.to);
+      peer.usedAt = now;
+      if (peer.waiting.empty() && trySend(peer, frame)) {
+        continue;
+      }
+      if (peer.waiting.size() >= kMostWaitingFrames) {
+        fail(frame);
+        continue;
+      }
+      frame.giveUpAt = now + kConnectGrace;
+      peer.waiting.push_back(std::move(frame));
+      ++waitingFrames_;
+    }
+  }
+
+  Peer& peerOf(const Endpoint& to) {
+    const auto found = peers_.find(to);
+    if (found != peers_.end()) {
+      return found->second;
+    }
+    Peer peer{zmq::socket_t(context_, zmq::socket_type::push), {}, {}};
+    peer.socket.set(zmq::sockopt::linger, 0);
+    peer.socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+    // Without this, frames queue for a peer that is away and arrive when it is back.
+    peer.socket.set(zmq::sockopt::immediate, true);
+    peer.socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    peer.socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+    peer.socket.connect("tcp://" + to.text());
+    return peers_.emplace(to, std::move(peer)).first->second;
+  }
+
+  bool trySend(Peer& peer, const Frame& frame) {
+    if (!peer.socket.send(zmq::buffer(frame.bytes), zmq::send_flags::dontwait)) {
+      return false;
+    }
+    ++owner_.counters_.framesSent;
+    owner_.counters_.bytesSent += frame.bytes.size();
+    if (!frame.work) {
+      ++owner_.counters_.controlFramesSent;
+      owner_.counters_.controlBytesSent += frame.bytes.size();
+    }
+    return true;
+  }
+
+  void retryWaiting(Moment now) {
+    if (waitingFrames_ == 0) {
+      return;
+    }
+    for (auto& [to, peer] : peers_) {
+      while (!peer.waiting.empty()) {
+        Frame& frame = peer.waiting.front();
+        const bool sent = trySend(peer, frame);
+        if (!sent && now < frame.giveUpAt) {
+          break;
+        }
+        if (!sent) {
+          fail(frame);
+        }
+        peer.waiting.pop_front();
+        --waitingFrames_;
+      }
+    }
+  }
+
+  void fail(const Frame& frame) {
+    ++owner_.counters_.framesUndeliverable;
+    PeerEnvelope envelope;
+    envelope.ParseFromString(frame.bytes);
+    owner_.handlers_.onUndeliverable(frame.to, std::move(envelope));
+  }
+
+  void closeIdle(Moment now) {
+    if (now < nextIdleCheckAt_) {
+      return;
+    }
+    nextIdleCheckAt_ = now + std::chrono::seconds(1);
+    for (auto peer = peers_.begin(); peer != peers_.end();) {
+      const bool idle = peer->second.waiting.empty() && now - peer->second.usedAt > kIdleSocketTime;
+      peer = idle ? peers_.erase(peer) : std::next(peer);
+    }
+  }
+
+  PeerTransport& owner_;
+  zmq::context_t context_;
+  zmq::socket_t receiver_;
+  int wake_;
+  std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  std::vector<Frame> outgoing_;
+  std::unordered_map<Endpoint, Peer> peers_;
+  std::size_t waitingFrames_ = 0;
+  Moment nextIdleCheckAt_{};
+  FrameAge age_;
+};
+
+PeerTransport::PeerTransport(const Endpoint& listen, Handlers handlers)
+    : listen_(listen), handlers_(std::move(handlers)) {}
+
+PeerTransport::~PeerTransport() { stop(); }
+
+std::string PeerTransport::start() {
+  try {
+    loop_ = std::make_unique<Loop>(*this);
+  } catch (const std::exception& problem) {
+    return "cannot listen on " + listen_.text() + ": " + problem.what();
+  }
+  thread_ = std::thread([this] { loop_->run(); });
+  return {};
+}
+
+void PeerTransport::stop() {
+  if (thread_.joinable()) {
+    loop_->requestStop();
+    thread_.join();
+  }
+}
+
+void PeerTransport::send(const Endpoint& to, PeerEnvelope envelope) {
+  if (to == listen_) {
+    handlers_.onEnvelope(std::move(envelope), false);
+    return;
+  }
+  envelope.set_sent_at_us(static_cast<std::uint64_t>(steadyNow().time_since_epoch().count()));
+  loop_->enqueue(to, envelope);
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/peer_transport.h
@@ -0,0 +1,64 @@
+#pragma once
+
+/// Frames between daemons over ZeroMQ: one PULL socket receives, one PUSH socket a peer sends. A frame is one
+/// serialized PeerEnvelope; it is sent at most once and never queued in the library for a peer that is away.
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "oakpier/peer.pb.h"
+#include "state/endpoint.h"
+#include "state/time.h"
+
+namespace oakpier {
+
+struct PeerTransportCounters {
+  std::atomic<std::uint64_t> framesSent{0};
+  std::atomic<std::uint64_t> framesReceived{0};
+  std::atomic<std::uint64_t> bytesSent{0};
+  std::atomic<std::uint64_t> controlFramesSent{0};
+  std::atomic<std::uint64_t> controlBytesSent{0};
+  std::atomic<std::uint64_t> framesUndeliverable{0};
+  std::atomic<std::uint64_t> framesStale{0};
+  std::atomic<std::uint64_t> framesMalformed{0};
+};
+
+class PeerTransport {
+ public:
+  struct Handlers {
+    /// Called on the transport's thread. `stale`: the frame was on the way for longer than its time to live.
+    std::function<void(PeerEnvelope envelope, bool stale)> onEnvelope;
+    /// The frame was never handed to the network. Called on the transport's thread.
+    std::function<void(const Endpoint& to, PeerEnvelope envelope)> onUndeliverable;
+  };
+
+  PeerTransport(const Endpoint& listen, Handlers handlers);
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+  ~PeerTransport();
+
+  /// Returns a text when the address cannot be bound, else an empty one.
+  std::string start();
+  void stop();
+
+  /// Thread-safe. A frame to this daemon itself goes to the handler directly.
+  void send(const Endpoint& to, PeerEnvelope envelope);
+
+  const PeerTransportCounters& counters() const { return counters_; }
+
+ private:
+  class Loop;
+
+  Endpoint listen_;
+  Handlers handlers_;
+  PeerTransportCounters counters_;
+  std::unique_ptr<Loop> loop_;
+  std::thread thread_;
+};
+
+}  // namespace oakpier
