--- a/bench/fleet/process.cpp
+++ b/bench/fleet/process.cpp
@@ -12,8 +12,6 @@
 #include <stdexcept>
 #include <utility>
 
-extern char** environ;
-
 namespace oakpier {
 
 namespace {
--- a/src/coordination/control_plane.cpp
+++ b/src/coordination/control_plane.cpp
@@ -60,7 +60,7 @@
       hearRevision(sender, envelope.probe().revision(), now);
       return;
     case PeerEnvelope::kProbeReply:
-      carryOut(membership_.onReply(envelope.probe_reply(), now));
+      carryOut(membership_.onReply(sender, envelope.probe_reply(), now));
       hearRevision(sender, envelope.probe_reply().revision(), now);
       return;
     default:
--- a/src/coordination/leaf_chooser.cpp
+++ b/src/coordination/leaf_chooser.cpp
@@ -25,11 +25,11 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const std::size_t first = draw(candidates.size());
+  const std::size_t first = drawBelow(candidates.size(), random_);
   if (candidates.size() == 1 || rule_ == ChoiceRule::kRandom) {
     return candidates[first];
   }
-  std::size_t second = draw(candidates.size() - 1);
+  std::size_t second = drawBelow(candidates.size() - 1, random_);
   second += second >= first ? 1 : 0;
   const bool firstIsFreer = load(candidates[first]) <= load(candidates[second]);
   return candidates[firstIsFreer ? first : second];
@@ -62,8 +62,4 @@
   return busy * latency * (knowledge.cold() ? kColdFactor : 1.0);
 }
 
-std::size_t LeafChooser::draw(std::size_t bound) {
-  return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
-}
-
 }  // namespace oakpier
--- a/src/coordination/leaf_chooser.h
+++ b/src/coordination/leaf_chooser.h
@@ -4,16 +4,14 @@
 
 #include <cstdint>
 #include <optional>
-#include <random>
 #include <vector>
 
+#include "state/random.h"
 #include "state/routing_view.h"
 #include "state/time.h"
 
 namespace oakpier {
 
-using RandomEngine = std::mt19937_64;
-
 /// What a leaf said of itself is acted on for this long.
 inline constexpr Duration kDrainingWordLease = std::chrono::seconds(5);
 /// After this many failures in a row a leaf is used only when no other replica is left.
@@ -36,7 +34,6 @@
   bool eligible(LeafIndex index, std::uint64_t snapshot, Moment now) const;
   bool ejected(LeafIndex index) const;
   double load(LeafIndex index) const;
-  std::size_t draw(std::size_t bound);
 
   const RoutingView& view_;
   ChoiceRule rule_;
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -17,12 +17,14 @@
 constexpr int kLeaveNotices = 5;
 /// More waiting updates than this means that messages should carry many.
 constexpr std::size_t kBacklog = 100;
+/// Parts of the table exchanged in one comparison.
+constexpr std::size_t kPartsPerComparison = 4;
 
 }  // namespace
 
 Membership::Membership(const Endpoint& self, const std::string& zone, std::uint64_t incarnation,
                        const MembershipSettings& settings, RandomEngine random)
-    : self_(self), zone_(zone), incarnation_(incarnation), settings_(settings), random_(std::move(random)) {}
+    : self_(self), zone_(zone), incarnation_(incarnation), settings_(settings), random_(random) {}
 
 void Membership::setSeeds(std::vector<Endpoint> seeds) {
   eraseValue(seeds, self_);
@@ -31,7 +33,8 @@
 
 MembershipActions Membership::onProbe(const Endpoint& sender, const Probe& probe, Moment now) {
   MembershipActions actions;
-  receive(probe, now);
+  const bool bulk = probe.compared_parts_size() > 0;
+  receive(probe, bulk, now);
   if (!probe.target().empty()) {
     const auto target = Endpoint::parse(probe.target());
     if (target && *target != self_) {
@@ -45,14 +48,26 @@
   OutgoingProbeReply outgoing{sender, {}};
   outgoing.reply.set_sequence(probe.sequence());
   outgoing.reply.set_subject(self_.text());
-  attachUpdates(sender, outgoing.reply, probe.joining());
+  if (bulk) {
+    outgoing.reply.set_bulk(true);
+    attachParts(outgoing.reply, {probe.compared_parts().begin(), probe.compared_parts().end()});
+  } else {
+    outgoing.reply.set_bulk(probe.joining());
+    attachUpdates(sender, outgoing.reply, probe.joining());
+    if (!probe.joining() && probe.digest() != wholeDigest() && updates_.empty()) {
+      for (std::size_t part = 0; part < kTableParts; ++part) {
+        outgoing.reply.add_part_digests(partDigest(part));
+      }
+    }
+  }
   actions.replies.push_back(std::move(outgoing));
   return actions;
 }
 
-MembershipActions Membership::onReply(const ProbeReply& reply, Moment now) {
+MembershipActions Membership::onReply(const Endpoint& sender, const ProbeReply& reply, Moment now) {
   MembershipActions actions;
-  receive(reply, now);
+  receive(reply, reply.bulk(), now);
+  compareTables(sender, reply, now, actions);
   const auto found = pending_.find(reply.sequence());
   if (found == pending_.end() || found->second.target.text() != reply.subject()) {
     return actions;
@@ -94,11 +109,11 @@
 
 void Membership::onPause(Moment now) {
   updates_.clear();
+  transmissionsLeft_.clear();
   pending_.clear();
   // Suspicions start again: during the pause nobody could refute them here.
   for (auto& suspicion : suspicions_) {
-    suspicion.expiresAt = now + std::chrono::duration_cast<Duration>(
-                                    settings_.probePeriod * (settings_.suspicionPeriods * logMembers()));
+    suspicion.expiresAt = now + suspicionTime();
   }
   nextProbeAt_ = now;
   nextReconnectAt_ = now;
@@ -151,9 +166,10 @@
   OutgoingProbe outgoing{target, {}};
   outgoing.probe.set_sequence(sequence);
   outgoing.probe.set_joining(!joined_);
+  outgoing.probe.set_digest(wholeDigest());
   attachUpdates(target, outgoing.probe);
   actions.probes.push_back(std::move(outgoing));
-  pending_.emplace(sequence, std::move(pending));
+  pending_.emplace(sequence, pending);
   ++counters_.probesSent;
 }
 
@@ -194,14 +210,14 @@
 }
 
 void Membership::suspect(const Endpoint& subject, Moment now) {
-  MemberRecord* record = members_.find(subject);
+  const MemberRecord* record = members_.find(subject);
   if (record == nullptr || record->condition != MEMBER_ALIVE) {
     return;
   }
   ++counters_.suspicionsRaised;
   MemberRecord update = *record;
   update.condition = MEMBER_SUSPECT;
-  mergeRecord(update, now);
+  mergeRecord(update, false, now);
 }
 
 void Membership::expireSuspicions(Moment now) {
@@ -219,7 +235,7 @@
       ++counters_.deathsDeclared;
       MemberRecord update = *record;
       update.condition = MEMBER_DEAD;
-      mergeRecord(update, now);
+      mergeRecord(update, false, now);
     }
   }
 }
@@ -239,7 +255,7 @@
     }
   }
   if (!candidates.empty()) {
-    sendProbe(candidates[draw(candidates.size())], now, actions);
+    sendProbe(candidates[drawBelow(candidates.size(), random_)], now, actions);
   }
 }
 
@@ -256,20 +272,20 @@
 }
 
 template <typename Message>
-void Membership::receive(const Message& message, Moment now) {
+void Membership::receive(const Message& message, bool bulk, Moment now) {
   joined_ = true;
   for (const auto& update : message.updates()) {
-    merge(update, now);
+    merge(update, bulk, now);
   }
 }
 
-void Membership::merge(const MemberUpdate& update, Moment now) {
+void Membership::merge(const MemberUpdate& update, bool bulk, Moment now) {
   const auto address = Endpoint::parse(update.address());
   if (!address) {
     return;
   }
   if (*address == self_) {
-    mergeSelf(update, now);
+    mergeSelf(update);
     return;
   }
   MemberRecord record;
@@ -278,11 +294,11 @@
   record.refutation = update.refutation();
   record.zone = members_.zoneNumber(update.zone());
   record.condition = update.condition();
-  mergeRecord(record, now);
+  mergeRecord(record, bulk, now);
 }
 
 /// News about this process: anything but alive is refuted, unless it is true.
-void Membership::mergeSelf(const MemberUpdate& update, Moment /*now*/) {
+void Membership::mergeSelf(const MemberUpdate& update) {
   const bool aboutThisProcess = update.incarnation() == incarnation_;
   if (!aboutThisProcess || update.condition() == MEMBER_ALIVE || leaving_) {
     return;
@@ -291,46 +307,47 @@
     selfRefutation_ = update.refutation() + 1;
     ownTrouble_ = std::min(kMostOwnTrouble, ownTrouble_ + 1);
     ++counters_.refutations;
-    spread(self_);
   }
 }
 
-void Membership::mergeRecord(const MemberRecord& update, Moment now) {
-  MemberRecord* known = members_.find(update.address);
+void Membership::mergeRecord(const MemberRecord& update, bool bulk, Moment now) {
+  const MemberRecord* known = members_.find(update.address);
   if (known != nullptr && !supersedes(update, *known)) {
     return;
   }
   const bool servedBefore = known != nullptr && known->serving();
   const bool sameProcess = known != nullptr && known->incarnation == update.incarnation;
-  MemberRecord& record = known == nullptr ? members_.add(update) : (*known = update);
+  MemberRecord record = update;
   record.changedAt = now;
-  servingCount_ += (record.serving() ? 1 : 0) - (servedBefore ? 1 : 0);
+  members_.put(record);
   if (servedBefore != record.serving() || !sameProcess) {
     ++version_;
   }
   if (record.condition == MEMBER_SUSPECT) {
-    const auto patience = std::chrono::duration_cast<Duration>(settings_.probePeriod *
-                                                               (settings_.suspicionPeriods * logMembers()));
-    suspicions_.push_back(Suspicion{record.address, now + patience * (1 + ownTrouble_)});
+    suspicions_.push_back(Suspicion{record.address, now + suspicionTime()});
   }
   if (record.serving() && !servedBefore) {
     // Joins the current round at a random place.
-    probeOrder_.insert(probeOrder_.begin() + static_cast<std::ptrdiff_t>(draw(probeOrder_.size() + 1)),
-                       record.address);
+    probeOrder_.push_back(record.address);
+    std::swap(probeOrder_.back(), probeOrder_[drawBelow(probeOrder_.size(), random_)]);
+  }
+  if (!bulk) {
+    spread(record.address);
   }
-  spread(record.address);
+}
+
+Duration Membership::suspicionTime() const {
+  const double periods = settings_.suspicionPeriods * logMembers() * (1 + ownTrouble_);
+  return std::chrono::duration_cast<Duration>(settings_.probePeriod * periods);
 }
 
 /// Queues what is now believed of `subject` to be sent a bounded number of times.
 void Membership::spread(const Endpoint& subject) {
   const int transmissions = static_cast<int>(std::ceil(settings_.updateTransmissions * logMembers()));
-  for (auto& update : updates_) {
-    if (update.subject == subject) {
-      update.transmissionsLeft = transmissions;
-      return;
-    }
+  const bool added = transmissionsLeft_.insert_or_assign(subject, transmissions).second;
+  if (added) {
+    updates_.push_front(subject);
   }
-  updates_.push_front(PendingUpdate{subject, transmissions});
 }
 
 /// The sender's own record always rides along, so the receiver knows whom it hears; and what is believed of
@@ -352,16 +369,74 @@
       updates_.size() > kBacklog ? settings_.updatesPerMessageWhenBehind : settings_.updatesPerMessage;
   const std::size_t count = std::min(most, updates_.size());
   for (std::size_t taken = 0; taken < count; ++taken) {
-    PendingUpdate update = updates_.front();
+    const Endpoint subject = updates_.front();
     updates_.pop_front();
-    const MemberRecord* record = members_.find(update.subject);
+    const MemberRecord* record = members_.find(subject);
     if (record != nullptr) {
       *message.add_updates() = describe(*record);
     }
-    if (--update.transmissionsLeft > 0) {
-      updates_.push_back(update);
+    if (--transmissionsLeft_[subject] > 0) {
+      updates_.push_back(subject);
+    } else {
+      transmissionsLeft_.erase(subject);
+    }
+  }
+}
+
+/// News can be lost. A daemon whose table differs in some parts is sent our records of them and answers with
+/// its own; both then hold the newer of each.
+void Membership::compareTables(const Endpoint& sender, const ProbeReply& reply, Moment now,
+                               MembershipActions& actions) {
+  if (reply.part_digests_size() != static_cast<int>(kTableParts) || now < nextCompareAt_) {
+    return;
+  }
+  std::vector<std::uint32_t> differing;
+  for (std::uint32_t part = 0; part < kTableParts; ++part) {
+    if (reply.part_digests(static_cast<int>(part)) != partDigest(part)) {
+      differing.push_back(part);
     }
   }
+  if (differing.empty()) {
+    return;
+  }
+  nextCompareAt_ = now + settings_.comparePeriod;
+  ++counters_.tableComparisons;
+  std::shuffle(differing.begin(), differing.end(), random_);
+  differing.resize(std::min(differing.size(), kPartsPerComparison));
+  OutgoingProbe outgoing{sender, {}};
+  outgoing.probe.set_sequence(nextSequence_++);
+  outgoing.probe.set_digest(wholeDigest());
+  for (const std::uint32_t part : differing) {
+    outgoing.probe.add_compared_parts(part);
+  }
+  attachParts(outgoing.probe, differing);
+  actions.probes.push_back(std::move(outgoing));
+}
+
+template <typename Message>
+void Membership::attachParts(Message& message, const std::vector<std::uint32_t>& parts) const {
+  *message.add_updates() = describeSelf();
+  for (const auto& record : members_.records()) {
+    if (std::find(parts.begin(), parts.end(), partOf(record.address)) != parts.end()) {
+      *message.add_updates() = describe(record);
+    }
+  }
+}
+
+/// Of the serving members and this daemon itself.
+std::uint64_t Membership::partDigest(std::size_t part) const {
+  MemberRecord own;
+  own.address = self_;
+  own.incarnation = incarnation_;
+  return members_.partDigest(part) ^ (partOf(self_) == part ? digestOf(own) : 0);
+}
+
+std::uint64_t Membership::wholeDigest() const {
+  std::uint64_t digest = 0;
+  for (std::size_t part = 0; part < kTableParts; ++part) {
+    digest ^= partDigest(part);
+  }
+  return digest;
 }
 
 MemberUpdate Membership::describe(const MemberRecord& record) const {
@@ -388,7 +463,7 @@
   const auto& records = members_.records();
   constexpr int kDraws = 20;
   for (int attempt = 0; attempt < kDraws && !records.empty(); ++attempt) {
-    const MemberRecord& record = records[draw(records.size())];
+    const MemberRecord& record = records[drawBelow(records.size(), random_)];
     if (record.serving()) {
       return record.address;
     }
@@ -397,11 +472,7 @@
 }
 
 double Membership::logMembers() const {
-  return std::max(1.0, std::log10(static_cast<double>(servingCount_) + 2));
-}
-
-std::size_t Membership::draw(std::size_t bound) {
-  return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
+  return std::max(1.0, std::log10(static_cast<double>(members_.servingCount()) + 2));
 }
 
 }  // namespace oakpier
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -9,18 +9,16 @@
 
 #include <deque>
 #include <optional>
-#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "oakpier/peer.pb.h"
 #include "state/member_table.h"
+#include "state/random.h"
 
 namespace oakpier {
 
-using RandomEngine = std::mt19937_64;
-
 struct MembershipSettings {
   Duration probePeriod = std::chrono::seconds(1);
   Duration probeTimeout = std::chrono::milliseconds(300);
@@ -35,6 +33,8 @@
   std::size_t updatesPerMessageWhenBehind = 40;
   /// How often one dead member or seed is tried, so that healed cuts merge.
   Duration reconnectPeriod = std::chrono::seconds(5);
+  /// How often at most a daemon compares its table with that of another whose digest differs.
+  Duration comparePeriod = std::chrono::seconds(5);
   /// How long the dead are remembered, so that old news cannot revive them.
   Duration tombstoneLifetime = std::chrono::minutes(15);
 };
@@ -60,6 +60,7 @@
   std::uint64_t suspicionsRaised = 0;
   std::uint64_t refutations = 0;
   std::uint64_t deathsDeclared = 0;
+  std::uint64_t tableComparisons = 0;
 };
 
 class Membership {
@@ -71,7 +72,7 @@
   void setSeeds(std::vector<Endpoint> seeds);
 
   MembershipActions onProbe(const Endpoint& sender, const Probe& probe, Moment now);
-  MembershipActions onReply(const ProbeReply& reply, Moment now);
+  MembershipActions onReply(const Endpoint& sender, const ProbeReply& reply, Moment now);
   MembershipActions onTime(Moment now);
 
   /// After a pause: all that waited to be sent is old, and probes on the way prove nothing.
@@ -80,7 +81,7 @@
   MembershipActions leave(Moment now);
 
   const MemberTable& members() const { return members_; }
-  std::size_t servingCount() const { return servingCount_; }
+  std::size_t servingCount() const { return members_.servingCount(); }
   /// Raised with every change that placement or readiness depends on.
   std::uint64_t version() const { return version_; }
   /// Some other member or seed was heard from.
@@ -98,10 +99,6 @@
     std::optional<Endpoint> askedBy;
     std::uint64_t askedSequence = 0;
   };
-  struct PendingUpdate {
-    Endpoint subject;
-    int transmissionsLeft = 0;
-  };
   struct Suspicion {
     Endpoint subject;
     Moment expiresAt{};
@@ -119,18 +116,24 @@
   std::optional<Endpoint> randomServing();
 
   template <typename Message>
-  void receive(const Message& message, Moment now);
-  void merge(const MemberUpdate& update, Moment now);
-  void mergeSelf(const MemberUpdate& update, Moment now);
-  void mergeRecord(const MemberRecord& update, Moment now);
+  void receive(const Message& message, bool bulk, Moment now);
+  void merge(const MemberUpdate& update, bool bulk, Moment now);
+  void mergeSelf(const MemberUpdate& update);
+  /// `bulk`: the sender did not pass this on as news, so neither do we.
+  void mergeRecord(const MemberRecord& update, bool bulk, Moment now);
+  void compareTables(const Endpoint& sender, const ProbeReply& reply, Moment now, MembershipActions& actions);
+  std::uint64_t partDigest(std::size_t part) const;
+  std::uint64_t wholeDigest() const;
+  template <typename Message>
+  void attachParts(Message& message, const std::vector<std::uint32_t>& parts) const;
   void suspect(const Endpoint& subject, Moment now);
+  Duration suspicionTime() const;
   void spread(const Endpoint& subject);
   template <typename Message>
   void attachUpdates(const Endpoint& receiver, Message& message, bool everything = false);
   MemberUpdate describe(const MemberRecord& record) const;
   MemberUpdate describeSelf() const;
   double logMembers() const;
-  std::size_t draw(std::size_t bound);
 
   Endpoint self_;
   std::string zone_;
@@ -138,11 +141,12 @@
   MembershipSettings settings_;
   RandomEngine random_;
   MemberTable members_;
-  std::size_t servingCount_ = 0;
   std::vector<Endpoint> seeds_;
   std::vector<Endpoint> probeOrder_;
   std::unordered_map<std::uint64_t, PendingProbe> pending_;
-  std::deque<PendingUpdate> updates_;
+  /// Subjects of news in the order they are sent, and how often each is still to be sent.
+  std::deque<Endpoint> updates_;
+  std::unordered_map<Endpoint, int> transmissionsLeft_;
   std::vector<Suspicion> suspicions_;
   std::uint64_t nextSequence_ = 1;
   std::uint32_t selfRefutation_ = 0;
@@ -152,6 +156,7 @@
   Moment nextProbeAt_{};
   Moment nextReconnectAt_{};
   Moment nextForgetAt_{};
+  Moment nextCompareAt_{};
   /// Grows while probes of ours fail and refutations reach us: then the fault may be here, and we judge
   /// slower.
   int ownTrouble_ = 0;
--- a/src/coordination/proposer.h
+++ b/src/coordination/proposer.h
@@ -7,19 +7,17 @@
 ///                        +------ a higher ballot: wait, try a higher round ----+
 
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "oakpier/peer.pb.h"
 #include "state/endpoint.h"
+#include "state/random.h"
 #include "state/time.h"
 
 namespace oakpier {
 
-using RandomEngine = std::mt19937_64;
-
 /// How one attempt to decide a revision ended.
 enum class ProposalEnd {
   /// The own proposal was chosen.
@@ -63,7 +61,7 @@
 class Proposer {
  public:
   /// `name` is unique over processes and restarts.
-  Proposer(std::string name, RandomEngine random) : name_(std::move(name)), random_(std::move(random)) {}
+  Proposer(std::string name, RandomEngine random) : name_(std::move(name)), random_(random) {}
 
   bool idle() const { return phase_ == Phase::kIdle; }
 
--- /dev/null
+++ b/src/programs/control/main.cpp
@@ -0,0 +1,57 @@
+/// oakpierctl: the command line of operators.
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "programs/common/exit_codes.h"
+#include "programs/common/flags.h"
+#include "programs/control/commands.h"
+
+int main(int argumentCount, char** arguments) {
+  CLI::App app("Reads and changes the configuration of a running oakpier, through any of its daemons.",
+               "oakpierctl");
+  app.set_version_flag("--version", std::string("oakpierctl ") + OAKPIER_VERSION);
+  app.require_subcommand(1);
+  std::string daemon;
+  std::string output = "table";
+  app.add_option("--daemon", daemon, "Operator address of any daemon")
+      ->required()
+      ->check(oakpier::endpointValidator());
+  app.add_option("--output", output, "table or json")
+      ->check(CLI::IsMember({"table", "json"}))
+      ->capture_default_str();
+  std::string file;
+  std::string leaf;
+  bool dryRun = false;
+  CLI::App* get = app.add_subcommand("get", "Print the configuration in force, as JSON");
+  CLI::App* validate = app.add_subcommand("validate", "Check a configuration file");
+  validate->add_option("file", file, "JSON of a Configuration")->required();
+  CLI::App* apply = app.add_subcommand(
+      "apply", "Show the difference to the configuration in force, then put the file in force");
+  apply->add_option("file", file, "JSON of a Configuration")->required();
+  apply->add_flag("--dry-run", dryRun, "Show the difference, change nothing");
+  CLI::App* status = app.add_subcommand("status", "Members, revisions in force, leafs");
+  CLI::App* drain = app.add_subcommand("drain", "Give a leaf no new work");
+  drain->add_option("leaf", leaf, "Name of the leaf")->required();
+  CLI::App* undrain = app.add_subcommand("undrain", "Give a drained leaf work again");
+  undrain->add_option("leaf", leaf, "Name of the leaf")->required();
+  try {
+    app.parse(argumentCount, arguments);
+  } catch (const CLI::ParseError& problem) {
+    return app.exit(problem) == 0 ? oakpier::kExitOk : oakpier::kExitUsage;
+  }
+  const oakpier::ControlOptions options{oakpier::endpointOf(daemon), output == "json"};
+  if (get->parsed()) {
+    return oakpier::showConfiguration(options);
+  }
+  if (validate->parsed()) {
+    return oakpier::validateFile(options, file);
+  }
+  if (apply->parsed()) {
+    return oakpier::applyFile(options, file, dryRun);
+  }
+  if (status->parsed()) {
+    return oakpier::showStatus(options);
+  }
+  return oakpier::drainLeaf(options, leaf, drain->parsed() && !undrain->parsed());
+}
--- a/src/programs/daemon/owner_worker.h
+++ b/src/programs/daemon/owner_worker.h
@@ -26,7 +26,7 @@
   OwnerWorker(const Published<RoutingView>& view, bool admission, ReplySender reply);
   OwnerWorker(const OwnerWorker&) = delete;
   OwnerWorker& operator=(const OwnerWorker&) = delete;
-  ~OwnerWorker();
+  ~OwnerWorker() override;
 
   void start();
   void stop();
--- a/src/state/member_table.cpp
+++ b/src/state/member_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "state/hashing.h"
+
 namespace oakpier {
 
 namespace {
@@ -34,22 +36,39 @@
   return position != records_.end() && position->address == address ? &*position : nullptr;
 }
 
-MemberRecord* MemberTable::find(const Endpoint& address) {
-  const auto position = positionOf(records_, address);
-  return position != records_.end() && position->address == address ? &*position : nullptr;
-}
-
-MemberRecord& MemberTable::add(const MemberRecord& record) {
-  return *records_.insert(positionOf(records_, record.address), record);
+void MemberTable::put(const MemberRecord& record) {
+  const auto position = positionOf(records_, record.address);
+  if (position == records_.end() || position->address != record.address) {
+    records_.insert(position, record);
+  } else {
+    count(*position, false);
+    *position = record;
+  }
+  count(record, true);
 }
 
 void MemberTable::remove(const Endpoint& address) {
   const auto position = positionOf(records_, address);
   if (position != records_.end() && position->address == address) {
+    count(*position, false);
     records_.erase(position);
   }
 }
 
+/// Keeps the count and the digests of serving members.
+void MemberTable::count(const MemberRecord& record, bool added) {
+  if (record.serving()) {
+    servingCount_ += added ? 1 : -1;
+    digests_[partOf(record.address)] ^= digestOf(record);
+  }
+}
+
+std::size_t partOf(const Endpoint& address) { return hashPair(address.packed(), 0) % kTableParts; }
+
+std::uint64_t digestOf(const MemberRecord& record) {
+  return hashPair(record.address.packed(), record.incarnation);
+}
+
 ZoneNumber MemberTable::zoneNumber(const std::string& zone) {
   const auto found = std::find(zones_.begin(), zones_.end(), zone);
   if (found != zones_.end()) {
--- a/src/state/member_table.h
+++ b/src/state/member_table.h
@@ -2,6 +2,7 @@
 
 /// What this daemon believes of every daemon: one compact record each, since there are thousands.
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -28,22 +29,34 @@
   bool serving() const { return condition == MEMBER_ALIVE || condition == MEMBER_SUSPECT; }
 };
 
+/// The table is compared between daemons by digests of its parts; a member belongs to the part of its
+/// address.
+inline constexpr std::size_t kTableParts = 64;
+std::size_t partOf(const Endpoint& address);
+/// What a serving member adds to the digest of its part.
+std::uint64_t digestOf(const MemberRecord& record);
+
 /// Records sorted by address. Not thread-safe.
 class MemberTable {
  public:
   const std::vector<MemberRecord>& records() const { return records_; }
   const MemberRecord* find(const Endpoint& address) const;
-  MemberRecord* find(const Endpoint& address);
-  /// `record.address` must not be in the table.
-  MemberRecord& add(const MemberRecord& record);
+  /// Adds the record or replaces the one of the same address.
+  void put(const MemberRecord& record);
   void remove(const Endpoint& address);
-  void clear() { records_.clear(); }
+  std::size_t servingCount() const { return servingCount_; }
+  /// Digests of the serving members; equal tables have equal ones.
+  std::uint64_t partDigest(std::size_t part) const { return digests_[part]; }
 
   ZoneNumber zoneNumber(const std::string& zone);
   const std::string& zoneName(ZoneNumber zone) const { return zones_[zone]; }
 
  private:
+  void count(const MemberRecord& record, bool added);
+
   std::vector<MemberRecord> records_;
+  std::array<std::uint64_t, kTableParts> digests_{};
+  std::size_t servingCount_ = 0;
   std::vector<std::string> zones_;
 };
 
--- /dev/null
+++ b/tests/coordination/control_plane_test.cpp
@@ -0,0 +1,241 @@
+/// Agreement and spread of configuration changes under generated faults.
+
+#include "simulation/simulated_fleet.h"
+#include "state/configuration_change.h"
+#include "support/property.h"
+
+namespace oakpier {
+
+namespace {
+
+/// Watches every step of every daemon for what must never happen.
+class ConfigurationWatcher {
+ public:
+  explicit ConfigurationWatcher(SimulatedFleet& fleet) : fleet_(fleet) {
+    fleet.onStep = [this](std::size_t daemon) { look(daemon); };
+    fleet.onResult = [this](std::size_t, const ChangeResult& result) { note(result); };
+  }
+
+  std::string fault() const { return fault_; }
+  std::uint64_t highestAccepted() const { return highestAccepted_; }
+  std::size_t accepted() const { return accepted_; }
+  std::size_t ended() const { return ended_; }
+
+ private:
+  void look(std::size_t daemon) {
+    if (!fleet_.running(daemon)) {
+      return;
+    }
+    const ConfigurationStore& store = fleet_.plane(daemon).store();
+    std::uint64_t& before = revisions_[fleet_.incarnation(daemon)];
+    if (store.revision() == before) {
+      return;
+    }
+    if (store.revision() < before) {
+      fault_ = "a daemon fell back";
+    }
+    before = store.revision();
+    const std::string content = store.configuration().SerializeAsString();
+    if (contents_.emplace(store.revision(), content).first->second != content) {
+      fault_ = "revision " + std::to_string(store.revision()) + " has two contents";
+    }
+  }
+
+  void note(const ChangeResult& result) {
+    ++ended_;
+    if (result.end == ChangeEnd::kAccepted) {
+      ++accepted_;
+      highestAccepted_ = std::max(highestAccepted_, result.revision);
+    }
+  }
+
+  SimulatedFleet& fleet_;
+  std::map<std::uint64_t, std::uint64_t> revisions_;
+  std::map<std::uint64_t, std::string> contents_;
+  std::string fault_;
+  std::uint64_t highestAccepted_ = 0;
+  std::size_t accepted_ = 0;
+  std::size_t ended_ = 0;
+};
+
+bool allReady(const SimulatedFleet& fleet) {
+  for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+    if (!fleet.running(daemon) || !fleet.plane(daemon).ready()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool allAt(const SimulatedFleet& fleet, std::uint64_t revision) {
+  for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+    if (!fleet.running(daemon) || fleet.plane(daemon).store().revision() < revision) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool sameRevision(const SimulatedFleet& fleet) {
+  return allReady(fleet) && allAt(fleet, fleet.plane(0).store().revision()) && [&] {
+    for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+      if (fleet.plane(daemon).store().revision() != fleet.plane(0).store().revision()) {
+        return false;
+      }
+    }
+    return true;
+  }();
+}
+
+SimulationOptions optionsFor(std::uint64_t seed) {
+  SimulationOptions options;
+  options.daemons = 7;
+  options.seed = seed;
+  return options;
+}
+
+/// One drawn misfortune, few enough at a time that a majority of voters stays.
+void disturb(SimulatedFleet& fleet) {
+  const std::size_t daemon = *rc::gen::inRange<std::size_t>(0, fleet.size());
+  switch (*rc::gen::inRange(0, 6)) {
+    case 0:
+      fleet.pause(daemon);
+      fleet.runFor(std::chrono::milliseconds(*rc::gen::inRange(100, 8000)));
+      fleet.resume(daemon);
+      return;
+    case 1:
+      fleet.kill(daemon);
+      fleet.runFor(std::chrono::milliseconds(*rc::gen::inRange(100, 3000)));
+      fleet.start(daemon);
+      fleet.runFor(std::chrono::seconds(10));
+      return;
+    case 2:
+      fleet.setSide(daemon, 1);
+      fleet.setSide((daemon + 1) % fleet.size(), 1);
+      fleet.runFor(std::chrono::milliseconds(*rc::gen::inRange(500, 12000)));
+      fleet.setSide(daemon, 0);
+      fleet.setSide((daemon + 1) % fleet.size(), 0);
+      return;
+    case 3:
+      fleet.leave(daemon);
+      fleet.runFor(std::chrono::milliseconds(500));
+      fleet.start(daemon);
+      fleet.runFor(std::chrono::seconds(10));
+      return;
+    default:
+      fleet.runFor(std::chrono::milliseconds(*rc::gen::inRange(10, 1000)));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("accepted changes never revert, have one order, and reach all once faults end", "[coordination]") {
+  OAKPIER_PROPERTY("configuration", [] {
+    SimulationOptions options = optionsFor(*rc::gen::arbitrary<std::uint64_t>());
+    options.loss = *rc::gen::inRange(0, 15) / 100.0;
+    options.duplicated = *rc::gen::inRange(0, 15) / 100.0;
+    options.straggling = *rc::gen::inRange(0, 10) / 100.0;
+    SimulatedFleet fleet(options);
+    ConfigurationWatcher watcher(fleet);
+    RC_ASSERT(fleet.runUntil([&] { return allReady(fleet); }, std::chrono::seconds(60)));
+    std::uint32_t mark = 1;
+    const int rounds = *rc::gen::inRange(3, 8);
+    for (int round = 0; round < rounds; ++round) {
+      // Two operators at two daemons at once.
+      for (int number = 0; number < 2; ++number) {
+        const std::size_t daemon = *rc::gen::inRange<std::size_t>(0, fleet.size());
+        if (fleet.running(daemon) && !fleet.paused(daemon)) {
+          fleet.submit(daemon, markedChange(++mark), fleet.plane(daemon).store().revision());
+        }
+      }
+      disturb(fleet);
+      RC_ASSERT(watcher.fault().empty());
+    }
+    fleet.setLoss(0);
+    RC_ASSERT(fleet.runUntil([&] { return sameRevision(fleet); }, std::chrono::seconds(60)));
+    RC_ASSERT(allAt(fleet, watcher.highestAccepted()));
+    RC_ASSERT(watcher.fault().empty());
+  });
+}
+
+TEST_CASE("of two operators that start from one revision, one is accepted", "[coordination]") {
+  OAKPIER_PROPERTY("race", [] {
+    SimulatedFleet fleet(optionsFor(*rc::gen::arbitrary<std::uint64_t>()));
+    ConfigurationWatcher watcher(fleet);
+    RC_ASSERT(fleet.runUntil([&] { return sameRevision(fleet); }, std::chrono::seconds(30)));
+    fleet.runFor(std::chrono::seconds(5));
+    const std::uint64_t base = fleet.plane(0).store().revision();
+    fleet.submit(0, markedChange(1), base);
+    fleet.submit(3, markedChange(2), base);
+    RC_ASSERT(fleet.runUntil([&] { return watcher.ended() == 2; }, std::chrono::seconds(20)));
+    RC_ASSERT(watcher.accepted() == 1U);
+  });
+}
+
+TEST_CASE("a minority accepts nothing and takes over what the majority accepted", "[coordination]") {
+  SimulatedFleet fleet(optionsFor(5));
+  ConfigurationWatcher watcher(fleet);
+  REQUIRE(fleet.runUntil([&] { return sameRevision(fleet); }, std::chrono::seconds(30)));
+  fleet.runFor(std::chrono::seconds(5));
+  for (const std::size_t daemon : {0U, 1U}) {
+    fleet.setSide(daemon, 1);
+  }
+  fleet.submit(0, markedChange(1), 0);
+  fleet.runFor(std::chrono::seconds(30));
+  REQUIRE(watcher.accepted() == 0);
+  REQUIRE(watcher.ended() == 1);
+  fleet.submit(4, markedChange(2), 0);
+  REQUIRE(fleet.runUntil([&] { return watcher.accepted() == 1; }, std::chrono::seconds(20)));
+  for (const std::size_t daemon : {0U, 1U}) {
+    fleet.setSide(daemon, 0);
+  }
+  REQUIRE(fleet.runUntil([&] { return allAt(fleet, watcher.highestAccepted()); }, std::chrono::seconds(30)));
+  REQUIRE(watcher.fault().empty());
+}
+
+TEST_CASE("the configuration outlives every daemon that first held it, when they go one by one",
+          "[coordination]") {
+  SimulatedFleet fleet(optionsFor(11));
+  ConfigurationWatcher watcher(fleet);
+  REQUIRE(fleet.runUntil([&] { return sameRevision(fleet); }, std::chrono::seconds(30)));
+  fleet.submit(2, markedChange(77), 0);
+  REQUIRE(fleet.runUntil([&] { return watcher.accepted() == 1; }, std::chrono::seconds(20)));
+  // The platform goes back to a stale copy meanwhile.
+  PlatformReport stale;
+  stale.configuration = smallConfiguration(5);
+  for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+    stale.daemons.push_back(fleet.address(daemon));
+  }
+  fleet.setPlatform(stale);
+  for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+    fleet.kill(daemon);
+    fleet.runFor(std::chrono::seconds(20));
+    fleet.start(daemon);
+    REQUIRE(fleet.runUntil([&] { return fleet.plane(daemon).ready(); }, std::chrono::seconds(20)));
+  }
+  REQUIRE(allAt(fleet, watcher.highestAccepted()));
+  REQUIRE(fleet.plane(0).store().configuration().leaves_size() == 2);
+  fleet.submit(6, markedChange(78), 0);
+  REQUIRE(fleet.runUntil([&] { return watcher.accepted() == 2; }, std::chrono::seconds(20)));
+  REQUIRE(watcher.fault().empty());
+}
+
+TEST_CASE("a change whose proposer dies half-way is completed or never seen", "[coordination]") {
+  OAKPIER_PROPERTY("proposer dies", [] {
+    SimulatedFleet fleet(optionsFor(*rc::gen::arbitrary<std::uint64_t>()));
+    ConfigurationWatcher watcher(fleet);
+    RC_ASSERT(fleet.runUntil([&] { return sameRevision(fleet); }, std::chrono::seconds(30)));
+    fleet.runFor(std::chrono::seconds(5));
+    fleet.submit(1, markedChange(9), 0);
+    fleet.runFor(Duration(*rc::gen::inRange(100, 8000)));
+    fleet.kill(1);
+    fleet.runFor(std::chrono::seconds(20));
+    fleet.start(1);
+    RC_ASSERT(fleet.runUntil([&] { return sameRevision(fleet); }, std::chrono::seconds(30)));
+    fleet.submit(2, markedChange(10), 0);
+    RC_ASSERT(fleet.runUntil([&] { return watcher.accepted() >= 1; }, std::chrono::seconds(20)));
+    RC_ASSERT(watcher.fault().empty());
+  });
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/tests/coordination/membership_test.cpp
@@ -0,0 +1,121 @@
+/// Membership under generated kills, pauses, cuts and loss.
+
+#include "simulation/simulated_fleet.h"
+#include "support/property.h"
+
+namespace oakpier {
+
+namespace {
+
+/// Detection takes a probe round, a suspicion and its spread; slower while members judge themselves unwell.
+constexpr Duration kDetectionBound = std::chrono::seconds(60);
+
+bool sees(const SimulatedFleet& fleet, std::size_t observer, std::size_t subject, bool serving) {
+  const MemberRecord* record = fleet.plane(observer).membership().members().find(fleet.address(subject));
+  const bool served =
+      record != nullptr && record->serving() && record->incarnation == fleet.incarnation(subject);
+  return served == serving;
+}
+
+/// Every running daemon holds exactly the running ones to be serving.
+bool viewsAreTrue(const SimulatedFleet& fleet) {
+  for (std::size_t observer = 0; observer < fleet.size(); ++observer) {
+    for (std::size_t subject = 0; subject < fleet.size(); ++subject) {
+      const bool relevant = observer != subject && fleet.running(observer);
+      if (relevant && !sees(fleet, observer, subject, fleet.running(subject))) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+SimulationOptions optionsFor(std::uint64_t seed, std::size_t daemons) {
+  SimulationOptions options;
+  options.seed = seed;
+  options.daemons = daemons;
+  return options;
+}
+
+}  // namespace
+
+TEST_CASE("no live member stays dead and no dead one stays live past the bound", "[coordination]") {
+  OAKPIER_PROPERTY("views become true", [] {
+    SimulationOptions options = optionsFor(*rc::gen::arbitrary<std::uint64_t>(), 12);
+    options.loss = *rc::gen::inRange(0, 10) / 100.0;
+    SimulatedFleet fleet(options);
+    fleet.runFor(std::chrono::seconds(10));
+    const int events = *rc::gen::inRange(1, 6);
+    for (int event = 0; event < events; ++event) {
+      const std::size_t daemon = *rc::gen::inRange<std::size_t>(0, fleet.size());
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+          fleet.kill(daemon);
+          break;
+        case 1:
+          fleet.start(daemon);
+          break;
+        case 2:
+          fleet.pause(daemon);
+          fleet.runFor(std::chrono::seconds(*rc::gen::inRange(1, 30)));
+          fleet.resume(daemon);
+          break;
+        default:
+          fleet.setSide(daemon, 1);
+          fleet.runFor(std::chrono::seconds(*rc::gen::inRange(1, 30)));
+          fleet.setSide(daemon, 0);
+      }
+      fleet.runFor(std::chrono::seconds(*rc::gen::inRange(0, 5)));
+    }
+    fleet.setLoss(0);
+    RC_ASSERT(fleet.runUntil([&] { return viewsAreTrue(fleet); }, kDetectionBound));
+  });
+}
+
+TEST_CASE("a zone that is cut off keeps its own view and merges when healed", "[coordination]") {
+  SimulatedFleet fleet(optionsFor(3, 12));
+  fleet.runFor(std::chrono::seconds(10));
+  for (std::size_t daemon = 0; daemon < fleet.size(); daemon += 3) {
+    fleet.setSide(daemon, 1);
+  }
+  fleet.runFor(std::chrono::minutes(3));
+  REQUIRE(sees(fleet, 0, 3, true));
+  REQUIRE(sees(fleet, 0, 1, false));
+  REQUIRE(sees(fleet, 1, 0, false));
+  for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+    fleet.setSide(daemon, 0);
+  }
+  REQUIRE(fleet.runUntil([&] { return viewsAreTrue(fleet); }, kDetectionBound));
+}
+
+TEST_CASE("a daemon that wakes from a pause does not revive the dead", "[coordination]") {
+  OAKPIER_PROPERTY("pause", [] {
+    SimulatedFleet fleet(optionsFor(*rc::gen::arbitrary<std::uint64_t>(), 8));
+    fleet.runFor(std::chrono::seconds(10));
+    fleet.pause(0);
+    fleet.kill(1);
+    fleet.runFor(std::chrono::seconds(60));
+    RC_ASSERT(sees(fleet, 2, 1, false));
+    fleet.resume(0);
+    for (int second = 0; second < 20; ++second) {
+      fleet.runFor(std::chrono::seconds(1));
+      for (std::size_t observer = 2; observer < fleet.size(); ++observer) {
+        RC_ASSERT(sees(fleet, observer, 1, false));
+      }
+    }
+    RC_ASSERT(fleet.runUntil([&] { return viewsAreTrue(fleet); }, kDetectionBound));
+  });
+}
+
+TEST_CASE("control traffic of a daemon does not grow with the number of daemons", "[coordination]") {
+  const auto messagesPerSecond = [](std::size_t daemons) {
+    SimulatedFleet fleet(optionsFor(1, daemons));
+    fleet.runFor(std::chrono::seconds(30));
+    const std::uint64_t before = fleet.traffic(0).messages;
+    fleet.runFor(std::chrono::seconds(60));
+    return static_cast<double>(fleet.traffic(0).messages - before) / 60.0;
+  };
+  REQUIRE(messagesPerSecond(80) < 1.5 * messagesPerSecond(10));
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/tests/coordination/request_promises_test.cpp
@@ -0,0 +1,78 @@
+/// The promises of one query, under generated schedules of faults, judged by the checkers.
+
+#include <sstream>
+
+#include "history/checkers.h"
+#include "simulation/simulated_requests.h"
+#include "support/property.h"
+
+namespace oakpier {
+
+namespace {
+
+std::string describe(const Violations& violations) {
+  std::ostringstream text;
+  for (const auto& violation : violations) {
+    text << violation.promise << ": " << violation.subject << ": " << violation.text << "\n";
+  }
+  return text.str();
+}
+
+double drawShare(int mostPercent) { return *rc::gen::inRange(0, mostPercent + 1) / 100.0; }
+
+std::size_t answersWith(const History& history, Outcome outcome) {
+  std::size_t count = 0;
+  for (const auto& entry : history.entries()) {
+    count += entry.has_query() && entry.query().answer().outcome() == outcome ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace
+
+TEST_CASE("every promise of a query holds under generated faults", "[coordination]") {
+  OAKPIER_PROPERTY("no checker finds a violation", [] {
+    RequestSimulationOptions options;
+    options.seed = *rc::gen::arbitrary<std::uint64_t>();
+    options.frameLoss = drawShare(10);
+    options.exchangeBroken = drawShare(15);
+    options.exchangeRefused = drawShare(15);
+    options.crossedAnswers = drawShare(20);
+    options.slowExecutions = drawShare(20);
+    options.shedding = drawShare(20);
+    options.ownerFaults = *rc::gen::arbitrary<bool>();
+    options.snapshotChanges = *rc::gen::arbitrary<bool>();
+    const History history = simulateRequests(options);
+    const Violations violations = checkAll(history);
+    RC_LOG(describe(violations));
+    RC_ASSERT(violations.empty());
+  });
+}
+
+TEST_CASE("without faults every query is answered in full", "[coordination]") {
+  OAKPIER_PROPERTY("all complete", [] {
+    RequestSimulationOptions options;
+    options.seed = *rc::gen::arbitrary<std::uint64_t>();
+    RC_ASSERT(answersWith(simulateRequests(options), OUTCOME_COMPLETE) == options.queries);
+  });
+}
+
+TEST_CASE("an owner that did not check answers would break the promise of the own answer", "[coordination]") {
+  RequestSimulationOptions options;
+  options.crossedAnswers = 0.3;
+  REQUIRE(checkOwnAnswer(simulateRequests(options)).empty());
+  options.trustAnswers = true;
+  REQUIRE_FALSE(checkOwnAnswer(simulateRequests(options)).empty());
+}
+
+TEST_CASE("when snapshots move on, whole requests are planned anew and still answered", "[coordination]") {
+  RequestSimulationOptions options;
+  options.snapshotChanges = true;
+  options.queries = 60;
+  const History history = simulateRequests(options);
+  REQUIRE(checkAll(history).empty());
+  REQUIRE(answersWith(history, OUTCOME_COMPLETE) + answersWith(history, OUTCOME_PARTIAL) >
+          options.queries * 8 / 10);
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/tests/transport/peer_transport_test.cpp
@@ -0,0 +1,78 @@
+#include "transport/peer_transport.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <memory>
+
+namespace oakpier {
+
+namespace {
+
+Endpoint freeEndpoint() {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), length) == 0);
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+  close(descriptor);
+  return Endpoint(INADDR_LOOPBACK, ntohs(address.sin_port));
+}
+
+PeerEnvelope workFrom(const Endpoint& sender, const std::string& id) {
+  PeerEnvelope envelope;
+  envelope.set_sender(sender.text());
+  envelope.set_incarnation(1);
+  envelope.set_time_to_live_ms(1000);
+  envelope.mutable_work()->set_work_id(id);
+  return envelope;
+}
+
+}  // namespace
+
+TEST_CASE("a frame for a peer that is away is handed back and does not arrive later", "[transport]") {
+  const Endpoint here = freeEndpoint();
+  const Endpoint there = freeEndpoint();
+  std::promise<std::string> undeliverable;
+  PeerTransport sender(here, {[](const PeerEnvelope&, bool) {},
+                              [&](const Endpoint&, const PeerEnvelope& envelope) {
+                                undeliverable.set_value(envelope.work().work_id());
+                              }});
+  REQUIRE(sender.start().empty());
+  sender.send(there, workFrom(here, "early"));
+  REQUIRE(undeliverable.get_future().get() == "early");
+
+  std::promise<std::string> arrived;
+  PeerTransport receiver(
+      there, {[&](const PeerEnvelope& envelope, bool) { arrived.set_value(envelope.work().work_id()); },
+              [](const Endpoint&, const PeerEnvelope&) {}});
+  REQUIRE(receiver.start().empty());
+  auto first = arrived.get_future();
+  // The peer is up now, but its connection takes a moment; a frame that comes back too early is sent again.
+  std::unique_ptr<PeerTransport> other;
+  other = std::make_unique<PeerTransport>(
+      freeEndpoint(), PeerTransport::Handlers{[](const PeerEnvelope&, bool) {},
+                                              [&](const Endpoint& to, const PeerEnvelope& envelope) {
+                                                other->send(to, envelope);
+                                              }});
+  REQUIRE(other->start().empty());
+  other->send(there, workFrom(here, "late"));
+  REQUIRE(first.get() == "late");
+}
+
+TEST_CASE("an address in use is a text, not a crash", "[transport]") {
+  const Endpoint here = freeEndpoint();
+  const PeerTransport::Handlers none{[](const PeerEnvelope&, bool) {},
+                                     [](const Endpoint&, const PeerEnvelope&) {}};
+  PeerTransport first(here, none);
+  REQUIRE(first.start().empty());
+  PeerTransport second(here, none);
+  REQUIRE(second.start().find(here.text()) != std::string::npos);
+}
+
+}  // namespace oakpier
