Prove the promises over real processes; guard ids of requests not to be repeated

Ruled out: resends by the HTTP library or a retry of ours: each pair of executions had two sends in the history. Change: an id is reserved at most of its three guardians before it runs; a guardian abstains when it started lately and has not heard from all members, when a better-ranked daemon went within the window, or without the voters' lease. Conclusion: two daemons that start within seconds of each other and do not know each other yet are not covered.

--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <thread>
 
@@ -62,6 +63,11 @@
     }
   }
   std::filesystem::create_directories(options.workFolder);
+  for (const auto& entry : std::filesystem::directory_iterator(options.workFolder)) {
+    if (entry.path().extension() == ".executions") {
+      std::filesystem::remove(entry.path());
+    }
+  }
   moveAddresses();
 }
 
@@ -114,7 +120,8 @@
     const bool complete = waitUntil(
         [&] {
           const auto reply = status(daemon, false);
-          return reply && reply->ready() && reply->members_size() == static_cast<int>(daemons_.size());
+          return reply && reply->ready() && reply->guards_ids() &&
+                 reply->members_size() == static_cast<int>(daemons_.size());
         },
         std::max(Duration(0), end - steadyNow()));
     if (!complete) {
@@ -144,6 +151,10 @@
                                      std::to_string(started.maxConnections),
                                      "--seed",
                                      std::to_string(leaf + 1)};
+  if (options_.logExecutions) {
+    arguments.insert(arguments.end(),
+                     {"--log-file", options_.workFolder + "/" + started.name + ".executions"});
+  }
   arguments.insert(arguments.end(), options_.leafFlags.begin(), options_.leafFlags.end());
   started.process =
       std::make_unique<Process>(options_.binaries + "/oakpier-standin", arguments, log(started.name));
@@ -214,8 +225,12 @@
   return callOnce(leaves_[leaf].address, &LeafStandIn_Stub::GetLog, request);
 }
 
+std::optional<LeafFaults> Fleet::faultsOf(std::size_t leaf) const {
+  return callOnce(leaves_[leaf].address, &LeafStandIn_Stub::GetFaults, ExecutionLogRequest());
+}
+
 bool Fleet::changeFaults(std::size_t leaf, const std::function<void(LeafFaults&)>& change) const {
-  auto faults = callOnce(leaves_[leaf].address, &LeafStandIn_Stub::GetFaults, ExecutionLogRequest());
+  auto faults = faultsOf(leaf);
   if (!faults) {
     return false;
   }
@@ -231,6 +246,33 @@
   return callOnce(platformAddress_, &PlatformStandIn_Stub::SetMachines, machines).has_value();
 }
 
+bool Fleet::setPlatformConfiguration(const Configuration& configuration) const {
+  return callOnce(platformAddress_, &PlatformStandIn_Stub::SetConfiguration, configuration).has_value();
+}
+
+bool Fleet::setPeerCuts(std::size_t daemon, const PeerCuts& cuts) const {
+  return callOnce(daemons_[daemon].operators, &FaultInjection_Stub::SetPeerCuts, cuts).has_value();
+}
+
+std::vector<Execution> Fleet::loggedExecutions(std::size_t leaf) const {
+  std::vector<Execution> executions;
+  std::ifstream file(options_.workFolder + "/" + leaves_[leaf].name + ".executions");
+  std::string requestId;
+  std::string shard;
+  std::uint64_t snapshot = 0;
+  std::uint64_t startedUs = 0;
+  bool notRepeatable = false;
+  while (file >> requestId >> shard >> snapshot >> startedUs >> notRepeatable) {
+    Execution& execution = executions.emplace_back();
+    execution.set_request_id(requestId);
+    execution.set_shard(shard);
+    execution.set_snapshot(snapshot);
+    execution.set_started_us(startedUs);
+    execution.set_not_repeatable(notRepeatable);
+  }
+  return executions;
+}
+
 std::string Fleet::log(const std::string& name) const { return options_.workFolder + "/" + name + ".log"; }
 
 }  // namespace oakpier
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -29,6 +29,8 @@
   std::string workFolder;
   /// Further flags of every daemon.
   std::vector<std::string> daemonFlags;
+  /// Leafs write their executions to files in the work folder.
+  bool logExecutions = false;
   /// Further flags of every leaf stand-in.
   std::vector<std::string> leafFlags;
 };
@@ -77,9 +79,15 @@
   std::optional<Configuration> configurationAt(std::size_t daemon) const;
   std::optional<DrainReply> drain(std::size_t daemon, const std::string& leaf, bool drained) const;
   std::optional<ExecutionLog> executionLog(std::size_t leaf, bool totalsOnly) const;
+  std::optional<LeafFaults> faultsOf(std::size_t leaf) const;
   bool changeFaults(std::size_t leaf, const std::function<void(LeafFaults&)>& change) const;
   bool setPlatformFaults(const PlatformFaults& faults) const;
   bool setMachines(const MachineList& machines) const;
+  bool setPlatformConfiguration(const Configuration& configuration) const;
+  /// Cuts `daemon` off from the peers given, on both ways.
+  bool setPeerCuts(std::size_t daemon, const PeerCuts& cuts) const;
+  /// What a leaf executed, over all its restarts; needs `logExecutions`.
+  std::vector<Execution> loggedExecutions(std::size_t leaf) const;
 
  private:
   void moveAddresses();
--- a/bench/hollow/fleet_run.h
+++ b/bench/hollow/fleet_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Runs a hollow fleet through its day and measures what the control side of a daemon costs and how fast news is.
+/// Runs a hollow fleet through its day and measures what the control side of a daemon costs and how fast news
+/// is.
 
 #include <nlohmann/json.hpp>
 
--- a/bench/load/load_runner.h
+++ b/bench/load/load_runner.h
@@ -18,9 +18,13 @@
   std::uint64_t seed = 1;
   /// A query whose daemon could not be connected to is sent to others this often.
   int connectAttempts = 3;
+  /// Share of requests not to be repeated that the caller sends a second time all the same, to another
+  /// daemon.
+  double resendShare = 0;
 };
 
-/// Blocks until the last query ended. One record a query, in the plan's order.
+/// Blocks until the last query ended. One record a query, in the plan's order, then
+/// those of second sends.
 std::vector<QueryRecord> runLoad(const std::vector<PlannedQuery>& plan, const LoadOptions& options);
 
 /// Steady clock of this machine, in microseconds; the same for all processes on it.
--- a/bench/simulation/simulated_fleet.cpp
+++ b/bench/simulation/simulated_fleet.cpp
@@ -146,9 +146,22 @@
     node.held.push_back(event.envelope);
     return;
   }
+  if (event.envelope->has_reserve_reply()) {
+    if (onVerdict) {
+      onVerdict(event.target, *Endpoint::parse(event.envelope->sender()), event.envelope->reserve_reply());
+    }
+    return;
+  }
   step(event.target, [&](ControlPlane& plane) { return plane.onMessage(*event.envelope, now_); });
 }
 
+void SimulatedFleet::sendFrom(std::size_t daemon, const Endpoint& to, PeerEnvelope envelope) {
+  envelope.set_sender(nodes_[daemon].address.text());
+  envelope.set_incarnation(nodes_[daemon].incarnation);
+  envelope.set_cluster(nodes_[daemon].plane->store().cluster());
+  deliver(daemon, OutgoingEnvelope{to, std::move(envelope)});
+}
+
 void SimulatedFleet::step(std::size_t daemon, const std::function<ControlActions(ControlPlane&)>& action) {
   const auto began = std::chrono::steady_clock::now();
   ControlActions actions = action(*nodes_[daemon].plane);
--- a/bench/simulation/simulated_fleet.h
+++ b/bench/simulation/simulated_fleet.h
@@ -71,6 +71,11 @@
   void setPlatform(const PlatformReport& report);
   std::uint64_t submit(std::size_t daemon, const ConfigurationChange& change, std::uint64_t baseRevision);
 
+  /// Sends a message as if `daemon`'s entry role did.
+  void sendFrom(std::size_t daemon, const Endpoint& to, PeerEnvelope envelope);
+  /// Called with a verdict that reaches the entry role of a daemon.
+  std::function<void(std::size_t daemon, const Endpoint& guardian, const ReserveReply&)> onVerdict;
+
   /// Called whenever a daemon reports the end of a change.
   std::function<void(std::size_t daemon, const ChangeResult&)> onResult;
   /// Called after every step of a daemon.
--- a/bench/standin/leaf_standin.h
+++ b/bench/standin/leaf_standin.h
@@ -20,6 +20,9 @@
   std::uint32_t maxConnections = 70;
   std::uint64_t seed = 1;
   LeafFaults faults;
+  /// Every execution is appended here when it begins, so that the record outlives a killed process. Empty =
+  /// none.
+  std::string logFile;
 };
 
 /// The state behind both interfaces. Thread-safe; a call blocks its thread for the time of the execution.
@@ -43,6 +46,7 @@
   Duration drawServiceTime();
   bool draw(std::uint32_t percent);
   void fillRows(const LeafRequest& request, LeafAnswer& answer);
+  void noteStart(const LeafRequest& request, std::uint64_t startedUs);
   void record(const LeafRequest& request, std::uint64_t startedUs, bool cancelled);
   void countConnections();
   LeafState stateLocked() const;
@@ -58,6 +62,7 @@
   Moment nextConnectionCount_{};
   std::uint32_t connections_ = 0;
   std::string lastRequestId_;
+  int logDescriptor_ = -1;
 };
 
 /// The interface that owner daemons call.
--- a/bench/standin/main.cpp
+++ b/bench/standin/main.cpp
@@ -90,6 +90,7 @@
   leafCommand->add_option("--snapshot", newestSnapshot, "The one snapshot held at first")
       ->capture_default_str();
   leafCommand->add_option("--rows", rows, "Rows of each shard")->capture_default_str();
+  leafCommand->add_option("--log-file", leaf.logFile, "Append every execution here");
   std::string configurationFile;
   std::string machinesFile;
   CLI::App* platformCommand = app.add_subcommand("platform", "Stand in for the platform");
--- a/src/coordination/control_plane.cpp
+++ b/src/coordination/control_plane.cpp
@@ -28,6 +28,8 @@
       membership_(selfAddress_, self.zone, self.process.incarnation, settings.membership,
                   RandomEngine(random_())),
       voter_(self.process, store_),
+      lease_(self.process, settings.membership.probePeriod, settings.repeatGuard.leaseLength),
+      guard_(selfAddress_, settings.repeatGuard),
       proposer_(self.process.address + "#" + std::to_string(self.process.incarnation),
                 RandomEngine(random_())) {}
 
@@ -56,10 +58,12 @@
   revalidating_ = revalidating_ && sender == selfAddress_;
   switch (envelope.body_case()) {
     case PeerEnvelope::kProbe:
+      lease_.hear(envelope.probe().voter_beats(), store_.voters(), now);
       carryOut(membership_.onProbe(sender, envelope.probe(), now));
       hearRevision(sender, envelope.probe().revision(), now);
       return;
     case PeerEnvelope::kProbeReply:
+      lease_.hear(envelope.probe_reply().voter_beats(), store_.voters(), now);
       carryOut(membership_.onReply(sender, envelope.probe_reply(), now));
       hearRevision(sender, envelope.probe_reply().revision(), now);
       return;
@@ -70,10 +74,35 @@
   const bool sameCluster =
       envelope.cluster() == 0 || store_.cluster() == 0 || envelope.cluster() == store_.cluster();
   if (sameCluster) {
+    handleGuard(sender, envelope, now);
     handleAgreement(sender, envelope, now);
   }
 }
 
+void ControlPlane::handleGuard(const Endpoint& sender, const PeerEnvelope& envelope, Moment now) {
+  const MemberTable& members = membership_.members();
+  PeerEnvelope reply = envelopeOf();
+  switch (envelope.body_case()) {
+    case PeerEnvelope::kReserve:
+      *reply.mutable_reserve_reply() =
+          guard_.onReserve(envelope.reserve(), members, lease_.held(store_.voters(), now) && ready(), now);
+      send(sender, std::move(reply));
+      return;
+    case PeerEnvelope::kReserveRelease:
+      guard_.onRelease(envelope.reserve_release());
+      return;
+    case PeerEnvelope::kReservationsRequest:
+      *reply.mutable_reservations_reply() = guard_.reservationsFor(sender, members, now);
+      send(sender, std::move(reply));
+      return;
+    case PeerEnvelope::kReservationsReply:
+      guard_.onReservations(sender, envelope.reservations_reply(), now);
+      return;
+    default:
+      return;
+  }
+}
+
 void ControlPlane::handleAgreement(const Endpoint& sender, const PeerEnvelope& envelope, Moment now) {
   PeerEnvelope reply = envelopeOf();
   switch (envelope.body_case()) {
@@ -116,6 +145,12 @@
   carryOut(membership_.onTime(now));
   carryOut(proposer_.onTime(now), now);
   resolveAwaited(now);
+  lease_.onTime(store_.voters(), now);
+  for (const auto& member : guard_.onTime(membership_.members(), now)) {
+    PeerEnvelope envelope = envelopeOf();
+    envelope.mutable_reservations_request();
+    send(member, std::move(envelope));
+  }
   if (now >= nextVoterCheckAt_) {
     nextVoterCheckAt_ = now + settings_.voterCheckPeriod;
     maybeFoundCluster(now);
@@ -391,12 +426,18 @@
     PeerEnvelope envelope = envelopeOf();
     *envelope.mutable_probe() = std::move(outgoing.probe);
     envelope.mutable_probe()->set_revision(store_.revision());
+    for (auto& beat : lease_.beats(store_.voters())) {
+      *envelope.mutable_probe()->add_voter_beats() = std::move(beat);
+    }
     send(outgoing.to, std::move(envelope));
   }
   for (auto& outgoing : actions.replies) {
     PeerEnvelope envelope = envelopeOf();
     *envelope.mutable_probe_reply() = std::move(outgoing.reply);
     envelope.mutable_probe_reply()->set_revision(store_.revision());
+    for (auto& beat : lease_.beats(store_.voters())) {
+      *envelope.mutable_probe_reply()->add_voter_beats() = std::move(beat);
+    }
     send(outgoing.to, std::move(envelope));
   }
 }
@@ -407,7 +448,8 @@
     std::vector<OutgoingEnvelope> batch;
     batch.swap(outbox_);
     for (auto& outgoing : batch) {
-      if (outgoing.to == selfAddress_) {
+      // The verdict on a reservation is for the entry role, also when it is this daemon's own.
+      if (outgoing.to == selfAddress_ && !outgoing.envelope.has_reserve_reply()) {
         handle(selfAddress_, outgoing.envelope, now);
       } else {
         actions.messages.push_back(std::move(outgoing));
--- a/src/coordination/control_plane.h
+++ b/src/coordination/control_plane.h
@@ -13,7 +13,9 @@
 
 #include "coordination/membership.h"
 #include "coordination/proposer.h"
+#include "coordination/repeat_guard.h"
 #include "coordination/voter.h"
+#include "coordination/voter_lease.h"
 #include "coordination/voter_selection.h"
 #include "oakpier/peer.pb.h"
 #include "state/configuration_store.h"
@@ -22,6 +24,7 @@
 
 struct ControlSettings {
   MembershipSettings membership;
+  RepeatGuardSettings repeatGuard;
   /// Daemons that vote on configuration changes.
   std::size_t voters = 5;
   /// Members that a newly learnt change is passed on to.
@@ -101,6 +104,8 @@
   const Membership& membership() const { return membership_; }
   /// Holds an accepted configuration and, after a pause, has heard from a peer again.
   bool ready() const { return store_.revision() > 0 && !revalidating_; }
+  /// This daemon grants reservations of ids of requests not to be repeated.
+  bool guardsIds(Moment now) const { return guard_.settled() && lease_.held(store_.voters(), now); }
   std::uint64_t pauses() const { return pauses_; }
   bool revalidating() const { return revalidating_; }
   /// The revision that `address` last named.
@@ -114,6 +119,7 @@
   };
 
   void handle(const Endpoint& sender, const PeerEnvelope& envelope, Moment now);
+  void handleGuard(const Endpoint& sender, const PeerEnvelope& envelope, Moment now);
   void handleAgreement(const Endpoint& sender, const PeerEnvelope& envelope, Moment now);
   void hearRevision(const Endpoint& sender, std::uint64_t revision, Moment now);
   void askForChanges(const Endpoint& peer, Moment now);
@@ -145,6 +151,8 @@
   ConfigurationStore store_;
   Membership membership_;
   ConfigurationVoter voter_;
+  VoterLease lease_;
+  RepeatGuard guard_;
   Proposer proposer_;
   PlatformReport platform_;
   std::vector<Endpoint> staticSeeds_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -50,7 +50,8 @@
                       std::back_inserter(came), byAddress);
   std::set_difference(members_.begin(), members_.end(), members.begin(), members.end(),
                       std::back_inserter(went), byAddress);
-  // Zones that gain their first member or lose their last one are ranked anew, as they borrow from all others.
+  // Zones that gain their first member or lose their last one are ranked anew, as they borrow from all
+  // others.
   std::unordered_map<std::uint64_t, std::vector<Candidate>> byZone;
   for (const auto& member : members) {
     byZone[member.zone].push_back(member);
--- a/src/programs/daemon/control_loop.cpp
+++ b/src/programs/daemon/control_loop.cpp
@@ -141,8 +141,11 @@
     members.push_back({selfAddress_, hashText(self_.zone)});
   }
   const std::size_t memberCount = members.size();
-  placement_.setMembers(std::move(members));
   auto fresh = std::make_shared<RoutingView>();
+  for (const auto& member : members) {
+    fresh->daemons.push_back(member.address);
+  }
+  placement_.setMembers(std::move(members));
   fresh->table = table_;
   fresh->owners = placement_.owners();
   fresh->leaving.resize(table_->leaves().size());
--- a/src/programs/daemon/daemon.cpp
+++ b/src/programs/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "programs/daemon/daemon.h"
 
 #include <random>
+#include <thread>
 
 #include "programs/common/logging.h"
 
@@ -12,6 +13,8 @@
 /// HTTP threads beyond the admitted queries, so that refusals find one.
 constexpr unsigned kSpareCallerThreads = 32;
 constexpr unsigned kOperatorThreads = 8;
+/// News of the voters' beats reaches everybody well within this many probe periods.
+constexpr int kLeasePeriods = 15;
 constexpr unsigned kHttpUnavailable = 503;
 /// Operators send whole configurations.
 constexpr std::size_t kMaxOperatorBytes = std::size_t{64} << 20U;
@@ -33,6 +36,8 @@
 ControlSettings controlSettingsOf(const DaemonSettings& settings) {
   ControlSettings control;
   control.voters = settings.voters;
+  control.repeatGuard.window = settings.repeatWindow;
+  control.repeatGuard.leaseLength = settings.probePeriod * kLeasePeriods;
   control.membership.probePeriod = settings.probePeriod;
   control.membership.probeTimeout = std::min(control.membership.probeTimeout, settings.probePeriod / 3);
   return control;
@@ -56,6 +61,7 @@
       entry_(settings, self_.process.incarnation, view_, metrics_,
              [this](const Endpoint& to, PeerEnvelope envelope) { peers_.send(to, std::move(envelope)); }),
       operators_(self_, control_, view_),
+      faults_(peers_),
       platform_(settings.platform, settings.platformPeriod, control_,
                 [this] { return view_.read()->table->revision() == 0; }),
       callerServer_(
@@ -63,6 +69,9 @@
       operatorServer_({settings.operatorAddress, kOperatorThreads, kMaxOperatorBytes}) {
   callerServer_.addRpcService(entry_);
   operatorServer_.addRpcService(operators_);
+  if (settings.allowFaultInjection) {
+    operatorServer_.addRpcService(faults_);
+  }
   addPages();
 }
 
@@ -89,6 +98,19 @@
 
 bool Daemon::idle() const { return entry_.inFlight() == 0 && owners_.busy() == 0 && control_.left(); }
 
+void Daemon::closeCallers(Duration limit) {
+  constexpr Duration kCheckPeriod = std::chrono::milliseconds(10);
+  /// Bytes of the last replies are still on their way through the HTTP library.
+  constexpr int kQuietChecks = 20;
+  callerServer_.stopListening();
+  const Moment giveUpAt = steadyNow() + limit;
+  int quiet = 0;
+  while (quiet < kQuietChecks && steadyNow() < giveUpAt) {
+    std::this_thread::sleep_for(kCheckPeriod);
+    quiet = callerServer_.callsInProgress() == 0 ? quiet + 1 : 0;
+  }
+}
+
 void Daemon::stop() {
   callerServer_.stop();
   platform_.stop();
@@ -117,6 +139,9 @@
     case PeerEnvelope::kResults:
       entry_.onResults(*sender, std::move(*envelope.mutable_results()));
       return;
+    case PeerEnvelope::kReserveReply:
+      entry_.onVerdict(*sender, envelope.reserve_reply());
+      return;
     default:
       if (!stale) {
         control_.postMessage(std::move(envelope));
--- a/src/programs/daemon/daemon.h
+++ b/src/programs/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include "programs/daemon/daemon_metrics.h"
 #include "programs/daemon/daemon_settings.h"
 #include "programs/daemon/entry_service.h"
+#include "programs/daemon/fault_service.h"
 #include "programs/daemon/operator_service.h"
 #include "programs/daemon/owner_worker.h"
 #include "programs/daemon/platform_poller.h"
@@ -28,6 +29,10 @@
   void beginStop();
   /// Nothing is in progress here, in either role.
   bool idle() const;
+  /// Rises with every call of a caller, refused ones included.
+  std::uint64_t callsBegun() const { return callerServer_.callsBegun(); }
+  /// Refuses new connections of callers and waits until what is open is answered, for `limit` at most.
+  void closeCallers(Duration limit);
   void stop();
 
  private:
@@ -47,6 +52,7 @@
   OwnerWorkers owners_;
   EntryService entry_;
   OperatorService operators_;
+  FaultService faults_;
   PlatformPoller platform_;
   HttpServer callerServer_;
   HttpServer operatorServer_;
--- a/src/programs/daemon/daemon_settings.cpp
+++ b/src/programs/daemon/daemon_settings.cpp
@@ -32,6 +32,7 @@
   bool noAdmission = false;
   LogLevel logLevel = LogLevel::kInfo;
   bool checkConfigOnly = false;
+  bool allowFaultInjection = false;
 };
 
 void addAddressOptions(CLI::App& app, RawSettings& raw) {
@@ -97,6 +98,8 @@
   app.add_flag("--no-admission", raw.noAdmission, "Refuse nothing ahead of time; for comparison");
   app.add_option("--log-level", raw.logLevel, "debug, info, warning or error")
       ->transform(CLI::CheckedTransformer(levels));
+  app.add_flag("--allow-fault-injection", raw.allowFaultInjection,
+               "Serve the fault interface; for proofs only");
   app.add_flag("--check-config", raw.checkConfigOnly, "Check the settings and exit");
 }
 
@@ -122,6 +125,7 @@
   settings.policy.choice = raw.choice;
   settings.admission = !raw.noAdmission;
   settings.logLevel = raw.logLevel;
+  settings.allowFaultInjection = raw.allowFaultInjection;
   settings.checkConfigOnly = raw.checkConfigOnly;
   return settings;
 }
--- a/src/programs/daemon/daemon_settings.h
+++ b/src/programs/daemon/daemon_settings.h
@@ -35,6 +35,8 @@
   bool admission = true;
   LogLevel logLevel = LogLevel::kInfo;
   bool checkConfigOnly = false;
+  /// For proofs only: serve the interface that cuts this daemon off from peers.
+  bool allowFaultInjection = false;
 };
 
 /// Print this and exit with this code.
--- a/src/programs/daemon/entry_service.cpp
+++ b/src/programs/daemon/entry_service.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t kMaxIdLength = 128;
 /// How often a waiting query looks whether its caller is still there.
 constexpr Duration kCallerCheckPeriod = std::chrono::milliseconds(20);
+/// Guardians answer within this, or the request is refused.
+constexpr Duration kReservationTime = std::chrono::milliseconds(250);
+constexpr std::uint32_t kCancelTimeToLiveMs = 1000;
 constexpr Duration kRetryAfterNotReady = std::chrono::milliseconds(500);
 /// Another daemon can take the request at once.
 constexpr Duration kRetryAfterStopping = std::chrono::milliseconds(10);
@@ -20,8 +23,6 @@
   return engine;
 }
 
-std::uint32_t workTimeToLive(const WorkBatch& batch) { return batch.remaining_ms(); }
-
 }  // namespace
 
 EntryService::EntryService(const DaemonSettings& settings, std::uint64_t incarnation,
@@ -112,58 +113,123 @@
 
 void EntryService::run(QueryContext context, QueryAnswer& answer) {
   context.workId = address_ + "#" + std::to_string(incarnation_) + "#" + std::to_string(nextWork_++);
+  const std::string workId = context.workId;
+  const std::shared_ptr<Inbox> inbox = openInbox(workId);
+  if (!context.request.not_repeatable()) {
+    runQuery(std::move(context), *inbox, answer);
+    closeInbox(workId);
+    return;
+  }
+  const std::vector<Endpoint> guardians = guardiansOf(context.request.request_id(), context.view->daemons);
+  const Reservation::State state = reserve(context, guardians, *inbox);
+  if (state == Reservation::State::kGranted) {
+    runQuery(context, *inbox, answer);
+  } else if (state == Reservation::State::kDuplicate) {
+    answer.set_outcome(OUTCOME_UNKNOWN);
+    *answer.mutable_error() = makeError(
+        ERROR_DUPLICATE_REQUEST, "a request with this id was sent before and may have run", "request_id");
+  } else {
+    refuse(answer, makeError(ERROR_NO_MAJORITY, "too few daemons can tell whether this id ran before"),
+           kRetryAfterNotReady);
+  }
+  if (state != Reservation::State::kGranted || answer.outcome() == OUTCOME_NOT_RUN) {
+    release(context, guardians);
+  }
+  closeInbox(workId);
+}
+
+Reservation::State EntryService::reserve(const QueryContext& context, const std::vector<Endpoint>& guardians,
+                                         Inbox& inbox) {
+  for (const auto& guardian : guardians) {
+    PeerEnvelope envelope = envelopeWith(toMilliseconds(kReservationTime));
+    envelope.mutable_reserve()->set_request_id(context.request.request_id());
+    envelope.mutable_reserve()->set_work_id(context.workId);
+    sender_(guardian, std::move(envelope));
+  }
+  Reservation reservation(guardians.size());
+  const Moment giveUpAt = std::min(context.deadline, steadyNow() + kReservationTime);
+  while (reservation.state() == Reservation::State::kWaiting && steadyNow() < giveUpAt) {
+    for (const auto& delivery : inbox.takeUntil(giveUpAt)) {
+      if (const auto* reply = std::get_if<ReserveReply>(&delivery.content)) {
+        reservation.onVerdict(delivery.sender, reply->verdict());
+      }
+    }
+  }
+  return reservation.state();
+}
+
+void EntryService::release(const QueryContext& context, const std::vector<Endpoint>& guardians) {
+  for (const auto& guardian : guardians) {
+    PeerEnvelope envelope = envelopeWith(toMilliseconds(kReservationTime));
+    envelope.mutable_reserve_release()->set_request_id(context.request.request_id());
+    envelope.mutable_reserve_release()->set_work_id(context.workId);
+    sender_(guardian, std::move(envelope));
+  }
+}
+
+void EntryService::runQuery(QueryContext context, Inbox& inbox, QueryAnswer& answer) {
   context.policy = policy_;
   context.runtime = &runtimeOf(*context.service);
   context.ownerHealth = &ownerHealth_;
   context.random = &threadRandom();
-  const std::string workId = context.workId;
-  const std::shared_ptr<Inbox> inbox = openInbox(workId);
   EntryQuery query(std::move(context));
   carryOut(query.start(steadyNow()));
   while (!query.finished()) {
     const Moment wake = std::min(query.nextWake(), steadyNow() + kCallerCheckPeriod);
-    for (const auto& delivery : inbox->takeUntil(wake)) {
-      carryOut(query.onResults(delivery.owner, delivery.results, steadyNow()));
+    for (const auto& delivery : inbox.takeUntil(wake)) {
+      if (const auto* results = std::get_if<ResultBatch>(&delivery.content)) {
+        carryOut(query.onResults(delivery.sender, *results, steadyNow()));
+      }
     }
     if (!query.finished()) {
       carryOut(currentCallerGone() ? query.abandon(steadyNow()) : query.onTime(steadyNow()));
     }
   }
-  closeInbox(workId);
   answer = query.answer();
   metrics_.count(query.counters());
 }
 
+PeerEnvelope EntryService::envelopeWith(std::uint32_t timeToLiveMs) const {
+  PeerEnvelope envelope;
+  envelope.set_sender(address_);
+  envelope.set_incarnation(incarnation_);
+  envelope.set_time_to_live_ms(timeToLiveMs);
+  return envelope;
+}
+
 void EntryService::carryOut(QueryActions actions) {
   for (auto& outgoing : actions.work) {
-    PeerEnvelope envelope;
-    envelope.set_sender(address_);
-    envelope.set_incarnation(incarnation_);
-    envelope.set_time_to_live_ms(workTimeToLive(outgoing.batch));
+    PeerEnvelope envelope = envelopeWith(outgoing.batch.remaining_ms());
     *envelope.mutable_work() = std::move(outgoing.batch);
     sender_(outgoing.owner, std::move(envelope));
   }
   for (auto& outgoing : actions.cancels) {
-    PeerEnvelope envelope;
-    envelope.set_sender(address_);
-    envelope.set_incarnation(incarnation_);
-    envelope.set_time_to_live_ms(toMilliseconds(std::chrono::seconds(1)));
+    PeerEnvelope envelope = envelopeWith(kCancelTimeToLiveMs);
     *envelope.mutable_cancel() = std::move(outgoing.cancel);
     sender_(outgoing.owner, std::move(envelope));
   }
 }
 
 void EntryService::onResults(const Endpoint& owner, ResultBatch results) {
+  const std::string workId = results.work_id();
+  deliver(workId, Delivery{owner, std::move(results)});
+}
+
+void EntryService::onVerdict(const Endpoint& guardian, const ReserveReply& reply) {
+  deliver(reply.work_id(), Delivery{guardian, reply});
+}
+
+void EntryService::deliver(const std::string& workId, Delivery delivery) {
   std::shared_ptr<Inbox> inbox;
   {
     const std::lock_guard<std::mutex> guard(inboxMutex_);
-    const auto found = inboxes_.find(results.work_id());
+    const auto found = inboxes_.find(workId);
     if (found == inboxes_.end()) {
       return;
     }
     inbox = found->second;
   }
-  inbox->push(Delivery{owner, std::move(results)});
+  inbox->push(std::move(delivery));
 }
 
 std::shared_ptr<EntryService::Inbox> EntryService::openInbox(const std::string& workId) {
--- a/src/programs/daemon/entry_service.h
+++ b/src/programs/daemon/entry_service.h
@@ -10,9 +10,11 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <variant>
 
 #include "coordination/admission.h"
 #include "coordination/entry_query.h"
+#include "coordination/repeat_guard.h"
 #include "oakpier/caller.pb.h"
 #include "programs/daemon/daemon_metrics.h"
 #include "programs/daemon/daemon_settings.h"
@@ -33,15 +35,18 @@
 
   /// Results for a query of this daemon; those of ended queries are dropped.
   void onResults(const Endpoint& owner, ResultBatch results);
+  /// A guardian's word on the id of a request not to be repeated.
+  void onVerdict(const Endpoint& guardian, const ReserveReply& reply);
 
   /// From now on new queries are refused.
   void refuseNew() { stopping_ = true; }
   std::uint32_t inFlight() const { return admission_.inFlight(); }
 
  private:
+  /// What other daemons sent for one query.
   struct Delivery {
-    Endpoint owner;
-    ResultBatch results;
+    Endpoint sender;
+    std::variant<ResultBatch, ReserveReply> content;
   };
   using Inbox = Mailbox<Delivery>;
 
@@ -50,6 +55,13 @@
                 const ClassEntry*& priorityClass) const;
   void refuse(QueryAnswer& answer, const Error& error, Duration retryAfter) const;
   void run(QueryContext context, QueryAnswer& answer);
+  void runQuery(QueryContext context, Inbox& inbox, QueryAnswer& answer);
+  /// For a request not to be repeated: has its id remembered by most of its guardians before it runs.
+  Reservation::State reserve(const QueryContext& context, const std::vector<Endpoint>& guardians,
+                             Inbox& inbox);
+  void release(const QueryContext& context, const std::vector<Endpoint>& guardians);
+  PeerEnvelope envelopeWith(std::uint32_t timeToLiveMs) const;
+  void deliver(const std::string& workId, Delivery delivery);
   void carryOut(QueryActions actions);
   std::shared_ptr<Inbox> openInbox(const std::string& workId);
   void closeInbox(const std::string& workId);
--- /dev/null
+++ b/src/programs/daemon/fault_service.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// The fault interface of a daemon, for proofs: cuts it off from chosen peers.
+
+#include <set>
+
+#include "oakpier/operator.pb.h"
+#include "transport/peer_transport.h"
+
+namespace oakpier {
+
+class FaultService : public FaultInjection {
+ public:
+  explicit FaultService(PeerTransport& peers) : peers_(peers) {}
+
+  void SetPeerCuts(google::protobuf::RpcController* /*controller*/, const PeerCuts* request,
+                   PeerCutsReply* /*reply*/, google::protobuf::Closure* done) override {
+    std::set<Endpoint> cuts;
+    for (const auto& text : request->peers()) {
+      if (const auto peer = Endpoint::parse(text)) {
+        cuts.insert(*peer);
+      }
+    }
+    peers_.setCuts(cuts);
+    done->Run();
+  }
+
+ private:
+  PeerTransport& peers_;
+};
+
+}  // namespace oakpier
--- a/src/programs/daemon/main.cpp
+++ b/src/programs/daemon/main.cpp
@@ -16,6 +16,9 @@
 /// Others may not have heard that this daemon leaves; it serves their work until none came for this long.
 constexpr Duration kQuietTime = std::chrono::milliseconds(1000);
 
+/// After new connections are refused, open ones are answered within this.
+constexpr Duration kCloseLimit = std::chrono::seconds(3);
+
 sigset_t stopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -35,14 +38,17 @@
 void finishWork(const Daemon& daemon, const sigset_t& signals, Duration limit) {
   const Moment giveUpAt = steadyNow() + limit;
   Moment busyAt = steadyNow();
+  std::uint64_t callsBefore = daemon.callsBegun();
   while (steadyNow() < giveUpAt && steadyNow() - busyAt < kQuietTime) {
     if (signalledWithin(signals, kIdleCheckPeriod)) {
       log(LogLevel::kWarning, "second signal: stopping at once");
       return;
     }
-    if (!daemon.idle()) {
+    const std::uint64_t calls = daemon.callsBegun();
+    if (!daemon.idle() || calls != callsBefore) {
       busyAt = steadyNow();
     }
+    callsBefore = calls;
   }
 }
 
@@ -67,6 +73,7 @@
   log(LogLevel::kInfo, "stopping", {{"signal", received}});
   daemon.beginStop();
   finishWork(daemon, signals, settings.stopTimeout);
+  daemon.closeCallers(kCloseLimit);
   daemon.stop();
   log(LogLevel::kInfo, "stopped");
   return kExitOk;
--- a/src/programs/daemon/operator_service.cpp
+++ b/src/programs/daemon/operator_service.cpp
@@ -115,6 +115,7 @@
   reply->set_incarnation(self_.process.incarnation);
   control_.inspect([&](const ControlPlane& plane) {
     reply->set_revision(plane.store().revision());
+    reply->set_guards_ids(plane.guardsIds(steadyNow()));
     reply->set_not_ready_because(whyNotReady(plane));
     if (!request->local_only()) {
       describeMembers(plane, *reply);
--- a/src/state/routing_view.h
+++ b/src/state/routing_view.h
@@ -23,6 +23,8 @@
   std::vector<LeafOwners> owners;
   /// By leaf index: the platform's list says that the machine leaves.
   std::vector<bool> leaving;
+  /// Serving daemons, this one included.
+  std::vector<Endpoint> daemons;
   /// This daemon may serve: it holds an accepted configuration and its view is fresh.
   bool ready = false;
 };
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -5,7 +5,9 @@
 #include <cxxtools/http/responder.h>
 #include <cxxtools/net/tcpsocket.h>
 #include <cxxtools/regex.h>
+#include <netinet/in.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <istream>
 #include <ostream>
@@ -58,9 +60,21 @@
   RpcResponder(cxxtools::http::Service& service, const HttpServer& server)
       : Responder(service), server_(server) {}
 
+  /// Released once the reply is written.
+  ~RpcResponder() override {
+    if (begun_) {
+      --server_.callsInProgress_;
+    }
+  }
+
   void beginRequest(cxxtools::net::TcpSocket& socket, std::istream& /*in*/,
                     cxxtools::http::Request& /*request*/) override {
     socket_ = socket.getFd();
+    if (!begun_) {
+      begun_ = true;
+      ++server_.callsInProgress_;
+      ++server_.callsBegun_;
+    }
     body_.clear();
     oversized_ = false;
   }
@@ -97,6 +111,9 @@
     callerSocket = socket_;
     call(request.url(), format, reply);
     callerSocket = -1;
+    if (server_.closing_) {
+      reply.setHeader("Connection", "close");
+    }
   }
 
  private:
@@ -145,6 +162,7 @@
   std::string body_;
   bool oversized_ = false;
   int socket_ = -1;
+  bool begun_ = false;
 };
 
 class HttpServer::Dispatcher : public cxxtools::http::Service {
@@ -188,6 +206,24 @@
   return {};
 }
 
+void HttpServer::stopListening() {
+  closing_ = true;
+  // cxxtools keeps its listening socket to itself, so it is looked up by its address.
+  constexpr int kMostDescriptors = 4096;
+  for (int descriptor = 0; descriptor < kMostDescriptors; ++descriptor) {
+    int listening = 0;
+    socklen_t size = sizeof(listening);
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    const bool isListener = getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) == 0 &&
+                            listening == 1 &&
+                            getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length) == 0;
+    if (isListener && Endpoint(ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)) == options_.listen) {
+      shutdown(descriptor, SHUT_RD);
+    }
+  }
+}
+
 void HttpServer::stop() {
   if (!thread_.joinable()) {
     return;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -7,6 +7,7 @@
 #include <cxxtools/http/service.h>
 #include <google/protobuf/service.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -48,6 +49,14 @@
   /// Begins to accept; returns a text when the address cannot be listened on, else an empty one.
   std::string start();
 
+  /// From now on new connections are refused; those that are open are served on, and each reply asks its
+  /// caller to close. With this a planned stop cuts nobody off.
+  void stopListening();
+  /// Calls whose reply is not written yet.
+  std::size_t callsInProgress() const { return callsInProgress_; }
+  /// Calls begun since the start.
+  std::uint64_t callsBegun() const { return callsBegun_; }
+
   void stop();
 
  private:
@@ -61,6 +70,9 @@
   std::unique_ptr<cxxtools::http::Server> server_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::thread thread_;
+  std::atomic<bool> closing_{false};
+  mutable std::atomic<std::size_t> callsInProgress_{0};
+  mutable std::atomic<std::uint64_t> callsBegun_{0};
 };
 
 /// The socket of the HTTP request that the calling thread serves, for handlers that watch for a caller's
--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -122,6 +122,9 @@
         ++owner_.counters_.framesMalformed;
         continue;
       }
+      if (owner_.isCut(*sender)) {
+        continue;
+      }
       ++owner_.counters_.framesReceived;
       const Duration age = age_.ageOf(*sender, envelope.incarnation(), envelope.sent_at_us(), steadyNow());
       const bool stale = age > fromMilliseconds(envelope.time_to_live_ms());
@@ -256,11 +259,28 @@
   }
 }
 
+void PeerTransport::setCuts(const std::set<Endpoint>& peers) {
+  const std::lock_guard<std::mutex> guard(cutsMutex_);
+  cuts_ = peers;
+  anyCuts_ = !peers.empty();
+}
+
+bool PeerTransport::isCut(const Endpoint& peer) {
+  if (!anyCuts_) {
+    return false;
+  }
+  const std::lock_guard<std::mutex> guard(cutsMutex_);
+  return cuts_.count(peer) != 0;
+}
+
 void PeerTransport::send(const Endpoint& to, PeerEnvelope envelope) {
   if (to == listen_) {
     handlers_.onEnvelope(std::move(envelope), false);
     return;
   }
+  if (isCut(to)) {
+    return;
+  }
   envelope.set_sent_at_us(static_cast<std::uint64_t>(steadyNow().time_since_epoch().count()));
   loop_->enqueue(to, envelope);
 }
--- a/src/transport/peer_transport.h
+++ b/src/transport/peer_transport.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -49,16 +50,24 @@
   /// Thread-safe. A frame to this daemon itself goes to the handler directly.
   void send(const Endpoint& to, PeerEnvelope envelope);
 
+  /// For proofs: frames to and from these peers vanish. Thread-safe.
+  void setCuts(const std::set<Endpoint>& peers);
+
   const PeerTransportCounters& counters() const { return counters_; }
 
  private:
   class Loop;
 
+  bool isCut(const Endpoint& peer);
+
   Endpoint listen_;
   Handlers handlers_;
   PeerTransportCounters counters_;
   std::unique_ptr<Loop> loop_;
   std::thread thread_;
+  std::mutex cutsMutex_;
+  std::set<Endpoint> cuts_;
+  std::atomic<bool> anyCuts_{false};
 };
 
 }  // namespace oakpier
