--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -1,7 +1,10 @@
 /// oakpier-load: sends an open-loop load to daemons, reports it, and writes the history for the checkers.
 
 #include <CLI/CLI.hpp>
+#include <cxxtools/http/client.h>
+
 #include <iostream>
+#include <sstream>
 
 #include "history/history_file.h"
 #include "load/load_plan.h"
@@ -26,9 +29,36 @@
   std::uint64_t seed = 1;
   std::size_t connections = 256;
   std::string platform;
+  std::vector<std::string> operators;
   std::string history;
 };
 
+/// Processor seconds of all daemons together, from their metrics.
+double processorSeconds(const std::vector<std::string>& operators) {
+  double total = 0;
+  for (const auto& address : operators) {
+    cxxtools::http::Client client(endpointOf(address).ip(), endpointOf(address).port());
+    std::istringstream lines(client.get("/metrics", cxxtools::Milliseconds(5000)).body());
+    for (std::string line; std::getline(lines, line);) {
+      const std::string name = "process_cpu_seconds_total ";
+      total += line.rfind(name, 0) == 0 ? std::stod(line.substr(name.size())) : 0;
+    }
+  }
+  return total;
+}
+
+nlohmann::ordered_json reportProcessor(const std::vector<QueryRecord>& records, double seconds) {
+  std::uint64_t shards = 0;
+  for (const auto& record : records) {
+    shards += static_cast<std::uint64_t>(record.answer().covered_size());
+  }
+  nlohmann::ordered_json report;
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  report["daemon_us_per_query"] = seconds * kMicrosecondsPerSecond / static_cast<double>(records.size());
+  report["daemon_us_per_shard_answer"] = seconds * kMicrosecondsPerSecond / static_cast<double>(shards);
+  return report;
+}
+
 std::vector<Machine> leafMachines(const Endpoint& platform) {
   HttpChannel channel(platform, kCallTimeout);
   Platform_Stub stub(&channel);
@@ -102,9 +132,11 @@
   const std::vector<Machine> leaves =
       platform == Endpoint() ? std::vector<Machine>() : leafMachines(platform);
   const LeafWork before = totalWork(leaves);
+  const double processorBefore = processorSeconds(settings.operators);
   const auto plan =
       planLoad(streams, Duration(static_cast<std::int64_t>(settings.seconds * 1e6)), settings.seed);
   const std::vector<QueryRecord> records = runLoad(plan, options);
+  const double processorAfter = processorSeconds(settings.operators);
   LeafWork work = totalWork(leaves);
   work.executions -= std::min(work.executions, before.executions);
   work.cancelled -= std::min(work.cancelled, before.cancelled);
@@ -115,6 +147,9 @@
   if (!leaves.empty()) {
     report["leaf_work"] = reportLeafWork(records, work);
   }
+  if (!settings.operators.empty()) {
+    report["processor"] = reportProcessor(records, processorAfter - processorBefore);
+  }
   std::cout << report.dump(1) << std::endl;
   if (!settings.history.empty()) {
     const std::string problem = writeHistory(settings.history, historyOf(records, leaves, platform));
@@ -153,6 +188,8 @@
       ->capture_default_str();
   app.add_option("--platform", settings.platform, "Platform stand-in, to find the leafs and count their work")
       ->check(oakpier::endpointValidator());
+  app.add_option("--operator", settings.operators, "Operator addresses, to measure the daemons' processor time")
+      ->check(oakpier::endpointValidator());
   app.add_option("--history", settings.history, "Write the history to this file");
   std::vector<oakpier::LoadStream> streams;
   try {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -246,24 +246,29 @@
   }
 }
 
-/// Tries one seed or dead member: only so do two sides of a healed cut hear of each other again.
+/// Tries one seed and one dead member: only so do two sides of a healed cut hear of each other again.
 void Membership::reconnect(Moment now, MembershipActions& actions) {
   std::vector<Endpoint> candidates;
-  for (const auto& seed : seeds_) {
+  if (!seeds_.empty()) {
+    const Endpoint seed = seeds_[drawBelow(seeds_.size(), random_)];
     const MemberRecord* record = members_.find(seed);
     if (record == nullptr || !record->serving()) {
       candidates.push_back(seed);
     }
   }
-  for (const auto& record : members_.records()) {
-    if (record.condition == MEMBER_DEAD) {
-      candidates.push_back(record.address);
+  while (!dead_.empty()) {
+    std::swap(dead_.back(), dead_[drawBelow(dead_.size(), random_)]);
+    const MemberRecord* record = members_.find(dead_.back());
+    if (record != nullptr && record->condition == MEMBER_DEAD) {
+      candidates.push_back(dead_.back());
+      break;
     }
+    dead_.pop_back();
   }
-  if (!candidates.empty()) {
+  for (const auto& candidate : candidates) {
     PendingProbe reconnecting;
     reconnecting.reconnecting = true;
-    sendProbe(candidates[drawBelow(candidates.size(), random_)], now, actions, &reconnecting);
+    sendProbe(candidate, now, actions, &reconnecting);
   }
 }
 
@@ -339,6 +344,9 @@
     probeOrder_.push_back(record.address);
     std::swap(probeOrder_.back(), probeOrder_[drawBelow(probeOrder_.size(), random_)]);
   }
+  if (record.condition == MEMBER_DEAD) {
+    dead_.push_back(record.address);
+  }
   if (!bulk) {
     spread(record.address);
   }
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -147,6 +147,8 @@
   RandomEngine random_;
   MemberTable members_;
   std::vector<Endpoint> seeds_;
+  /// Members that were declared dead; some may be back since.
+  std::vector<Endpoint> dead_;
   std::vector<Endpoint> probeOrder_;
   std::unordered_map<std::uint64_t, PendingProbe> pending_;
   /// Subjects of news in the order they are sent, and how often each is still to be sent.
--- a/src/programs/daemon/daemon.cpp
+++ b/src/programs/daemon/daemon.cpp
@@ -1,5 +1,7 @@
 #include "programs/daemon/daemon.h"
 
+#include <sys/resource.h>
+
 #include <random>
 #include <thread>
 
@@ -209,6 +211,13 @@
     gauges.membership = plane.membership().counters();
     gauges.pauses = plane.pauses();
   });
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  gauges.processorSeconds = static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+                            static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / kMicrosecondsPerSecond;
+  constexpr std::uint64_t kBytesPerKilobyte = 1024;
+  gauges.residentBytes = static_cast<std::uint64_t>(usage.ru_maxrss) * kBytesPerKilobyte;
   const auto view = view_.read();
   gauges.revision = view->table->revision();
   gauges.ready = view->ready && !stopping_;
--- a/src/programs/daemon/daemon_metrics.cpp
+++ b/src/programs/daemon/daemon_metrics.cpp
@@ -67,6 +67,8 @@
   set("oakpier_leaf_connections", "Open leaf connections", number(gauges.leafConnections));
   set("oakpier_pauses", "Pauses of the process noticed", number(gauges.pauses));
   set("oakpier_platform_failures", "Failed reads of the platform", number(gauges.platformFailures));
+  set("process_cpu_seconds_total", "Processor time of this process", gauges.processorSeconds);
+  set("process_resident_memory_bytes", "Largest resident size of this process", number(gauges.residentBytes));
   set("oakpier_frames_sent", "Frames sent to daemons", number(gauges.framesSent));
   set("oakpier_frames_received", "Frames received from daemons", number(gauges.framesReceived));
   set("oakpier_frame_bytes_sent", "Bytes of frames sent", number(gauges.bytesSent));
--- a/src/programs/daemon/daemon_metrics.h
+++ b/src/programs/daemon/daemon_metrics.h
@@ -26,6 +26,8 @@
   std::size_t leafConnections = 0;
   std::uint64_t pauses = 0;
   std::uint64_t platformFailures = 0;
+  double processorSeconds = 0;
+  std::uint64_t residentBytes = 0;
   std::uint64_t framesSent = 0;
   std::uint64_t framesReceived = 0;
   std::uint64_t bytesSent = 0;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -59,6 +59,8 @@
 
   void stop();
 
+  const Endpoint& address() const { return options_.listen; }
+
  private:
   friend class RpcResponder;
   class Dispatcher;
--- /dev/null
+++ b/tests/programs/proof_test.cpp
@@ -0,0 +1,48 @@
+/// A bounded part of the proof over real processes, with fixed seeds. `oakpier-proof` runs it longer.
+
+#include "proof/proof_run.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+
+#include "history/checkers.h"
+
+namespace oakpier {
+
+namespace {
+
+void prove(std::uint64_t seed, const std::vector<FaultKind>& kinds) {
+  std::string folder = (std::filesystem::temp_directory_path() / "oakpier-test-XXXXXX").string();
+  REQUIRE(mkdtemp(folder.data()) != nullptr);
+  ProofOptions options;
+  options.example = std::string(OAKPIER_SOURCE_FOLDER) + "/examples/small";
+  options.binaries = ownFolder();
+  options.workFolder = folder;
+  options.seed = seed;
+  options.length = std::chrono::seconds(8);
+  options.kinds = kinds;
+  const ProofResult result = runProof(options);
+  std::filesystem::remove_all(folder);
+  for (const auto& violation : checkAll(result.history)) {
+    FAIL_CHECK(violation.promise << ": " << violation.subject << ": " << violation.text);
+  }
+  REQUIRE(result.afterwards.empty());
+  REQUIRE_FALSE(result.faults.empty());
+}
+
+}  // namespace
+
+TEST_CASE("promises hold while daemons are killed, frozen, stopped and cut off", "[proof]") {
+  prove(1, {FaultKind::kKillDaemon, FaultKind::kFreezeDaemon, FaultKind::kStopDaemon, FaultKind::kCutZone});
+}
+
+TEST_CASE("promises hold while leafs fail, leave and change snapshots and partitions", "[proof]") {
+  prove(2, {FaultKind::kKillLeaf, FaultKind::kFreezeLeaf, FaultKind::kLeafLeaves, FaultKind::kNextSnapshot,
+            FaultKind::kRepartition, FaultKind::kUnrulyLeaf});
+}
+
+TEST_CASE("promises hold while the platform is out and operators race", "[proof]") {
+  prove(3, {FaultKind::kPlatformOutage, FaultKind::kOperatorRace, FaultKind::kKillDaemon, FaultKind::kStopDaemon});
+}
+
+}  // namespace oakpier
