Take configuration changes over by their size, not by the table's

Cause, as measured at 100,000 leafs: applying a change of one leaf took 47.7 ms, building the next routing table 94.3 ms and looking over the placement 64.0 ms; at 0.51 changes a second 10.5% of a core against a budget of 1.3%. Ruled out: protobuf parsing; the time went into copying and sorting every leaf. Change: changes are applied in place in sorted lists; routing tables share all chunks that a change does not touch; only touched leafs are placed anew.

--- a/bench/hollow/table_run.cpp
+++ b/bench/hollow/table_run.cpp
@@ -78,20 +78,23 @@
   report["routing_table_bytes"] = heapBytes() - before;
   before = heapBytes();
   Placement placement;
-  placement.setLeaves(*table);
+  placement.updateLeaves(*table);
   placement.setMembers(candidates(options.daemons));
   report["placement_bytes"] = heapBytes() - before;
 
   std::uint64_t revision = 1;
+  ConfigurationChange change;
   report["apply_change_ms"] = milliseconds([&] {
     Proposal proposal;
-    *proposal.mutable_change() = oneLeafChange(store.configuration(), ++revision);
+    change = oneLeafChange(store.configuration(), ++revision);
+    *proposal.mutable_change() = change;
     proposal.set_cluster(1);
     store.adopt(proposal);
   });
-  report["rebuild_table_ms"] =
-      milliseconds([&] { table = std::make_shared<const RoutingTable>(store.configuration(), table.get()); });
-  report["placement_all_ms"] = milliseconds([&] { placement.setLeaves(*table); });
+  report["next_table_ms"] =
+      milliseconds([&] { table = std::make_shared<const RoutingTable>(*table, change); });
+  report["placement_of_change_ms"] = milliseconds([&] { placement.updateLeaves(*table); });
+  report["whole_table_ms"] = milliseconds([&] { const RoutingTable built(store.configuration(), nullptr); });
   std::size_t members = options.daemons;
   report["placement_one_member_ms"] = milliseconds([&] { placement.setMembers(candidates(--members)); });
   return report;
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -1,8 +1,8 @@
 /// oakpier-load: sends an open-loop load to daemons, reports it, and writes the history for the checkers.
 
-#include <CLI/CLI.hpp>
 #include <cxxtools/http/client.h>
 
+#include <CLI/CLI.hpp>
 #include <iostream>
 #include <sstream>
 
@@ -188,7 +188,8 @@
       ->capture_default_str();
   app.add_option("--platform", settings.platform, "Platform stand-in, to find the leafs and count their work")
       ->check(oakpier::endpointValidator());
-  app.add_option("--operator", settings.operators, "Operator addresses, to measure the daemons' processor time")
+  app.add_option("--operator", settings.operators,
+                 "Operator addresses, to measure the daemons' processor time")
       ->check(oakpier::endpointValidator());
   app.add_option("--history", settings.history, "Write the history to this file");
   std::vector<oakpier::LoadStream> streams;
--- a/bench/simulation/simulated_requests.cpp
+++ b/bench/simulation/simulated_requests.cpp
@@ -117,8 +117,8 @@
     *history_.add_entries()->mutable_configuration() = configuration;
     auto view = std::make_shared<RoutingView>();
     view->table = std::make_shared<const RoutingTable>(configuration, nullptr);
-    view->leaving.resize(view->table->leaves().size());
-    for (std::size_t leaf = 0; leaf < view->table->leaves().size(); ++leaf) {
+    view->leaving.resize(view->table->indexCount());
+    for (std::size_t leaf = 0; leaf < view->table->indexCount(); ++leaf) {
       view->owners.push_back(
           {ownerAddress(leaf % options_.owners), ownerAddress((leaf + 1) % options_.owners)});
     }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -18,28 +18,28 @@
   return std::min<std::uint32_t>(share, 2U * leaf.slots);
 }
 
-void Placement::setLeaves(const RoutingTable& table) {
-  std::unordered_map<std::uint64_t, LeafPlace> former;
-  for (const auto& place : places_) {
-    former.emplace(hashPair(place.hash, place.zone), place);
-  }
-  places_.clear();
-  places_.reserve(table.leaves().size());
+void Placement::updateLeaves(const RoutingTable& table) {
+  places_.resize(table.indexCount());
+  owners_.resize(table.indexCount());
   moved_ = 0;
-  for (const auto& leaf : table.leaves()) {
+  for (const LeafIndex index : table.touched()) {
+    const LeafEntry& leaf = table.leaf(index);
     LeafPlace place;
-    place.hash = hashText(leaf.name);
-    place.zone = hashText(table.zoneName(leaf.zone));
-    const auto known = former.find(hashPair(place.hash, place.zone));
-    if (known != former.end()) {
-      place = known->second;
-    } else {
+    if (table.declared(index)) {
+      place.hash = hashText(leaf.name);
+      place.zone = hashText(table.zoneName(leaf.zone));
+    }
+    const bool stays = places_[index].hash == place.hash && places_[index].zone == place.zone;
+    if (stays) {
+      continue;
+    }
+    if (table.declared(index)) {
       rankAgain(place);
-      ++moved_;
     }
-    places_.push_back(place);
+    places_[index] = place;
+    writeOwners(index);
+    ++moved_;
   }
-  writeOwners();
 }
 
 void Placement::setMembers(std::vector<Candidate> members) {
@@ -59,8 +59,11 @@
   const auto zonesBefore = std::exchange(membersByZone_, std::move(byZone));
   members_ = std::move(members);
   moved_ = 0;
-  for (auto& place : places_) {
-    const Endpoint before = place.ranked.front().address;
+  for (LeafIndex leaf = 0; leaf < places_.size(); ++leaf) {
+    LeafPlace& place = places_[leaf];
+    if (place.hash == 0) {
+      continue;
+    }
     const bool zoneSwitched = zonesBefore.count(place.zone) != membersByZone_.count(place.zone);
     const bool lostOwner = std::any_of(went.begin(), went.end(), [&](const Candidate& gone) {
       return std::any_of(place.ranked.begin(), place.ranked.end(),
@@ -76,9 +79,9 @@
         }
       }
     }
-    moved_ += place.ranked.front().address == before ? 0 : 1;
+    moved_ += place.ranked.front().address == owners_[leaf].front() ? 0 : 1;
+    writeOwners(leaf);
   }
-  writeOwners();
 }
 
 void Placement::rankAgain(LeafPlace& place) {
@@ -104,12 +107,9 @@
   }
 }
 
-void Placement::writeOwners() {
-  owners_.resize(places_.size());
-  for (std::size_t leaf = 0; leaf < places_.size(); ++leaf) {
-    for (std::size_t rank = 0; rank < kOwnersPerLeaf; ++rank) {
-      owners_[leaf][rank] = places_[leaf].ranked[rank].address;
-    }
+void Placement::writeOwners(LeafIndex leaf) {
+  for (std::size_t rank = 0; rank < kOwnersPerLeaf; ++rank) {
+    owners_[leaf][rank] = places_[leaf].ranked[rank].address;
   }
 }
 
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -34,8 +34,8 @@
 /// touches.
 class Placement {
  public:
-  /// Takes over a table. Leafs that stay in their zone keep their owners; only new ones are ranked.
-  void setLeaves(const RoutingTable& table);
+  /// Takes over the leafs that `table.touched()` names. Those that stay in their zone keep their owners.
+  void updateLeaves(const RoutingTable& table);
   /// Takes over the serving members. Touches only the leafs of members that came or went.
   void setMembers(std::vector<Candidate> members);
 
@@ -57,7 +57,7 @@
 
   void rankAgain(LeafPlace& place);
   void offer(LeafPlace& place, const Candidate& candidate);
-  void writeOwners();
+  void writeOwners(LeafIndex leaf);
 
   std::vector<Candidate> members_;
   std::unordered_map<std::uint64_t, std::vector<Candidate>> membersByZone_;
--- a/src/programs/daemon/control_loop.cpp
+++ b/src/programs/daemon/control_loop.cpp
@@ -124,10 +124,24 @@
   }
 }
 
+/// Step by step where the changes are still kept, else the whole at once.
+void ControlLoop::takeOverConfiguration() {
+  const ChangesReply news = plane_.store().changesSince(table_->revision());
+  if (news.has_whole()) {
+    table_ = std::make_shared<const RoutingTable>(news.whole(), table_.get());
+    placement_ = Placement();
+    placement_.updateLeaves(*table_);
+    return;
+  }
+  for (const auto& change : news.changes()) {
+    table_ = std::make_shared<const RoutingTable>(*table_, change);
+    placement_.updateLeaves(*table_);
+  }
+}
+
 void ControlLoop::publish(bool tableChanged) {
   if (tableChanged) {
-    table_ = std::make_shared<const RoutingTable>(plane_.store().configuration(), table_.get());
-    placement_.setLeaves(*table_);
+    takeOverConfiguration();
     log(LogLevel::kInfo, "configuration in force", {{"revision", table_->revision()}});
   }
   std::vector<Candidate> members;
@@ -148,7 +162,7 @@
   placement_.setMembers(std::move(members));
   fresh->table = table_;
   fresh->owners = placement_.owners();
-  fresh->leaving.resize(table_->leaves().size());
+  fresh->leaving.resize(table_->indexCount());
   for (std::size_t leaf = 0; leaf < fresh->leaving.size(); ++leaf) {
     fresh->leaving[leaf] =
         !leaving_.leaves.empty() &&
--- a/src/programs/daemon/control_loop.h
+++ b/src/programs/daemon/control_loop.h
@@ -53,6 +53,7 @@
   void carryOut(ControlActions actions);
   void leaveWhenPossible(Moment now);
   void publishWhenChanged();
+  void takeOverConfiguration();
   void publish(bool tableChanged);
 
   Published<RoutingView>& view_;
--- a/src/programs/daemon/daemon.cpp
+++ b/src/programs/daemon/daemon.cpp
@@ -31,7 +31,7 @@
 
 std::shared_ptr<const RoutingView> emptyView() {
   auto view = std::make_shared<RoutingView>();
-  view->table = std::make_shared<const RoutingTable>(Configuration(), nullptr);
+  view->table = std::make_shared<const RoutingTable>();
   return view;
 }
 
@@ -214,8 +214,9 @@
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
   constexpr double kMicrosecondsPerSecond = 1e6;
-  gauges.processorSeconds = static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-                            static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / kMicrosecondsPerSecond;
+  gauges.processorSeconds =
+      static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+      static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / kMicrosecondsPerSecond;
   constexpr std::uint64_t kBytesPerKilobyte = 1024;
   gauges.residentBytes = static_cast<std::uint64_t>(usage.ru_maxrss) * kBytesPerKilobyte;
   const auto view = view_.read();
--- a/src/programs/daemon/operator_service.cpp
+++ b/src/programs/daemon/operator_service.cpp
@@ -161,8 +161,11 @@
 
 void OperatorService::describeLeaves(StatusReply& reply) const {
   const auto view = view_.read();
-  for (std::size_t index = 0; index < view->table->leaves().size(); ++index) {
-    const LeafEntry& leaf = view->table->leaves()[index];
+  for (LeafIndex index = 0; index < view->table->indexCount(); ++index) {
+    const LeafEntry& leaf = view->table->leaf(index);
+    if (!view->table->declared(index)) {
+      continue;
+    }
     LeafReport& report = *reply.add_leaves();
     report.set_name(leaf.name);
     report.set_address(leaf.address.text());
--- a/src/state/configuration_change.cpp
+++ b/src/state/configuration_change.cpp
@@ -38,24 +38,38 @@
   }
 }
 
+template <typename Item>
+int positionOf(const Items<Item>& items, const std::string& name) {
+  const auto position =
+      std::lower_bound(items.begin(), items.end(), name,
+                       [](const Item& item, const std::string& wanted) { return item.name() < wanted; });
+  return static_cast<int>(position - items.begin());
+}
+
+template <typename Item>
+bool isAt(const Items<Item>& items, int position, const std::string& name) {
+  return position < items.size() && items.Get(position).name() == name;
+}
+
+/// Items are sorted by name, so a small change to a large configuration is cheap.
 template <typename Item>
 void apply(const Items<Item>& put, const Items<std::string>& removed, Items<Item>& items) {
-  if (put.empty() && removed.empty()) {
-    return;
-  }
-  std::map<std::string, Item> merged;
-  for (auto& item : items) {
-    merged[item.name()] = std::move(item);
-  }
   for (const auto& name : removed) {
-    merged.erase(name);
+    const int position = positionOf(items, name);
+    if (isAt(items, position, name)) {
+      items.DeleteSubrange(position, 1);
+    }
   }
   for (const auto& item : put) {
-    merged[item.name()] = item;
-  }
-  items.Clear();
-  for (auto& [name, item] : merged) {
-    *items.Add() = std::move(item);
+    const int position = positionOf(items, item.name());
+    if (isAt(items, position, item.name())) {
+      *items.Mutable(position) = item;
+      continue;
+    }
+    *items.Add() = item;
+    for (int place = items.size() - 1; place > position; --place) {
+      items.SwapElements(place, place - 1);
+    }
   }
 }
 
--- a/src/state/configuration_change.h
+++ b/src/state/configuration_change.h
@@ -13,7 +13,7 @@
 bool isEmpty(const ConfigurationChange& change);
 
 /// Puts the change in place and takes over its revision. Items are kept sorted by name, so that daemons which
-/// applied the same changes hold equal bytes.
+/// applied the same changes hold equal bytes; so they must be in `configuration` before.
 void applyChange(const ConfigurationChange& change, Configuration& configuration);
 
 }  // namespace oakpier
--- a/src/state/routing_table.h
+++ b/src/state/routing_table.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "oakpier/configuration.pb.h"
@@ -60,32 +61,62 @@
   std::uint32_t maxInFlight = 0;
 };
 
+/// A leaf keeps its index as long as it is declared; versions share all parts that a change does not touch.
 class RoutingTable {
  public:
-  /// Builds the table of a valid configuration. `former` may be null.
+  /// Of nothing; revision 0.
+  RoutingTable() : buckets_(kBuckets) {}
+  /// Of a valid whole configuration. Keeps what `former` knows of leafs that stay; `former` may be null.
   RoutingTable(const Configuration& configuration, const RoutingTable* former);
+  /// The next version after `former`. Costs by the size of the change, not of the table.
+  RoutingTable(const RoutingTable& former, const ConfigurationChange& change);
 
   std::uint64_t revision() const { return revision_; }
-  const std::vector<LeafEntry>& leaves() const { return leaves_; }
-  const std::vector<ServiceEntry>& services() const { return services_; }
-  const std::vector<ClassEntry>& classes() const { return classes_; }
+  /// Indexes run from 0 to this; some may stand for no leaf any more.
+  std::size_t indexCount() const { return indexCount_; }
+  bool declared(LeafIndex index) const { return !leaf(index).name.empty(); }
+  const LeafEntry& leaf(LeafIndex index) const {
+    return (*chunks_[index / kChunkLeaves])[index % kChunkLeaves];
+  }
   const std::string& zoneName(std::uint16_t zone) const { return zones_[zone]; }
+  /// Leafs that came, changed or went with the change that made this version; all of them for a whole one.
+  const std::vector<LeafIndex>& touched() const { return touched_; }
 
-  const LeafEntry& leaf(LeafIndex index) const { return leaves_[index]; }
   std::optional<LeafIndex> findLeaf(std::string_view name) const;
+  /// Null when there is none.
+  const LeafEntry* leafNamed(std::string_view name) const;
   const ServiceEntry* findService(std::string_view name) const;
   const ClassEntry* findClass(std::string_view name) const;
 
  private:
-  void addLeaves(const Configuration& configuration, const RoutingTable* former);
-  void addServices(const Configuration& configuration);
+  static constexpr std::size_t kChunkLeaves = 256;
+  static constexpr std::size_t kBuckets = 1024;
+
+  using Chunk = std::vector<LeafEntry>;
+  /// Indexes of the leafs whose names hash to one bucket.
+  using Bucket = std::vector<LeafIndex>;
+
+  void apply(const ConfigurationChange& change, const RoutingTable* former);
+  void putLeaf(const Leaf& declared, const RoutingTable* former);
+  void removeLeaf(const std::string& name);
+  LeafIndex newIndex(const std::string& name);
+  LeafEntry& writableLeaf(LeafIndex index);
+  Bucket& writableBucket(std::string_view name);
+  std::shared_ptr<const ServiceEntry> serviceOf(const Service& declared) const;
   std::uint16_t zoneNumber(const std::string& zone);
 
-  std::uint64_t revision_;
-  std::vector<LeafEntry> leaves_;
-  std::vector<ServiceEntry> services_;
+  std::uint64_t revision_ = 0;
+  std::size_t indexCount_ = 0;
+  std::vector<std::shared_ptr<const Chunk>> chunks_;
+  std::vector<std::shared_ptr<const Bucket>> buckets_;
+  std::vector<LeafIndex> free_;
+  std::vector<LeafIndex> touched_;
+  std::vector<std::shared_ptr<const ServiceEntry>> services_;
   std::vector<ClassEntry> classes_;
   std::vector<std::string> zones_;
+  /// Parts that this version alone holds, while it is built.
+  std::unordered_map<std::size_t, std::shared_ptr<Chunk>> ownChunks_;
+  std::unordered_map<std::size_t, std::shared_ptr<Bucket>> ownBuckets_;
 };
 
 }  // namespace oakpier
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -25,7 +25,7 @@
 
 Placement placementOf(const std::vector<Candidate>& members) {
   Placement placement;
-  placement.setLeaves(table());
+  placement.updateLeaves(table());
   placement.setMembers(members);
   return placement;
 }
@@ -35,7 +35,7 @@
 TEST_CASE("owners do not depend on the way the members came and went", "[coordination]") {
   OAKPIER_PROPERTY("path independence", [] {
     Placement moved;
-    moved.setLeaves(table());
+    moved.updateLeaves(table());
     std::vector<Candidate> members;
     for (int step = 0; step < 6; ++step) {
       const auto kept = *rc::gen::container<std::vector<bool>>(30, rc::gen::arbitrary<bool>());
--- a/tests/programs/proof_test.cpp
+++ b/tests/programs/proof_test.cpp
@@ -1,11 +1,10 @@
 /// A bounded part of the proof over real processes, with fixed seeds. `oakpier-proof` runs it longer.
 
-#include "proof/proof_run.h"
-
 #include <catch2/catch.hpp>
 #include <filesystem>
 
 #include "history/checkers.h"
+#include "proof/proof_run.h"
 
 namespace oakpier {
 
@@ -42,7 +41,8 @@
 }
 
 TEST_CASE("promises hold while the platform is out and operators race", "[proof]") {
-  prove(3, {FaultKind::kPlatformOutage, FaultKind::kOperatorRace, FaultKind::kKillDaemon, FaultKind::kStopDaemon});
+  prove(3, {FaultKind::kPlatformOutage, FaultKind::kOperatorRace, FaultKind::kKillDaemon,
+            FaultKind::kStopDaemon});
 }
 
 }  // namespace oakpier
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -20,7 +20,8 @@
 class MockCaller : public Caller {
  public:
   MAKE_MOCK4(Query,
-             void(google::protobuf::RpcController*, const QueryRequest*, QueryAnswer*, google::protobuf::Closure*),
+             void(google::protobuf::RpcController*, const QueryRequest*, QueryAnswer*,
+                  google::protobuf::Closure*),
              override);
 };
 
