--- a/src/programs/daemon/control_loop.cpp
+++ b/src/programs/daemon/control_loop.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr Duration kTick = std::chrono::milliseconds(50);
 /// A leaving voter waits this long for its successor.
 constexpr Duration kHandOverTime = std::chrono::seconds(5);
 
--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -24,7 +24,7 @@
 constexpr Duration kConnectGrace = std::chrono::milliseconds(30);
 constexpr std::size_t kMostWaitingFrames = 256;
 constexpr Duration kIdleSocketTime = std::chrono::seconds(60);
-constexpr std::chrono::milliseconds kPollTime(20);
+constexpr std::chrono::milliseconds kPollTime(100);
 constexpr std::chrono::milliseconds kPollTimeWhileWaiting(2);
 constexpr int kFramesPerRound = 256;
 
