--- a/tests/coordination/repeat_guard_test.cpp
+++ b/tests/coordination/repeat_guard_test.cpp
@@ -124,6 +124,34 @@
   });
 }
 
+TEST_CASE("a guardian that started lately abstains until every member told what it holds", "[coordination]") {
+  const Endpoint self(1, 1);
+  const Endpoint other(2, 1);
+  MemberTable members;
+  MemberRecord record;
+  record.address = other;
+  members.put(record);
+  RepeatGuard guard(self, RepeatGuardSettings());
+  Moment now{std::chrono::hours(1)};
+  const auto verdictOn = [&](const std::string& id) {
+    Reserve reserve;
+    reserve.set_request_id(id);
+    reserve.set_work_id("w-" + id);
+    return guard.onReserve(reserve, members, true, now).verdict();
+  };
+  REQUIRE(guard.onTime(members, now) == std::vector<Endpoint>{other});
+  now += std::chrono::seconds(10);
+  REQUIRE(guard.onTime(members, now) == std::vector<Endpoint>{other});
+  REQUIRE(verdictOn("new") == RESERVE_ABSTAINED);
+  ReservationsReply held;
+  held.add_reservations()->set_request_id("old");
+  guard.onReservations(other, held, now);
+  now += std::chrono::seconds(2);
+  REQUIRE(guard.onTime(members, now).empty());
+  REQUIRE(verdictOn("old") == RESERVE_DUPLICATE);
+  REQUIRE(verdictOn("new") == RESERVE_GRANTED);
+}
+
 TEST_CASE("ids run while a daemon at a time is replaced", "[coordination]") {
   SimulatedFleet fleet(optionsFor(4));
   fleet.runFor(kSettle);
