Reserve the proof's threads ahead

Ruled out: other places; the lint of all other files ended without a finding so far. Change: room for the threads is reserved before they are started. Before: lint failed. Conclusion: lint the whole tree before each larger commit, not only format it.

--- a/bench/proof/proof_run.cpp
+++ b/bench/proof/proof_run.cpp
@@ -143,6 +143,7 @@
     injectors.emplace_back(state, options.kinds, options.seed * 100 + number);
   }
   std::vector<std::thread> threads;
+  threads.reserve(injectors.size() + 1);
   for (auto& injector : injectors) {
     threads.emplace_back([&injector] { injector.run(); });
   }
