--- /dev/null
+++ b/src/coordination/serving/leaf_outcome.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// How one exchange with a leaf ended.
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "state/serving/http_message.h"
+
+namespace oakpier {
+
+/// What a leaf tells of its load with an answer.
+struct ReportedLoad {
+  unsigned running = 0;
+  unsigned waiting = 0;
+  unsigned slots = 0;
+};
+
+struct LeafOutcome {
+  enum class Kind {
+    /// A whole, signed success that belongs to the request.
+    kAnswered,
+    /// A whole, signed failure that the leaf itself gave; the request has run.
+    kLeafFailed,
+    /// The leaf says that it did not run the request.
+    kNotExecuted,
+    /// Another leaf has the address now; it did not run the request.
+    kWrongInstance,
+    /// The request was sent, whole or in part, and no usable answer came; it may have run.
+    kNoAnswer,
+    /// No byte of the request was written.
+    kNotSent,
+    /// The query no longer wanted the answer; the request was taken back or cut off.
+    kWithdrawn,
+  };
+
+  Kind kind = Kind::kNoAnswer;
+  /// Set for kAnswered and kLeafFailed.
+  std::shared_ptr<const HttpReply> reply;
+  /// The leaf's signature of the answer.
+  std::string signature;
+  std::optional<ReportedLoad> load;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -0,0 +1,58 @@
+#include "coordination/serving/leaf_selection.h"
+
+#include <algorithm>
+
+namespace oakpier {
+
+namespace {
+
+constexpr Duration kOtherZonePenalty = std::chrono::milliseconds(4);
+/// A stalled leaf is expected to stay silent at least this much longer.
+constexpr Duration kStallPenalty = std::chrono::milliseconds(100);
+constexpr Duration kEjectedPenalty = std::chrono::seconds(10);
+constexpr double kWarmupFactor = 1.6;
+/// Breaks ties, so that daemons that know the same do not all choose the same leaf.
+constexpr std::size_t kTieBreakMicroseconds = 1500;
+
+}  // namespace
+
+Duration expectedLatency(const LeafStatus& leaf, const SelectionRequest& request, Moment now) {
+  const double slots = std::max(1U, leaf.entry().slots);
+  const double waiting = std::max(0.0, leaf.queueLength(now) + 1.0 - slots);
+  double factor = leaf.slowness() * (1.0 + waiting / slots);
+  if (leaf.warmingUp(now)) {
+    factor *= kWarmupFactor;
+  }
+  auto expected = Duration(static_cast<std::int64_t>(request.typicalLatency.count() * factor));
+  if (leaf.entry().zone != request.ownZone) {
+    expected += kOtherZonePenalty;
+  }
+  if (leaf.stalledFor(now).count() > 0) {
+    expected += kStallPenalty;
+  }
+  if (leaf.ejected(now)) {
+    expected += kEjectedPenalty;
+  }
+  return expected;
+}
+
+std::shared_ptr<LeafStatus> selectLeaf(const LeafRegistry::Leafs& leafs, const SelectionRequest& request,
+                                       RandomEngine& random, Moment now) {
+  std::shared_ptr<LeafStatus> best;
+  Duration bestExpected{};
+  for (const auto& leaf : leafs) {
+    const auto& tried = request.triedLeafs;
+    if (!leaf->usable() || std::find(tried.begin(), tried.end(), leaf->entry().id) != tried.end()) {
+      continue;
+    }
+    const auto tieBreak = Duration(static_cast<std::int64_t>(drawBelow(kTieBreakMicroseconds, random)));
+    const Duration expected = expectedLatency(*leaf, request, now) + tieBreak;
+    if (!best || expected < bestExpected) {
+      best = leaf;
+      bestExpected = expected;
+    }
+  }
+  return best;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/leaf_status.cpp
@@ -0,0 +1,146 @@
+#include "coordination/serving/leaf_status.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oakpier {
+
+namespace {
+
+/// Weight of the newest latency in the smoothed ratio.
+constexpr double kSlownessGain = 0.1;
+constexpr double kSlownessFloor = 0.5;
+constexpr double kSlownessCeiling = 20.0;
+/// Told load is believed for this long.
+constexpr Duration kLoadLifetime = std::chrono::milliseconds(150);
+/// A leaf that fails this often in a row is avoided.
+constexpr unsigned kFailuresBeforeEjection = 3;
+/// A leaf that was silent for this long when a request was taken back counts as unreachable.
+constexpr int kSilenceFactor = 3;
+constexpr Duration kSilenceFloor = std::chrono::milliseconds(300);
+constexpr Duration kShortestEjection = std::chrono::milliseconds(400);
+constexpr unsigned kLongestEjectionFactor = 8;
+
+}  // namespace
+
+LeafStatus::LeafStatus(LeafEntry entry, Moment now)
+    : entry_(std::move(entry)), warmUntil_(now + entry_.warmupLeft) {}
+
+void LeafStatus::update(const LeafEntry& entry, Moment now) {
+  entry_ = entry;
+  warmUntil_ = now + entry.warmupLeft;
+}
+
+void LeafStatus::onStarted(std::uint64_t exchange, Duration expected, Moment now) {
+  inProgress_.push_back(Exchange{exchange, now, expected});
+}
+
+void LeafStatus::onFinished(std::uint64_t exchange, LeafOutcome::Kind kind, Moment now) {
+  const auto found = std::find_if(inProgress_.begin(), inProgress_.end(),
+                                  [&](const Exchange& candidate) { return candidate.id == exchange; });
+  if (found == inProgress_.end()) {
+    return;
+  }
+  const Exchange finished = *found;
+  inProgress_.erase(found);
+  switch (kind) {
+    case LeafOutcome::Kind::kAnswered: {
+      const double ratio = static_cast<double>((now - finished.startedAt).count()) /
+                           static_cast<double>(std::max<std::int64_t>(1, finished.expected.count()));
+      slowness_ += kSlownessGain * (std::min(ratio, kSlownessCeiling) - slowness_);
+      slowness_ = std::max(slowness_, kSlownessFloor);
+      consecutiveFailures_ = 0;
+      lastAnswerAt_ = now;
+      break;
+    }
+    case LeafOutcome::Kind::kWrongInstance:
+      markGone();
+      break;
+    case LeafOutcome::Kind::kNotExecuted:
+      lastAnswerAt_ = now;
+      break;
+    case LeafOutcome::Kind::kLeafFailed:
+    case LeafOutcome::Kind::kNoAnswer:
+      onFailure(false, now);
+      break;
+    case LeafOutcome::Kind::kNotSent:
+      onFailure(true, now);
+      break;
+    case LeafOutcome::Kind::kWithdrawn: {
+      const Moment quietSince = std::max(finished.startedAt, lastAnswerAt_);
+      if (now - quietSince > finished.expected * kSilenceFactor + kSilenceFloor) {
+        onFailure(true, now);
+      }
+      break;
+    }
+  }
+}
+
+void LeafStatus::onFailure(bool unreachable, Moment now) {
+  ++consecutiveFailures_;
+  if (!unreachable && consecutiveFailures_ < kFailuresBeforeEjection) {
+    return;
+  }
+  const unsigned factor = std::min(consecutiveFailures_, kLongestEjectionFactor);
+  ejectedUntil_ = now + kShortestEjection * factor;
+}
+
+void LeafStatus::onLoad(const ReportedLoad& load, Moment now) {
+  load_ = load;
+  loadAt_ = now;
+}
+
+double LeafStatus::queueLength(Moment now) const {
+  const auto own = static_cast<double>(inProgress_.size());
+  if (now - loadAt_ > kLoadLifetime) {
+    return own;
+  }
+  const double age = static_cast<double>((now - loadAt_).count()) / kLoadLifetime.count();
+  const double told = (load_.running + load_.waiting) * (1.0 - age);
+  return std::max(own, told);
+}
+
+Duration LeafStatus::stalledFor(Moment now) const {
+  Duration longest{};
+  for (const Exchange& exchange : inProgress_) {
+    const Moment quietSince = std::max(exchange.startedAt, lastAnswerAt_);
+    longest = std::max(longest, now - quietSince - exchange.expected);
+  }
+  return longest;
+}
+
+void LeafRegistry::reconcile(const LeafsByService& directory, Moment now) {
+  std::unordered_map<std::string, std::shared_ptr<LeafStatus>> known;
+  for (const auto& [service, leafs] : services_) {
+    for (const auto& leaf : leafs) {
+      known.emplace(leaf->entry().id, leaf);
+    }
+  }
+  services_.clear();
+  for (const auto& [service, entries] : directory) {
+    Leafs& leafs = services_[service];
+    for (const LeafEntry& entry : entries) {
+      const auto found = known.find(entry.id);
+      if (found == known.end()) {
+        leafs.push_back(std::make_shared<LeafStatus>(entry, now));
+        continue;
+      }
+      if (!found->second->entry().sameAs(entry)) {
+        found->second->update(entry, now);
+      }
+      leafs.push_back(found->second);
+      known.erase(found);
+    }
+  }
+  for (const auto& [id, leaf] : known) {
+    leaf->markGone();
+  }
+}
+
+const LeafRegistry::Leafs& LeafRegistry::leafsOf(const std::string& service) const {
+  static const Leafs kNone;
+  const auto found = services_.find(service);
+  return found == services_.end() ? kNone : found->second;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/leaf_status.h
@@ -0,0 +1,77 @@
+#pragma once
+
+/// What one daemon knows first-hand of one leaf: requests in progress, latencies, failures and told load.
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/serving/leaf_outcome.h"
+#include "state/serving/leaf_directory.h"
+#include "state/time.h"
+
+namespace oakpier {
+
+/// Not thread-safe; owned by the request thread.
+class LeafStatus {
+ public:
+  LeafStatus(LeafEntry entry, Moment now);
+
+  const LeafEntry& entry() const { return entry_; }
+  /// Takes over what the directory now says of the same incarnation.
+  void update(const LeafEntry& entry, Moment now);
+  /// The directory no longer lists it, or it answered as another instance.
+  void markGone() { gone_ = true; }
+  bool usable() const { return !gone_ && !entry_.draining; }
+
+  /// `expected`: the latency that most answers to this kind of request stay below.
+  void onStarted(std::uint64_t exchange, Duration expected, Moment now);
+  void onFinished(std::uint64_t exchange, LeafOutcome::Kind kind, Moment now);
+  void onLoad(const ReportedLoad& load, Moment now);
+
+  std::size_t inProgress() const { return inProgress_.size(); }
+  /// Requests at the leaf as far as is known: own ones, or told ones while those are fresh.
+  double queueLength(Moment now) const;
+  /// How long the leaf has been overdue with an answer; zero when it is not.
+  Duration stalledFor(Moment now) const;
+  bool ejected(Moment now) const { return now < ejectedUntil_; }
+  bool warmingUp(Moment now) const { return now < warmUntil_; }
+  /// Smoothed ratio of its latencies to those expected of the kind of request; 1 is ordinary.
+  double slowness() const { return slowness_; }
+
+ private:
+  struct Exchange {
+    std::uint64_t id;
+    Moment startedAt;
+    Duration expected;
+  };
+  void onFailure(bool unreachable, Moment now);
+
+  LeafEntry entry_;
+  bool gone_ = false;
+  Moment warmUntil_;
+  std::vector<Exchange> inProgress_;
+  Moment lastAnswerAt_{};
+  double slowness_ = 1.0;
+  unsigned consecutiveFailures_ = 0;
+  Moment ejectedUntil_{};
+  ReportedLoad load_;
+  Moment loadAt_{};
+};
+
+/// The leafs of every service, kept in step with the directory. Not thread-safe.
+class LeafRegistry {
+ public:
+  using Leafs = std::vector<std::shared_ptr<LeafStatus>>;
+
+  /// Leafs that are no longer listed are marked as gone and forgotten.
+  void reconcile(const LeafsByService& directory, Moment now);
+  const Leafs& leafsOf(const std::string& service) const;
+
+ private:
+  std::unordered_map<std::string, Leafs> services_;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/part_exchange.cpp
@@ -0,0 +1,161 @@
+#include "coordination/serving/part_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/serving/leaf_selection.h"
+
+namespace oakpier {
+
+namespace {
+
+/// A hedge that could not be sent is tried again after this.
+constexpr Duration kHedgeRetry = std::chrono::milliseconds(10);
+/// A hedge is never sent sooner than this after the first send.
+constexpr Duration kShortestHedgeDelay = std::chrono::milliseconds(3);
+/// Leafs that turn a request away do not use up its attempts, but no more than this many are asked.
+constexpr std::size_t kMostSends = 6;
+
+}  // namespace
+
+PartExchange::PartExchange(std::string service, const Route& route, QueryContext& context)
+    : service_(std::move(service)), route_(route), context_(context) {}
+
+void PartExchange::start(Moment now, Moment hedgeBy, QueryActions& actions) {
+  context_.budgets.earn(service_);
+  hedgeBy_ = hedgeBy;
+  if (!send(now, actions)) {
+    state_ = State::kExhausted;
+  }
+}
+
+bool PartExchange::send(Moment now, QueryActions& actions) {
+  RouteLatency& latency = context_.latencyOf(route_);
+  const SelectionRequest request{triedLeafs_, latency.typical(), context_.ownZone};
+  auto leaf = selectLeaf(context_.leafs.leafsOf(service_), request, context_.random, now);
+  if (!leaf) {
+    return false;
+  }
+  Attempt attempt;
+  attempt.exchange = context_.nextExchange++;
+  attempt.leaf = leaf;
+  attempt.startedAt = now;
+  leaf->onStarted(attempt.exchange, latency.high(), now);
+  triedLeafs_.push_back(leaf->entry().id);
+  actions.sends.push_back(SendAction{attempt.exchange, leaf});
+  attempts_.push_back(std::move(attempt));
+  if (route_.repeatable) {
+    const Duration delay = std::max(kShortestHedgeDelay, latency.high());
+    const Moment latest = hedgeBy_ == kNever ? kNever : hedgeBy_ - latency.typical() * 2;
+    hedgeAt_ = std::max(now + latency.typical(), std::min(now + delay, latest));
+  }
+  return true;
+}
+
+std::size_t PartExchange::countedAttempts() const {
+  return static_cast<std::size_t>(std::count_if(attempts_.begin(), attempts_.end(), [](const Attempt& attempt) {
+    return !(attempt.finished && attempt.knownNotRun);
+  }));
+}
+
+bool PartExchange::mayTryAgain() const {
+  if (attempts_.size() >= kMostSends || countedAttempts() >= route_.attempts) {
+    return false;
+  }
+  return route_.repeatable || !mayHaveRun();
+}
+
+bool PartExchange::sendAgain(Moment now, QueryActions& actions) {
+  if (!mayTryAgain()) {
+    return false;
+  }
+  const bool anyArrived = std::any_of(attempts_.begin(), attempts_.end(),
+                                      [](const Attempt& attempt) { return attempt.written; });
+  if (anyArrived && !context_.budgets.spend(service_)) {
+    return false;
+  }
+  return send(now, actions);
+}
+
+PartExchange::Attempt* PartExchange::find(ExchangeId exchange) {
+  const auto found = std::find_if(attempts_.begin(), attempts_.end(),
+                                  [&](const Attempt& attempt) { return attempt.exchange == exchange; });
+  return found == attempts_.end() ? nullptr : &*found;
+}
+
+bool PartExchange::owns(ExchangeId exchange) const {
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [&](const Attempt& attempt) { return attempt.exchange == exchange; });
+}
+
+void PartExchange::onWritten(ExchangeId exchange) {
+  if (Attempt* attempt = find(exchange)) {
+    attempt->written = true;
+  }
+}
+
+void PartExchange::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now,
+                             QueryActions& actions) {
+  Attempt* attempt = find(exchange);
+  if (attempt == nullptr || attempt->finished) {
+    return;
+  }
+  attempt->finished = true;
+  if (state_ != State::kOpen) {
+    return;
+  }
+  if (outcome.kind == LeafOutcome::Kind::kAnswered) {
+    outcome_ = outcome;
+    state_ = State::kAnswered;
+    return;
+  }
+  attempt->knownNotRun = outcome.kind == LeafOutcome::Kind::kNotExecuted ||
+                         outcome.kind == LeafOutcome::Kind::kWrongInstance ||
+                         outcome.kind == LeafOutcome::Kind::kNotSent;
+  if (outcome.kind == LeafOutcome::Kind::kNotSent) {
+    attempt->written = false;
+  }
+  if (outcome.kind == LeafOutcome::Kind::kLeafFailed) {
+    outcome_ = outcome;
+  }
+  concludeIfExhausted(now, actions);
+}
+
+void PartExchange::concludeIfExhausted(Moment now, QueryActions& actions) {
+  const bool anyOut =
+      std::any_of(attempts_.begin(), attempts_.end(), [](const Attempt& attempt) { return !attempt.finished; });
+  if (anyOut) {
+    return;
+  }
+  if (!sendAgain(now, actions)) {
+    state_ = State::kExhausted;
+  }
+}
+
+void PartExchange::onTime(Moment now, QueryActions& actions) {
+  if (state_ != State::kOpen || now < hedgeAt_) {
+    return;
+  }
+  hedgeAt_ = kNever;
+  const bool worthIt = hedgeBy_ == kNever || now < hedgeBy_;
+  if (worthIt && mayTryAgain() && !sendAgain(now, actions)) {
+    hedgeAt_ = now + kHedgeRetry;
+  }
+}
+
+Moment PartExchange::nextDecisionAt() const { return state_ == State::kOpen ? hedgeAt_ : kNever; }
+
+bool PartExchange::mayHaveRun() const {
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [](const Attempt& attempt) { return attempt.written && !attempt.knownNotRun; });
+}
+
+void PartExchange::close(QueryActions& actions) {
+  for (const Attempt& attempt : attempts_) {
+    if (!attempt.finished) {
+      actions.abandons.push_back(attempt.exchange);
+    }
+  }
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/query.cpp
@@ -0,0 +1,202 @@
+#include "coordination/serving/query.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/serving/record_merge.h"
+
+namespace oakpier {
+
+Query::Query(std::shared_ptr<const ServingView> view, const Route& route, QueryContext& context,
+             Moment receivedAt, Moment deadline)
+    : view_(std::move(view)),
+      route_(route),
+      gather_(std::get_if<GatherTarget>(&route.target)),
+      context_(context),
+      deadline_(std::min(deadline - context.policy.deadlineMargin, receivedAt + route.timeout)) {
+  const auto target = route.targetLatency.count();
+  const auto share = Duration(static_cast<std::int64_t>(target * context.policy.answerMarginShare));
+  answerBy_ = receivedAt + route.targetLatency - context.policy.answerMargin - share;
+}
+
+std::string Query::chooseService() const {
+  const auto& services = std::get<SingleTarget>(route_.target).services;
+  if (services.size() == 1) {
+    return services.front().service;
+  }
+  std::vector<double> weights;
+  for (const WeightedService& part : services) {
+    weights.push_back(part.weight);
+  }
+  std::discrete_distribution<std::size_t> choice(weights.begin(), weights.end());
+  return services[choice(context_.random)].service;
+}
+
+QueryActions Query::start(Moment now) {
+  QueryActions actions;
+  const std::vector<std::string> services =
+      isGather() ? gather_->shards : std::vector<std::string>{chooseService()};
+  parts_.reserve(services.size());
+  for (const std::string& service : services) {
+    parts_.emplace_back(service, route_, context_);
+    parts_.back().start(now, answerBy_, actions);
+  }
+  decide(now, actions);
+  return actions;
+}
+
+PartExchange* Query::partOf(ExchangeId exchange) {
+  const auto found = std::find_if(parts_.begin(), parts_.end(),
+                                  [&](const PartExchange& part) { return part.owns(exchange); });
+  return found == parts_.end() ? nullptr : &*found;
+}
+
+void Query::onWritten(ExchangeId exchange) {
+  if (PartExchange* part = partOf(exchange)) {
+    part->onWritten(exchange);
+  }
+}
+
+QueryActions Query::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now) {
+  QueryActions actions;
+  PartExchange* part = partOf(exchange);
+  if (part == nullptr || finished_) {
+    return actions;
+  }
+  part->onOutcome(exchange, outcome, now, actions);
+  decide(now, actions);
+  return actions;
+}
+
+QueryActions Query::onTime(Moment now) {
+  QueryActions actions;
+  if (finished_) {
+    return actions;
+  }
+  answerDue_ = answerDue_ || now >= answerBy_;
+  for (PartExchange& part : parts_) {
+    part.onTime(now, actions);
+  }
+  decide(now, actions);
+  return actions;
+}
+
+QueryActions Query::onCallerGone() {
+  QueryActions actions;
+  finished_ = true;
+  for (PartExchange& part : parts_) {
+    part.close(actions);
+  }
+  return actions;
+}
+
+Moment Query::nextDecisionAt() const {
+  if (finished_) {
+    return kNever;
+  }
+  Moment next = deadline_;
+  if (isGather() && !answerDue_) {
+    next = std::min(next, answerBy_);
+  }
+  for (const PartExchange& part : parts_) {
+    next = std::min(next, part.nextDecisionAt());
+  }
+  return next;
+}
+
+std::size_t Query::answeredParts() const {
+  return static_cast<std::size_t>(std::count_if(parts_.begin(), parts_.end(), [](const PartExchange& part) {
+    return part.state() == PartExchange::State::kAnswered;
+  }));
+}
+
+bool Query::allSettled() const {
+  return std::all_of(parts_.begin(), parts_.end(),
+                     [](const PartExchange& part) { return part.state() != PartExchange::State::kOpen; });
+}
+
+bool Query::mayHaveRun() const {
+  return std::any_of(parts_.begin(), parts_.end(), [](const PartExchange& part) { return part.mayHaveRun(); });
+}
+
+bool Query::enoughParts() const {
+  const std::size_t answered = answeredParts();
+  return answered > 0 &&
+         static_cast<double>(answered) >= gather_->minimumShardShare * static_cast<double>(parts_.size());
+}
+
+void Query::decide(Moment now, QueryActions& actions) {
+  if (finished_) {
+    return;
+  }
+  if (isGather()) {
+    decideGather(now, actions);
+  } else {
+    decideSingle(now, actions);
+  }
+}
+
+void Query::decideGather(Moment now, QueryActions& actions) {
+  if (answeredParts() == parts_.size()) {
+    finish(merge(), actions);
+    return;
+  }
+  if (enoughParts() && (allSettled() || answerDue_ || now >= deadline_)) {
+    finish(merge(), actions);
+    return;
+  }
+  if (allSettled() || now >= deadline_) {
+    finishWithoutAnswer(now, actions);
+  }
+}
+
+void Query::decideSingle(Moment now, QueryActions& actions) {
+  const PartExchange& part = parts_.front();
+  if (part.state() == PartExchange::State::kAnswered) {
+    finish(ForwardedAnswer{part.outcome().reply}, actions);
+    return;
+  }
+  if (part.state() == PartExchange::State::kExhausted) {
+    if (part.outcome().reply) {
+      finish(ForwardedAnswer{part.outcome().reply}, actions);
+    } else {
+      finishWithoutAnswer(now, actions);
+    }
+    return;
+  }
+  if (now >= deadline_) {
+    finishWithoutAnswer(now, actions);
+  }
+}
+
+void Query::finishWithoutAnswer(Moment now, QueryActions& actions) {
+  if (mayHaveRun()) {
+    finish(Failure{now >= deadline_}, actions);
+  } else {
+    finish(Refusal{context_.policy.retryAfter}, actions);
+  }
+}
+
+void Query::finish(QueryAnswer answer, QueryActions& actions) {
+  finished_ = true;
+  for (PartExchange& part : parts_) {
+    part.close(actions);
+  }
+  actions.answer = std::move(answer);
+}
+
+MergedAnswer Query::merge() const {
+  MergedAnswer answer;
+  std::vector<std::string_view> bodies;
+  for (const PartExchange& part : parts_) {
+    if (part.state() == PartExchange::State::kAnswered) {
+      answer.signatures.push_back(part.outcome().signature);
+      bodies.emplace_back(part.outcome().reply->body);
+    }
+  }
+  answer.missingShards = parts_.size() - bodies.size();
+  answer.records = greatestRecords(bodies, gather_->topRecords);
+  return answer;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/query.h
@@ -0,0 +1,64 @@
+#pragma once
+
+/// One caller's request from start to final answer: to one leaf, or to every shard of a service.
+///
+/// Invariants: exactly one answer; all parts come from the configuration the query started with; "did not
+/// run" is said only when no leaf may have run it.
+
+#include <memory>
+#include <vector>
+
+#include "coordination/serving/part_exchange.h"
+#include "state/serving/leaf_directory.h"
+
+namespace oakpier {
+
+class Query {
+ public:
+  /// `route` belongs to `view`, which the query keeps alive. `deadline` is the caller's.
+  Query(std::shared_ptr<const ServingView> view, const Route& route, QueryContext& context, Moment receivedAt,
+        Moment deadline);
+
+  QueryActions start(Moment now);
+  void onWritten(ExchangeId exchange);
+  QueryActions onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now);
+  QueryActions onTime(Moment now);
+  /// The caller has left; nothing more is sent.
+  QueryActions onCallerGone();
+
+  /// When `onTime` is due.
+  Moment nextDecisionAt() const;
+  /// A leaf request handed over now may be worked on until then.
+  Moment deadline() const { return deadline_; }
+  bool finished() const { return finished_; }
+  const Route& route() const { return route_; }
+
+ private:
+  bool isGather() const { return gather_ != nullptr; }
+  std::string chooseService() const;
+  PartExchange* partOf(ExchangeId exchange);
+  std::size_t answeredParts() const;
+  bool allSettled() const;
+  bool mayHaveRun() const;
+  bool enoughParts() const;
+  /// Answers if the time or the parts that are in decide it.
+  void decide(Moment now, QueryActions& actions);
+  void decideGather(Moment now, QueryActions& actions);
+  void decideSingle(Moment now, QueryActions& actions);
+  void finish(QueryAnswer answer, QueryActions& actions);
+  void finishWithoutAnswer(Moment now, QueryActions& actions);
+  MergedAnswer merge() const;
+
+  std::shared_ptr<const ServingView> view_;
+  const Route& route_;
+  const GatherTarget* gather_;
+  QueryContext& context_;
+  Moment deadline_;
+  /// From then on a gather query answers as soon as enough shards are in.
+  Moment answerBy_;
+  std::vector<PartExchange> parts_;
+  bool answerDue_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/query_actions.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/// What a query asks of its surroundings.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/serving/leaf_status.h"
+#include "state/serving/http_message.h"
+#include "state/time.h"
+
+namespace oakpier {
+
+/// Identifies one send to one leaf, unique within the daemon process.
+using ExchangeId = std::uint64_t;
+
+/// Send the request to this leaf.
+struct SendAction {
+  ExchangeId exchange = 0;
+  std::shared_ptr<LeafStatus> leaf;
+};
+
+/// The leaf's answer, passed on unchanged.
+struct ForwardedAnswer {
+  std::shared_ptr<const HttpReply> reply;
+};
+
+/// The greatest records of the shards that answered.
+struct MergedAnswer {
+  std::vector<std::string> signatures;
+  std::size_t missingShards = 0;
+  std::string records;
+};
+
+/// The request did not run and never will.
+struct Refusal {
+  Duration retryAfter{};
+};
+
+/// The request may have run; there is no answer.
+struct Failure {
+  bool timedOut = false;
+};
+
+using QueryAnswer = std::variant<ForwardedAnswer, MergedAnswer, Refusal, Failure>;
+
+struct QueryActions {
+  std::vector<SendAction> sends;
+  /// Exchanges whose outcome no longer matters to the query.
+  std::vector<ExchangeId> abandons;
+  /// Set once, with the last actions of the query.
+  std::optional<QueryAnswer> answer;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/query_policy.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// How long queries wait before they hedge, answer with what there is, or give up; and what they share.
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "coordination/latency_tracker.h"
+#include "coordination/serving/extra_send_budget.h"
+#include "coordination/serving/leaf_status.h"
+#include "state/random.h"
+#include "state/serving/serving_configuration.h"
+
+namespace oakpier {
+
+struct QueryPolicy {
+  /// Kept free before the target latency for the way back to the caller and for merging.
+  Duration answerMargin = std::chrono::milliseconds(9);
+  double answerMarginShare = 0.08;
+  /// A refused caller is told to come back after this.
+  Duration retryAfter = std::chrono::milliseconds(150);
+  /// Kept free before the caller's deadline, so that the final answer reaches it.
+  Duration deadlineMargin = std::chrono::milliseconds(15);
+};
+
+/// Latencies of leaf requests of one route.
+class RouteLatency {
+ public:
+  explicit RouteLatency(Duration targetLatency) : targetLatency_(targetLatency) {}
+
+  void record(Duration latency, Moment now) {
+    typical_.record(latency, now);
+    high_.record(latency, now);
+  }
+  Duration typical() const { return typical_.estimate().value_or(targetLatency_ / 5); }
+  /// Most answers are in by then.
+  Duration high() const { return high_.estimate().value_or(targetLatency_ / 3); }
+
+ private:
+  Duration targetLatency_;
+  LatencyTracker typical_{0.5};
+  LatencyTracker high_{0.95};
+};
+
+/// What the queries of one request thread share. Not thread-safe.
+struct QueryContext {
+  LeafRegistry& leafs;
+  ExtraSendBudgets& budgets;
+  RandomEngine& random;
+  QueryPolicy policy;
+  std::string ownZone;
+  std::unordered_map<std::string, RouteLatency> latencies;
+  std::uint64_t nextExchange = 1;
+
+  RouteLatency& latencyOf(const Route& route) {
+    return latencies.try_emplace(route.name, route.targetLatency).first->second;
+  }
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -0,0 +1,98 @@
+#include "coordination/serving/serving_knowledge.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace oakpier {
+
+std::vector<std::string> ServingKnowledge::onConfiguration(
+    std::shared_ptr<const ServingConfiguration> configuration) {
+  if (configuration_ && configuration->version <= configuration_->version) {
+    return {};
+  }
+  std::vector<std::string> problems = problemsOf(*configuration);
+  if (!problems.empty()) {
+    return problems;
+  }
+  configuration_ = std::move(configuration);
+  routes_ = std::make_shared<const RouteTable>(*configuration_);
+  changed_ = true;
+  return {};
+}
+
+void ServingKnowledge::onLeaf(const LeafEntry& entry, std::uint64_t revision, Moment now) {
+  static_cast<void>(now);
+  KnownLeaf& known = leafs_[entry.id];
+  if (known.revision >= revision) {
+    return;
+  }
+  changed_ = changed_ || known.revision == 0 || !known.entry.sameAs(entry);
+  known.entry = entry;
+  known.revision = revision;
+  known.removeAt = kNever;
+}
+
+void ServingKnowledge::onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now) {
+  const auto found = leafs_.find(id);
+  if (found == leafs_.end() || found->second.revision >= revision) {
+    return;
+  }
+  KnownLeaf& known = found->second;
+  known.revision = revision;
+  known.removeAt = known.entry.draining ? now : now + settings_.removalDelay;
+  onTime(now);
+}
+
+void ServingKnowledge::onListing(const std::vector<std::string>& listedIds, std::uint64_t revision,
+                                 Moment now) {
+  changed_ = changed_ || !listed_;
+  listed_ = true;
+  const std::set<std::string> listed(listedIds.begin(), listedIds.end());
+  std::vector<std::string> missing;
+  for (const auto& [id, leaf] : leafs_) {
+    if (listed.count(id) == 0 && leaf.revision <= revision && leaf.removeAt == kNever) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    onLeafRemoved(id, revision + 1, now);
+  }
+}
+
+void ServingKnowledge::onTime(Moment now) {
+  for (auto leaf = leafs_.begin(); leaf != leafs_.end();) {
+    if (leaf->second.removeAt > now) {
+      ++leaf;
+      continue;
+    }
+    leaf = leafs_.erase(leaf);
+    changed_ = true;
+  }
+}
+
+Moment ServingKnowledge::nextRemovalAt() const {
+  Moment next = kNever;
+  for (const auto& [id, leaf] : leafs_) {
+    next = std::min(next, leaf.removeAt);
+  }
+  return next;
+}
+
+std::shared_ptr<const ServingView> ServingKnowledge::takeChangedView() {
+  if (!changed_) {
+    return nullptr;
+  }
+  changed_ = false;
+  auto leafs = std::make_shared<LeafsByService>();
+  for (const auto& [id, leaf] : leafs_) {
+    (*leafs)[leaf.entry.service].push_back(leaf.entry);
+  }
+  auto view = std::make_shared<ServingView>();
+  view->configuration = configuration_;
+  view->routes = routes_;
+  view->leafs = std::move(leafs);
+  return view;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/serving_knowledge.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/// What a daemon believes of configuration and leafs, whoever told it.
+///
+/// Invariants: the configuration version never goes back within a process's life; a configuration with a
+/// problem is never taken over; a leaf's state only moves on with the source's revision.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/serving/source_records.h"
+
+namespace oakpier {
+
+struct KnowledgeSettings {
+  /// A leaf whose record went without notice is used on for this long, as records also go by mistake.
+  Duration removalDelay = std::chrono::milliseconds(1000);
+};
+
+class ServingKnowledge {
+ public:
+  explicit ServingKnowledge(const KnowledgeSettings& settings) : settings_(settings) {}
+
+  /// Returns the problems of a configuration that is refused.
+  std::vector<std::string> onConfiguration(std::shared_ptr<const ServingConfiguration> configuration);
+  void onLeaf(const LeafEntry& entry, std::uint64_t revision, Moment now);
+  void onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now);
+  /// A whole listing as of `revision` was handed in; leafs it did not name are gone.
+  void onListing(const std::vector<std::string>& listedIds, std::uint64_t revision, Moment now);
+  /// Removals that were delayed take effect.
+  void onTime(Moment now);
+  Moment nextRemovalAt() const;
+
+  /// The newest view if it has changed since the last call; else null.
+  std::shared_ptr<const ServingView> takeChangedView();
+  /// A configuration and a whole listing are known.
+  bool complete() const { return configuration_ != nullptr && listed_; }
+  std::uint64_t configurationVersion() const { return configuration_ ? configuration_->version : 0; }
+  std::size_t leafCount() const { return leafs_.size(); }
+
+ private:
+  struct KnownLeaf {
+    LeafEntry entry;
+    std::uint64_t revision = 0;
+    /// When it is dropped; `kNever` while it is listed.
+    Moment removeAt = kNever;
+  };
+
+  KnowledgeSettings settings_;
+  std::shared_ptr<const ServingConfiguration> configuration_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::map<std::string, KnownLeaf> leafs_;
+  bool listed_ = false;
+  bool changed_ = false;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/coordination/serving/source_reader.cpp
@@ -0,0 +1,62 @@
+#include "coordination/serving/source_reader.h"
+
+#include <algorithm>
+
+namespace oakpier {
+
+namespace {
+
+constexpr unsigned kMostDoublings = 6;
+
+}  // namespace
+
+SourceReader::SourceReader(const SourceReaderSettings& settings, RandomEngine random)
+    : settings_(settings), random_(random) {}
+
+std::optional<SourceCall> SourceReader::takeCall(Moment now) {
+  if (inProgress_ || now < nextCallAt_) {
+    return std::nullopt;
+  }
+  inProgress_ = true;
+  return next_;
+}
+
+void SourceReader::onPage(const SourcePage& page, Moment now) {
+  inProgress_ = false;
+  failuresInRow_ = 0;
+  listingComplete_ = false;
+  if (next_.kind == SourceCall::Kind::kChanges) {
+    knownRevision_ = std::max(knownRevision_, page.revision);
+    next_.afterRevision = page.revision;
+    nextCallAt_ = now + settings_.pace;
+    return;
+  }
+  if (next_.afterKey.empty()) {
+    listingRevision_ = page.revision;
+  }
+  if (page.more && !page.records.empty()) {
+    next_.afterKey = page.records.back().key;
+    nextCallAt_ = now;
+    return;
+  }
+  listingComplete_ = true;
+  knownRevision_ = listingRevision_;
+  next_ = SourceCall{SourceCall::Kind::kChanges, "", listingRevision_};
+  nextCallAt_ = now + settings_.pace;
+}
+
+void SourceReader::onFailure(SourceFailure failure, Moment now) {
+  inProgress_ = false;
+  listingComplete_ = false;
+  if (failure == SourceFailure::kHistoryGone) {
+    next_ = SourceCall{};
+  }
+  const unsigned doublings = std::min(failuresInRow_, kMostDoublings);
+  ++failuresInRow_;
+  const Duration longest = std::min(settings_.longestBackoff, settings_.shortestBackoff * (1U << doublings));
+  // Evenly spread, so that daemons that failed together do not come back together.
+  const auto half = static_cast<std::size_t>(longest.count() / 2);
+  nextCallAt_ = now + longest / 2 + Duration(static_cast<std::int64_t>(drawBelow(half + 1, random_)));
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/gateway/gateway.cpp
@@ -0,0 +1,197 @@
+#include "programs/gateway/gateway.h"
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <random>
+#include <thread>
+
+#include "programs/common/logging.h"
+#include "programs/gateway/request_gateway.h"
+#include "programs/gateway/source_loop.h"
+#include "protocol/serving/caller_messages.h"
+#include "transport/steady_clock.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+/// After a request to stop callers are still sent here until they have seen that this daemon is not ready.
+constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
+constexpr Duration kStopCheck = std::chrono::milliseconds(50);
+/// Kept free before the process would be killed.
+constexpr Duration kStopReserve = std::chrono::milliseconds(300);
+/// Share of the bound on extra sends that is really used.
+constexpr double kExtraSendShare = 0.85;
+constexpr double kExpectedDaemons = 12;
+
+/// Answers any request with whether callers should be sent here.
+class ReadinessHandler : public RequestHandler {
+ public:
+  explicit ReadinessHandler(const std::atomic<bool>& ready) : ready_(ready) {}
+
+  std::function<void()> onRequest(HttpRequest, ResponseWriter writer) override {
+    writer.write(ready_ ? ownReply(kOk, "ready") : ownReply(kUnavailable, "not ready"));
+    return nullptr;
+  }
+
+ private:
+  const std::atomic<bool>& ready_;
+};
+
+ExtraSendBounds boundsFrom(const GatewaySettings& settings) {
+  ExtraSendBounds bounds;
+  bounds.ratio = settings.extraSendRatio * kExtraSendShare;
+  bounds.saved = std::max(1.0, settings.extraSendSlack * kExtraSendShare / kExpectedDaemons);
+  return bounds;
+}
+
+class Gateway {
+ public:
+  Gateway(const GatewaySettings& settings, const HeaderNames& names, const SourceDialect& dialect,
+          SettingsReload reload)
+      : settings_(settings),
+        reload_(std::move(reload)),
+        published_(emptyView()),
+        random_(std::random_device{}()),
+        budgets_(boundsFrom(settings)),
+        requests_(requestContext_, names, published_,
+                  QueryContext{leafs_, budgets_, random_, QueryPolicy{}, settings.zone, {}}),
+        readinessHandler_(ready_),
+        callers_(requestContext_, requests_),
+        readiness_(requestContext_, readinessHandler_),
+        source_(controlContext_, settings.sourceAddress, dialect, published_, [this] { onView(); }),
+        signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
+        stopTimer_(requestContext_) {}
+
+  int run() {
+    for (const std::string& problem :
+         {callers_.listen(settings_.callerAddress), readiness_.listen(settings_.readinessAddress)}) {
+      if (!problem.empty()) {
+        log(LogLevel::kError, "not started", {{"problem", problem}});
+        return EXIT_FAILURE;
+      }
+    }
+    log(LogLevel::kInfo, "started",
+        {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
+    awaitSignal();
+    source_.start();
+    const auto keepRunning = boost::asio::make_work_guard(controlContext_);
+    std::thread control([this] { controlContext_.run(); });
+    requestContext_.run();
+    controlContext_.stop();
+    control.join();
+    log(LogLevel::kInfo, "stopped", {{"name", settings_.name}});
+    return EXIT_SUCCESS;
+  }
+
+ private:
+  static std::shared_ptr<const ServingView> emptyView() {
+    auto view = std::make_shared<ServingView>();
+    view->leafs = std::make_shared<const LeafsByService>();
+    return view;
+  }
+
+  /// On the control thread.
+  void onView() {
+    const bool complete = source_.complete();
+    boost::asio::post(requestContext_, [this, complete] {
+      requests_.onView();
+      const auto view = published_.read();
+      if (view->configuration) {
+        callers_.setLimits(view->configuration->limits);
+      }
+      if (complete && !stopping_) {
+        ready_ = true;
+      }
+    });
+  }
+
+  void awaitSignal() {
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        reload();
+      } else {
+        stop();
+      }
+      awaitSignal();
+    });
+  }
+
+  void reload() {
+    const auto fresh = reload_();
+    if (!fresh) {
+      return;
+    }
+    settings_ = *fresh;
+    budgets_.setBounds(boundsFrom(settings_));
+    boost::asio::post(controlContext_,
+                      [this, address = settings_.sourceAddress] { source_.setSource(address); });
+    log(LogLevel::kInfo, "settings reloaded", {{"name", settings_.name}});
+  }
+
+  void stop() {
+    if (stopping_) {
+      return;
+    }
+    log(LogLevel::kInfo, "stopping", {{"in_progress", callers_.inProgress()}});
+    stopping_ = true;
+    ready_ = false;
+    stopRequestedAt_ = steadyNow();
+    callers_.startClosing();
+    checkStop();
+  }
+
+  void checkStop() {
+    const Duration passed = steadyNow() - stopRequestedAt_;
+    if (passed >= kAcceptAfterStop) {
+      callers_.stopAccepting();
+      const bool idle = callers_.inProgress() == 0 && callers_.connections() == 0;
+      if (idle || passed >= settings_.stopGrace - kStopReserve) {
+        requestContext_.stop();
+        return;
+      }
+    }
+    stopTimer_.expires_after(kStopCheck);
+    stopTimer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        checkStop();
+      }
+    });
+  }
+
+  GatewaySettings settings_;
+  SettingsReload reload_;
+  boost::asio::io_context requestContext_{1};
+  boost::asio::io_context controlContext_{1};
+  Published<ServingView> published_;
+  std::atomic<bool> ready_{false};
+  RandomEngine random_;
+  LeafRegistry leafs_;
+  ExtraSendBudgets budgets_;
+  RequestGateway requests_;
+  ReadinessHandler readinessHandler_;
+  HttpService callers_;
+  HttpService readiness_;
+  SourceLoop source_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer stopTimer_;
+  bool stopping_ = false;
+  Moment stopRequestedAt_{};
+};
+
+}  // namespace
+
+int runGateway(const GatewaySettings& settings, const HeaderNames& names, const SourceDialect& dialect,
+               const SettingsReload& reload) {
+  return Gateway(settings, names, dialect, reload).run();
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/gateway/gateway_settings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+/// Settings of one gateway process, whatever form a deployment gives them in. Durations in microseconds.
+
+#include <string>
+#include <vector>
+
+#include "state/endpoint.h"
+#include "state/time.h"
+
+namespace oakpier {
+
+struct GatewaySettings {
+  std::string name;
+  std::string zone;
+  /// Callers' requests.
+  Endpoint callerAddress;
+  /// Tells whether callers should be sent here: 200 or 503 to any request.
+  Endpoint readinessAddress;
+  /// Frames of other daemons.
+  Endpoint peerAddress;
+  /// Some daemons' peer addresses, which may be stale or down.
+  std::vector<Endpoint> seeds;
+  /// The configuration source.
+  Endpoint sourceAddress;
+  /// From a request to stop until the process is killed.
+  Duration stopGrace = std::chrono::seconds(6);
+  /// Extra sends that all daemons together may make to a service, as a share of its requests.
+  double extraSendRatio = 0.2;
+  /// Extra sends beyond that share, of all daemons together.
+  double extraSendSlack = 50;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/gateway/request_gateway.cpp
@@ -0,0 +1,190 @@
+#include "programs/gateway/request_gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/serving/caller_messages.h"
+#include "protocol/serving/hop_headers.h"
+#include "transport/steady_clock.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kBadRequest = 400;
+/// For callers that come before the first configuration is known.
+constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(300);
+/// More connections than this to one leaf only queue there.
+constexpr std::size_t kMostConnections = 6;
+
+}  // namespace
+
+/// A query with what it needs of the real world.
+struct RequestGateway::ActiveQuery {
+  ActiveQuery(boost::asio::io_context& context, ResponseWriter responseWriter)
+      : timer(context), writer(std::move(responseWriter)) {}
+
+  std::unique_ptr<Query> query;
+  boost::asio::steady_timer timer;
+  Moment armedFor = kNever;
+  ResponseWriter writer;
+  std::shared_ptr<const LeafRequestTemplate> request;
+};
+
+RequestGateway::RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
+                               Published<ServingView>& published, QueryContext queryContext)
+    : context_(context),
+      names_(names),
+      published_(published),
+      queryContext_(std::move(queryContext)),
+      leafs_(queryContext_.leafs),
+      pool_(context, names),
+      view_(published.read()) {}
+
+void RequestGateway::onView() {
+  view_ = published_.read();
+  const Moment now = steadyNow();
+  maximumConnections_.clear();
+  if (view_->configuration) {
+    for (const ServiceDefinition& service : view_->configuration->services) {
+      maximumConnections_[service.name] = service.maximumConnections;
+    }
+  }
+  leafs_.reconcile(*view_->leafs, now);
+  std::unordered_map<std::string, bool> listed;
+  for (const auto& [service, leafs] : *view_->leafs) {
+    for (const LeafEntry& leaf : leafs) {
+      listed[leaf.id] = !leaf.draining;
+      if (!leaf.draining && maximumConnections_.count(service) != 0) {
+        pool_.warm(leaf, connectionShare(service));
+      }
+    }
+  }
+  pool_.retain([&](const std::string& leaf) {
+    const auto found = listed.find(leaf);
+    return found != listed.end() && found->second;
+  });
+}
+
+std::size_t RequestGateway::connectionShare(const std::string& service) const {
+  const auto found = maximumConnections_.find(service);
+  const std::size_t all = found == maximumConnections_.end() ? 1 : found->second;
+  return std::clamp<std::size_t>(all / std::max<std::size_t>(1, daemonCount_), 1, kMostConnections);
+}
+
+std::function<void()> RequestGateway::onRequest(HttpRequest request, ResponseWriter writer) {
+  const Moment now = steadyNow();
+  ++counters_.received;
+  const std::string* host = findHeader(request.headers, "Host");
+  if (!view_->configuration) {
+    ++counters_.refused;
+    writer.write(refusalReply(kStartingRetryAfter, "not run: no configuration is known yet"));
+    return nullptr;
+  }
+  if (host == nullptr) {
+    writer.write(ownReply(kBadRequest, "the request names no host"));
+    return nullptr;
+  }
+  const Route* route = view_->routes->find(*host, request.target);
+  if (route == nullptr) {
+    writer.write(ownReply(kNotFound, "no route for this host and path"));
+    return nullptr;
+  }
+  Moment deadline = now + route->timeout;
+  std::uint64_t milliseconds = 0;
+  const std::string* told = findHeader(request.headers, names_.deadline);
+  if (told != nullptr && parseMilliseconds(*told, milliseconds)) {
+    deadline = std::min(deadline, now + fromMilliseconds(milliseconds));
+  }
+  auto active = std::make_shared<ActiveQuery>(context_, std::move(writer));
+  active->request = std::make_shared<const LeafRequestTemplate>(request, names_);
+  active->query = std::make_unique<Query>(view_, *route, queryContext_, now, deadline);
+  apply(active, active->query->start(now));
+  const std::weak_ptr<ActiveQuery> weak = active;
+  return [this, weak] {
+    if (const ActivePointer gone = weak.lock()) {
+      ++counters_.callersGone;
+      apply(gone, gone->query->onCallerGone());
+    }
+  };
+}
+
+void RequestGateway::apply(const ActivePointer& active, QueryActions actions) {
+  for (const ExchangeId exchange : actions.abandons) {
+    pool_.abandon(exchange);
+  }
+  for (const SendAction& action : actions.sends) {
+    send(active, action);
+  }
+  if (actions.answer) {
+    answer(active, *actions.answer);
+  }
+  armTimer(active);
+}
+
+void RequestGateway::send(const ActivePointer& active, const SendAction& action) {
+  const LeafEntry& leaf = action.leaf->entry();
+  LeafPool::Order order;
+  order.exchange = action.exchange;
+  order.request = active->request;
+  order.rank = active->query->route().rank;
+  order.deadline = active->query->deadline();
+  order.listener.onWritten = [active, action] { active->query->onWritten(action.exchange); };
+  order.listener.onOutcome = [this, active, action, started = steadyNow()](const LeafOutcome& outcome) {
+    const Moment now = steadyNow();
+    action.leaf->onFinished(action.exchange, outcome.kind, now);
+    if (outcome.load) {
+      action.leaf->onLoad(*outcome.load, now);
+    }
+    if (outcome.kind == LeafOutcome::Kind::kAnswered) {
+      queryContext_.latencyOf(active->query->route()).record(now - started, now);
+    }
+    onOutcome(active, action, outcome);
+  };
+  pool_.send(leaf, connectionShare(leaf.service), std::move(order));
+}
+
+void RequestGateway::onOutcome(const ActivePointer& active, const SendAction& action,
+                               const LeafOutcome& outcome) {
+  if (!active->query->finished()) {
+    apply(active, active->query->onOutcome(action.exchange, outcome, steadyNow()));
+  }
+}
+
+void RequestGateway::answer(const ActivePointer& active, const QueryAnswer& answer) {
+  if (std::holds_alternative<Refusal>(answer)) {
+    ++counters_.refused;
+  } else if (std::holds_alternative<Failure>(answer)) {
+    ++counters_.failed;
+  } else {
+    ++counters_.answered;
+    const auto* merged = std::get_if<MergedAnswer>(&answer);
+    if (merged != nullptr && merged->missingShards > 0) {
+      ++counters_.partial;
+    }
+  }
+  active->writer.write(replyFor(answer, active->request->requestId(), names_));
+}
+
+void RequestGateway::armTimer(const ActivePointer& active) {
+  const Moment next = active->query->nextDecisionAt();
+  if (next == active->armedFor) {
+    return;
+  }
+  active->armedFor = next;
+  if (next == kNever) {
+    active->timer.cancel();
+    return;
+  }
+  active->timer.expires_at(next);
+  active->timer.async_wait([this, active](const boost::system::error_code& error) {
+    if (error || active->query->finished()) {
+      return;
+    }
+    active->armedFor = kNever;
+    apply(active, active->query->onTime(steadyNow()));
+  });
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/programs/gateway/request_gateway.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// The request thread's side of the gateway: takes callers' requests, runs their queries over the leaf pool,
+/// answers.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <unordered_map>
+
+#include "coordination/serving/query.h"
+#include "protocol/serving/header_names.h"
+#include "state/published.h"
+#include "transport/serving/http_service.h"
+#include "transport/serving/leaf_pool.h"
+
+namespace oakpier {
+
+struct RequestCounters {
+  std::uint64_t received = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t partial = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t callersGone = 0;
+};
+
+class RequestGateway : public RequestHandler {
+ public:
+  RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
+                 Published<ServingView>& published, QueryContext queryContext);
+
+  std::function<void()> onRequest(HttpRequest request, ResponseWriter writer) override;
+
+  /// A new view was published.
+  void onView();
+  /// How many daemons share each leaf's connections.
+  void setDaemonCount(std::size_t count) { daemonCount_ = count; }
+  const RequestCounters& counters() const { return counters_; }
+  const LeafPoolCounters& poolCounters() const { return pool_.counters(); }
+
+ private:
+  struct ActiveQuery;
+  using ActivePointer = std::shared_ptr<ActiveQuery>;
+
+  void apply(const ActivePointer& active, QueryActions actions);
+  void send(const ActivePointer& active, const SendAction& action);
+  void onOutcome(const ActivePointer& active, const SendAction& action, const LeafOutcome& outcome);
+  void answer(const ActivePointer& active, const QueryAnswer& answer);
+  void armTimer(const ActivePointer& active);
+  std::size_t connectionShare(const std::string& service) const;
+
+  boost::asio::io_context& context_;
+  const HeaderNames& names_;
+  Published<ServingView>& published_;
+  QueryContext queryContext_;
+  LeafRegistry& leafs_;
+  LeafPool pool_;
+  std::shared_ptr<const ServingView> view_;
+  std::unordered_map<std::string, unsigned> maximumConnections_;
+  std::size_t daemonCount_ = 12;
+  RequestCounters counters_;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/protocol/serving/header_names.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/// Names of the headers that callers, the gateway and leafs exchange. The defaults are the product's own; a
+/// deployment's adapter may give others.
+
+#include <string>
+
+namespace oakpier {
+
+struct HeaderNames {
+  /// Identifies one request of a caller; leafs return it.
+  std::string requestId = "Oakpier-Request-Id";
+  /// Milliseconds that the caller, or the gateway towards a leaf, will wait.
+  std::string deadline = "Oakpier-Deadline-Ms";
+  /// A leaf's signature of one answer.
+  std::string signature = "Oakpier-Signature";
+  /// The incarnation of the leaf that a request is meant for.
+  std::string expectedInstance = "Oakpier-Expected-Instance";
+  /// Requests running, requests waiting and slots of a leaf, separated by commas.
+  std::string load = "Oakpier-Load";
+  /// A leaf's statement that it did not run the request.
+  std::string notExecuted = "Oakpier-Not-Executed";
+  /// Signatures of the parts of a merged answer, separated by commas.
+  std::string partSignatures = "Oakpier-Part-Signatures";
+  /// How many shards a merged answer lacks.
+  std::string missingParts = "Oakpier-Missing-Parts";
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/protocol/serving/leaf_messages.cpp
@@ -0,0 +1,118 @@
+#include "protocol/serving/leaf_messages.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <utility>
+
+#include "protocol/serving/hop_headers.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr unsigned kMisdirected = 421;
+
+bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
+
+bool parseNumber(std::string_view text, unsigned& number) {
+  return std::from_chars(text.data(), text.data() + text.size(), number).ec == std::errc();
+}
+
+std::optional<ReportedLoad> loadOf(const HttpReply& reply, const HeaderNames& names) {
+  const std::string* text = findHeader(reply.headers, names.load);
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  const std::size_t first = text->find(',');
+  const std::size_t second = first == std::string::npos ? first : text->find(',', first + 1);
+  if (second == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::string_view all = *text;
+  ReportedLoad load;
+  const bool whole = parseNumber(all.substr(0, first), load.running) &&
+                     parseNumber(all.substr(first + 1, second - first - 1), load.waiting) &&
+                     parseNumber(all.substr(second + 1), load.slots);
+  return whole ? std::optional<ReportedLoad>(load) : std::nullopt;
+}
+
+}  // namespace
+
+LeafRequestTemplate::LeafRequestTemplate(const HttpRequest& request, const HeaderNames& names)
+    : names_(names), body_(request.body), isHead_(request.method == "HEAD") {
+  if (const std::string* id = findHeader(request.headers, names.requestId)) {
+    requestId_ = *id;
+  }
+  head_.reserve(256);
+  head_.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+  bool framed = !request.body.empty();
+  for (const Header& header : request.headers) {
+    framed = framed || sameHeaderName(header.name, "Content-Length") ||
+             sameHeaderName(header.name, "Transfer-Encoding");
+    const bool replaced = sameHeaderName(header.name, names.deadline) ||
+                          sameHeaderName(header.name, names.expectedInstance) ||
+                          sameHeaderName(header.name, "Expect");
+    if (replaced || isHopHeader(header.name, request.headers)) {
+      continue;
+    }
+    head_.append(header.name).append(": ").append(header.value).append("\r\n");
+  }
+  if (framed) {
+    head_.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+  }
+}
+
+std::string LeafRequestTemplate::bytesFor(const std::string& instance, Duration remaining) const {
+  std::string bytes;
+  bytes.reserve(head_.size() + body_.size() + 96);
+  bytes.append(head_);
+  bytes.append(names_.deadline).append(": ").append(std::to_string(toMilliseconds(remaining))).append("\r\n");
+  bytes.append(names_.expectedInstance).append(": ").append(instance).append("\r\n\r\n");
+  bytes.append(body_);
+  return bytes;
+}
+
+bool repliesTo(const HttpReply& reply, const std::string& requestId, const HeaderNames& names) {
+  const std::string* id = findHeader(reply.headers, names.requestId);
+  return id != nullptr && *id == requestId;
+}
+
+LeafOutcome classifyReply(std::shared_ptr<const HttpReply> reply, const HeaderNames& names) {
+  LeafOutcome outcome;
+  outcome.load = loadOf(*reply, names);
+  if (reply->status == kMisdirected) {
+    outcome.kind = LeafOutcome::Kind::kWrongInstance;
+    return outcome;
+  }
+  if (findHeader(reply->headers, names.notExecuted) != nullptr) {
+    outcome.kind = LeafOutcome::Kind::kNotExecuted;
+    return outcome;
+  }
+  const std::string* signature = findHeader(reply->headers, names.signature);
+  const bool encoded = findHeader(reply->headers, "Content-Encoding") != nullptr;
+  if (signature == nullptr || encoded) {
+    outcome.kind = LeafOutcome::Kind::kNoAnswer;
+    return outcome;
+  }
+  outcome.signature = *signature;
+  outcome.kind = isSuccess(reply->status) ? LeafOutcome::Kind::kAnswered : LeafOutcome::Kind::kLeafFailed;
+  outcome.reply = std::move(reply);
+  return outcome;
+}
+
+std::optional<Duration> idleTimeoutOf(const HttpReply& reply) {
+  const std::string* text = findHeader(reply.headers, "Keep-Alive");
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  for (const auto& parameter : boost::beast::http::param_list{"; " + *text}) {
+    unsigned seconds = 0;
+    const std::string_view value(parameter.second.data(), parameter.second.size());
+    if (parameter.first == "timeout" && parseNumber(value, seconds)) {
+      return std::chrono::seconds(seconds);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/state/serving/leaf_directory.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// The leafs that the configuration source lists, by service.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "state/endpoint.h"
+#include "state/serving/route_table.h"
+#include "state/serving/serving_configuration.h"
+#include "state/time.h"
+
+namespace oakpier {
+
+/// One incarnation of a leaf; a restarted leaf has another id.
+struct LeafEntry {
+  std::string id;
+  std::string service;
+  Endpoint address;
+  std::string zone;
+  /// Requests that it works on at once.
+  unsigned slots = 1;
+  /// It takes no new work.
+  bool draining = false;
+  /// How much longer it is slow from its start.
+  Duration warmupLeft{};
+
+  bool sameAs(const LeafEntry& other) const {
+    return service == other.service && address == other.address && zone == other.zone &&
+           slots == other.slots && draining == other.draining;
+  }
+};
+
+using LeafsByService = std::unordered_map<std::string, std::vector<LeafEntry>>;
+
+/// One version of all that a request is served by; immutable, published as a whole.
+struct ServingView {
+  /// Null until the first configuration is known.
+  std::shared_ptr<const ServingConfiguration> configuration;
+  std::shared_ptr<const RouteTable> routes;
+  std::shared_ptr<const LeafsByService> leafs;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/state/serving/serving_configuration.cpp
@@ -0,0 +1,94 @@
+#include "state/serving/serving_configuration.h"
+
+#include <set>
+
+namespace oakpier {
+
+namespace {
+
+class ConfigurationCheck {
+ public:
+  explicit ConfigurationCheck(const ServingConfiguration& configuration) : configuration_(configuration) {
+    for (const ServiceDefinition& service : configuration.services) {
+      services_.insert(service.name);
+    }
+  }
+
+  std::vector<std::string> run() {
+    for (const ServiceDefinition& service : configuration_.services) {
+      require(service.maximumConnections > 0, "service " + service.name + ": the connection limit is 0");
+    }
+    for (const Route& route : configuration_.routes) {
+      checkRoute(route);
+    }
+    require(configuration_.limits.headerBytes > 0, "limits: no header bytes are allowed");
+    require(configuration_.limits.headerTimeout.count() > 0, "limits: the header timeout is 0");
+    require(configuration_.limits.idleTimeout.count() > 0, "limits: the idle timeout is 0");
+    return std::move(problems_);
+  }
+
+ private:
+  void require(bool holds, const std::string& problem) {
+    if (!holds) {
+      problems_.push_back(problem);
+    }
+  }
+
+  void checkRoute(const Route& route) {
+    const std::string label = "route " + route.name + ": ";
+    const std::string& prefix = route.pathPrefix;
+    const bool slashes = !prefix.empty() && prefix.front() == '/' && prefix.back() == '/';
+    require(slashes, label + "the path prefix does not begin and end with a slash");
+    require(!route.host.empty(), label + "no host");
+    require(keys_.insert(route.host + prefix).second, label + "another route has its host and path prefix");
+    require(route.timeout.count() > 0, label + "the timeout is 0");
+    require(route.targetLatency.count() > 0, label + "the target latency is 0");
+    require(route.attempts > 0, label + "no attempt is allowed");
+    if (const auto* gather = std::get_if<GatherTarget>(&route.target)) {
+      checkGather(route, *gather, label);
+    } else {
+      checkSingle(std::get<SingleTarget>(route.target), label);
+    }
+  }
+
+  void checkSingle(const SingleTarget& target, const std::string& label) {
+    require(!target.services.empty(), label + "no service");
+    double total = 0;
+    for (const WeightedService& part : target.services) {
+      checkService(part.service, label);
+      require(part.weight >= 0, label + "a weight is negative");
+      total += part.weight;
+    }
+    require(total > 0, label + "all weights are 0");
+  }
+
+  void checkGather(const Route& route, const GatherTarget& target, const std::string& label) {
+    require(route.repeatable, label + "a request to all shards must be repeatable");
+    require(!target.shards.empty(), label + "no shard");
+    require(target.topRecords > 0, label + "no record is asked for");
+    const bool shareInBounds = target.minimumShardShare >= 0 && target.minimumShardShare <= 1;
+    require(shareInBounds, label + "the least share of the shards is not within 0 and 1");
+    std::set<std::string> seen;
+    for (const std::string& shard : target.shards) {
+      checkService(shard, label);
+      require(seen.insert(shard).second, label + "shard " + shard + " is named twice");
+    }
+  }
+
+  void checkService(const std::string& service, const std::string& label) {
+    require(services_.count(service) != 0, label + "service " + service + " is not declared");
+  }
+
+  const ServingConfiguration& configuration_;
+  std::set<std::string> services_;
+  std::set<std::string> keys_;
+  std::vector<std::string> problems_;
+};
+
+}  // namespace
+
+std::vector<std::string> problemsOf(const ServingConfiguration& configuration) {
+  return ConfigurationCheck(configuration).run();
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/serving/http_service.cpp
@@ -0,0 +1,82 @@
+#include "transport/serving/http_service.h"
+
+#include <utility>
+#include <vector>
+
+#include "transport/serving/http_session.h"
+#include "transport/serving/socket_options.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr int kListenQueue = 1024;
+/// After a failed accept, as when descriptors run out.
+constexpr Duration kAcceptRetry = std::chrono::milliseconds(50);
+
+}  // namespace
+
+void ResponseWriter::write(const HttpReply& reply) const {
+  if (const auto session = session_.lock()) {
+    session->respond(reply);
+  }
+}
+
+HttpService::HttpService(boost::asio::io_context& context, RequestHandler& handler)
+    : context_(context), handler_(handler), acceptor_(context), acceptRetry_(context) {}
+
+HttpService::~HttpService() {
+  for (HttpSession* session : sessions_) {
+    session->detach();
+  }
+}
+
+std::string HttpService::listen(const Endpoint& address) {
+  boost::system::error_code error;
+  acceptor_.open(boost::asio::ip::tcp::v4(), error);
+  if (!error) {
+    acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(toAsio(address), error);
+  }
+  if (!error) {
+    acceptor_.listen(kListenQueue, error);
+  }
+  if (error) {
+    return "cannot listen at " + address.text() + ": " + error.message();
+  }
+  accept();
+  return {};
+}
+
+void HttpService::accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      acceptRetry_.expires_after(kAcceptRetry);
+      acceptRetry_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          accept();
+        }
+      });
+      return;
+    }
+    std::make_shared<HttpSession>(*this, std::move(socket))->start();
+    accept();
+  });
+}
+
+void HttpService::stopAccepting() {
+  boost::system::error_code ignored;
+  acceptRetry_.cancel();
+  acceptor_.close(ignored);
+  const std::vector<HttpSession*> sessions(sessions_.begin(), sessions_.end());
+  for (HttpSession* session : sessions) {
+    session->closeIfIdle();
+  }
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/serving/http_session.cpp
@@ -0,0 +1,265 @@
+#include "transport/serving/http_session.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <utility>
+
+#include "protocol/serving/caller_messages.h"
+#include "transport/serving/socket_options.h"
+
+namespace oakpier {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4096;
+/// Bytes kept of requests that come while another is served.
+constexpr std::size_t kEarlyBytes = 64 * 1024;
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kRequestTimeout = 408;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+HttpRequest requestOf(http::request<http::string_body> message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string().data(), message.method_string().size());
+  request.target = std::string(message.target().data(), message.target().size());
+  for (const auto& field : message.base()) {
+    const auto name = field.name_string();
+    const auto value = field.value();
+    request.headers.push_back(
+        Header{std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+HttpSession::HttpSession(HttpService& service, boost::asio::ip::tcp::socket socket)
+    : service_(&service), socket_(std::move(socket)), timer_(socket_.get_executor()) {
+  configureConnection(socket_);
+  service_->sessions_.insert(this);
+}
+
+HttpSession::~HttpSession() {
+  if (service_ != nullptr) {
+    service_->sessions_.erase(this);
+  }
+}
+
+void HttpSession::start() {
+  beginRequest();
+  read();
+}
+
+void HttpSession::beginRequest() {
+  state_ = State::kIdle;
+  confirmed_ = false;
+  parser_.emplace();
+  parser_->eager(true);
+  const RequestLimits& limits = service_->limits();
+  parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+  parser_->body_limit(limits.bodyBytes);
+  armTimer(limits.idleTimeout);
+}
+
+void HttpSession::armTimer(Duration duration) {
+  timer_.expires_after(duration);
+  auto self = shared_from_this();
+  timer_.async_wait([self](const boost::system::error_code& error) {
+    if (error || self->timer_.expiry() > std::chrono::steady_clock::now() || self->service_ == nullptr) {
+      return;
+    }
+    if (self->state_ == State::kIdle || self->state_ == State::kLingering) {
+      self->close();
+    } else if (self->state_ == State::kReadingRequest) {
+      self->keepAlive_ = false;
+      self->respond(ownReply(kRequestTimeout, "the request did not arrive in time"));
+    }
+  });
+}
+
+void HttpSession::read() {
+  if (reading_ || ended_ || state_ == State::kClosed || buffer_.size() >= kEarlyBytes) {
+    return;
+  }
+  reading_ = true;
+  auto self = shared_from_this();
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self](const boost::system::error_code& error, std::size_t count) {
+                            self->reading_ = false;
+                            self->onRead(error, count);
+                          });
+}
+
+void HttpSession::onRead(const boost::system::error_code& error, std::size_t count) {
+  if (state_ == State::kClosed || service_ == nullptr) {
+    return;
+  }
+  if (error) {
+    ended_ = true;
+    if (state_ == State::kServing) {
+      onCallerGone();
+    } else if (state_ != State::kWriting) {
+      close();
+    }
+    return;
+  }
+  buffer_.commit(count);
+  if (state_ == State::kLingering) {
+    buffer_.consume(buffer_.size());
+  }
+  if (state_ == State::kIdle || state_ == State::kReadingRequest) {
+    parse();
+  } else {
+    read();
+  }
+}
+
+void HttpSession::parse() {
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    if (state_ == State::kIdle) {
+      state_ = State::kReadingRequest;
+      armTimer(service_->limits().headerTimeout);
+    }
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      onParseError(error);
+      return;
+    }
+    if (used == 0) {
+      break;
+    }
+  }
+  if (parser_->is_done()) {
+    serve();
+    return;
+  }
+  if (parser_->is_header_done()) {
+    confirmExpectation();
+  }
+  read();
+}
+
+void HttpSession::confirmExpectation() {
+  if (confirmed_ || parser_->get()[http::field::expect] != "100-continue") {
+    return;
+  }
+  confirmed_ = true;
+  auto self = shared_from_this();
+  boost::asio::async_write(socket_, boost::asio::buffer(kContinue.data(), kContinue.size()),
+                           [self](const boost::system::error_code&, std::size_t) {});
+}
+
+void HttpSession::onParseError(const boost::system::error_code& error) {
+  keepAlive_ = false;
+  if (error == http::error::header_limit) {
+    respond(ownReply(kHeaderTooLarge, "the header is larger than allowed"));
+  } else if (error == http::error::body_limit) {
+    respond(ownReply(kTooLarge, "the body is larger than allowed"));
+  } else {
+    respond(ownReply(kBadRequest, "the request cannot be read: " + error.message()));
+  }
+}
+
+void HttpSession::serve() {
+  timer_.cancel();
+  state_ = State::kServing;
+  ++service_->inProgress_;
+  auto message = parser_->release();
+  keepAlive_ = message.keep_alive();
+  isHead_ = message.method() == http::verb::head;
+  parser_.reset();
+  auto self = shared_from_this();
+  // The caller's end is noticed by reading on; what comes early is kept.
+  read();
+  auto onGone = service_->handler_.onRequest(requestOf(std::move(message)), ResponseWriter(weak_from_this()));
+  if (state_ == State::kServing) {
+    onGone_ = std::move(onGone);
+  }
+}
+
+void HttpSession::onCallerGone() {
+  --service_->inProgress_;
+  auto onGone = std::move(onGone_);
+  onGone_ = nullptr;
+  close();
+  if (onGone) {
+    onGone();
+  }
+}
+
+void HttpSession::respond(const HttpReply& reply) {
+  if (service_ == nullptr || state_ == State::kClosed || state_ == State::kWriting) {
+    return;
+  }
+  if (state_ == State::kServing) {
+    --service_->inProgress_;
+  }
+  onGone_ = nullptr;
+  timer_.cancel();
+  keepAlive_ = keepAlive_ && !service_->closing();
+  state_ = State::kWriting;
+  outgoing_ = serialize(reply, !keepAlive_, isHead_);
+  auto self = shared_from_this();
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(outgoing_),
+      [self](const boost::system::error_code& error, std::size_t) { self->onWritten(error); });
+}
+
+void HttpSession::onWritten(const boost::system::error_code& error) {
+  if (service_ == nullptr || state_ != State::kWriting) {
+    return;
+  }
+  if (error || ended_) {
+    close();
+    return;
+  }
+  if (!keepAlive_) {
+    linger();
+    return;
+  }
+  beginRequest();
+  if (buffer_.size() > 0) {
+    parse();
+  } else {
+    read();
+  }
+}
+
+void HttpSession::linger() {
+  // Closing with bytes unread would reset the connection and could cost the caller its answer.
+  state_ = State::kLingering;
+  buffer_.consume(buffer_.size());
+  boost::system::error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  armTimer(kLingerTime);
+  read();
+}
+
+void HttpSession::closeIfIdle() {
+  if (state_ == State::kIdle) {
+    close();
+  }
+}
+
+void HttpSession::close() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  state_ = State::kClosed;
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/serving/http_session.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// One caller's connection: requests one after another, bytes that come early kept for the next.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "transport/serving/http_service.h"
+
+namespace oakpier {
+
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+ public:
+  HttpSession(HttpService& service, boost::asio::ip::tcp::socket socket);
+  HttpSession(const HttpSession&) = delete;
+  HttpSession& operator=(const HttpSession&) = delete;
+  ~HttpSession();
+
+  void start();
+  void respond(const HttpReply& reply);
+  /// Ends the connection if no request is being read or served.
+  void closeIfIdle();
+  /// The service is going away.
+  void detach() { service_ = nullptr; }
+
+ private:
+  enum class State { kIdle, kReadingRequest, kServing, kWriting, kLingering, kClosed };
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void beginRequest();
+  void read();
+  void onRead(const boost::system::error_code& error, std::size_t count);
+  void parse();
+  void onParseError(const boost::system::error_code& error);
+  void confirmExpectation();
+  void serve();
+  void onWritten(const boost::system::error_code& error);
+  void armTimer(Duration duration);
+  void onCallerGone();
+  void linger();
+  void close();
+
+  HttpService* service_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  State state_ = State::kIdle;
+  bool reading_ = false;
+  bool ended_ = false;
+  bool keepAlive_ = true;
+  bool isHead_ = false;
+  bool confirmed_ = false;
+  std::string outgoing_;
+  std::function<void()> onGone_;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/serving/leaf_connection.cpp
@@ -0,0 +1,142 @@
+#include "transport/serving/leaf_connection.h"
+
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "transport/serving/socket_options.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4096;
+
+}  // namespace
+
+LeafConnection::LeafConnection(boost::asio::io_context& context, const Endpoint& address, Listener listener)
+    : socket_(context), connectTimer_(context), address_(address), listener_(std::move(listener)) {}
+
+void LeafConnection::open(Duration timeout) {
+  auto self = shared_from_this();
+  connectTimer_.expires_after(timeout);
+  connectTimer_.async_wait([self](const boost::system::error_code& error) {
+    if (!error && self->state_ == State::kConnecting) {
+      self->fail();
+    }
+  });
+  socket_.async_connect(toAsio(address_), [self](const boost::system::error_code& error) {
+    if (self->state_ != State::kConnecting) {
+      return;
+    }
+    self->connectTimer_.cancel();
+    if (error) {
+      self->fail();
+      return;
+    }
+    configureConnection(self->socket_);
+    self->state_ = State::kIdle;
+    self->wasOpen_ = true;
+    self->read();
+    self->listener_(*self, Event::kReady, nullptr);
+  });
+}
+
+void LeafConnection::exchange(std::string bytes, bool isHead, ReplyFilter filter) {
+  state_ = State::kBusy;
+  isHead_ = isHead;
+  filter_ = std::move(filter);
+  outgoing_ = std::move(bytes);
+  reader_.begin(isHead);
+  writing_ = true;
+  auto self = shared_from_this();
+  boost::asio::async_write(socket_, boost::asio::buffer(outgoing_),
+                           [self](const boost::system::error_code& error, std::size_t) {
+                             self->writing_ = false;
+                             if (error && self->state_ == State::kBusy && !self->reader_.started()) {
+                               self->fail();
+                             }
+                           });
+}
+
+void LeafConnection::close() {
+  state_ = State::kClosed;
+  listener_ = nullptr;
+  filter_ = nullptr;
+  connectTimer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+void LeafConnection::read() {
+  if (reading_) {
+    return;
+  }
+  reading_ = true;
+  auto self = shared_from_this();
+  socket_.async_read_some(reader_.buffer().prepare(kReadBytes),
+                          [self](const boost::system::error_code& error, std::size_t count) {
+                            self->reading_ = false;
+                            self->onRead(error, count);
+                          });
+}
+
+void LeafConnection::onRead(const boost::system::error_code& error, std::size_t count) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  reader_.buffer().commit(count);
+  if (state_ != State::kBusy) {
+    // Bytes that answer no request, or the end of an idle connection.
+    fail();
+    return;
+  }
+  ReplyReader::State state = ReplyReader::State::kBroken;
+  if (error == boost::asio::error::eof) {
+    state = reader_.onEnd();
+  } else if (!error) {
+    state = reader_.advance();
+  }
+  if (state == ReplyReader::State::kBroken) {
+    fail();
+  } else if (state == ReplyReader::State::kNeedsMore) {
+    read();
+  } else {
+    onReply();
+  }
+}
+
+void LeafConnection::onReply() {
+  auto reply = std::make_shared<const HttpReply>(reader_.take());
+  const bool reusable = reader_.keepsConnection() && !writing_;
+  if (!filter_(*reply)) {
+    // A surplus answer to an earlier request; the one that is due may follow.
+    if (!reusable) {
+      fail();
+      return;
+    }
+    reader_.begin(isHead_);
+    onRead({}, 0);
+    return;
+  }
+  auto self = shared_from_this();
+  auto listener = listener_;
+  filter_ = nullptr;
+  if (reusable && !reader_.hasSurplus()) {
+    state_ = State::kIdle;
+    read();
+  } else {
+    close();
+  }
+  listener(*this, Event::kReplied, std::move(reply));
+}
+
+void LeafConnection::fail() {
+  auto self = shared_from_this();
+  auto listener = listener_;
+  close();
+  if (listener) {
+    listener(*this, Event::kClosed, nullptr);
+  }
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/serving/leaf_connection.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// One connection to one leaf. It carries one exchange at a time and never sends a request twice.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "state/endpoint.h"
+#include "state/time.h"
+#include "transport/serving/reply_reader.h"
+
+namespace oakpier {
+
+class LeafConnection : public std::enable_shared_from_this<LeafConnection> {
+ public:
+  /// How an exchange or the opening of the connection ended.
+  enum class Event {
+    /// The connection is open and idle.
+    kReady,
+    /// A reply is in; the connection may be reusable.
+    kReplied,
+    /// The connection is of no use any more.
+    kClosed,
+  };
+  /// `reply` is set for kReplied only.
+  using Listener = std::function<void(LeafConnection&, Event, std::shared_ptr<const HttpReply> reply)>;
+  /// Tells whether a reply answers the request in progress; one that does not is dropped.
+  using ReplyFilter = std::function<bool(const HttpReply&)>;
+
+  LeafConnection(boost::asio::io_context& context, const Endpoint& address, Listener listener);
+
+  void open(Duration timeout);
+  /// Only when idle.
+  void exchange(std::string bytes, bool isHead, ReplyFilter filter);
+  /// Ends the connection without a further event.
+  void close();
+
+  /// The connection was established at some time.
+  bool wasOpen() const { return wasOpen_; }
+  bool idle() const { return state_ == State::kIdle; }
+  bool usableUntil(Moment now) const { return now < idleUntil_; }
+  void keepIdleFor(Duration duration, Moment now) { idleUntil_ = now + duration; }
+
+ private:
+  enum class State { kConnecting, kIdle, kBusy, kClosed };
+  void read();
+  void onRead(const boost::system::error_code& error, std::size_t count);
+  void onReply();
+  void fail();
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer connectTimer_;
+  Endpoint address_;
+  Listener listener_;
+  State state_ = State::kConnecting;
+  ReplyReader reader_;
+  ReplyFilter filter_;
+  std::string outgoing_;
+  bool writing_ = false;
+  bool reading_ = false;
+  bool isHead_ = false;
+  bool wasOpen_ = false;
+  Moment idleUntil_ = kNever;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/serving/leaf_pool.cpp
@@ -0,0 +1,287 @@
+#include "transport/serving/leaf_pool.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "transport/steady_clock.h"
+
+namespace oakpier {
+
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(1500);
+/// An abandoned exchange may still end by itself for this long, so that the connection can be kept.
+constexpr Duration kAbandonGrace = std::chrono::milliseconds(320);
+constexpr Duration kDefaultIdle = std::chrono::seconds(20);
+/// An idle connection is not used in the last part of the time that the leaf keeps it.
+constexpr Duration kIdleReserve = std::chrono::milliseconds(900);
+
+LeafOutcome outcomeOf(LeafOutcome::Kind kind) {
+  LeafOutcome outcome;
+  outcome.kind = kind;
+  return outcome;
+}
+
+}  // namespace
+
+/// The connections to one leaf and the requests that wait for one.
+struct LeafPool::Channel {
+  struct Running {
+    std::shared_ptr<LeafConnection> connection;
+    Order order;
+  };
+
+  explicit Channel(LeafEntry entry) : leaf(std::move(entry)) {}
+
+  LeafEntry leaf;
+  std::size_t maximum = 1;
+  bool retired = false;
+  std::vector<std::shared_ptr<LeafConnection>> connections;
+  std::size_t connecting = 0;
+  std::vector<Running> running;
+  std::list<Order> waiting;
+};
+
+LeafPool::LeafPool(boost::asio::io_context& context, const HeaderNames& names)
+    : context_(context), names_(names) {}
+
+LeafPool::~LeafPool() {
+  for (auto& [id, channel] : channels_) {
+    for (auto& connection : channel->connections) {
+      connection->close();
+    }
+  }
+}
+
+LeafPool::ChannelPointer LeafPool::channelOf(const LeafEntry& leaf, std::size_t maximum) {
+  ChannelPointer& channel = channels_[leaf.id];
+  if (!channel) {
+    channel = std::make_shared<Channel>(leaf);
+  }
+  channel->maximum = std::max<std::size_t>(1, maximum);
+  return channel;
+}
+
+void LeafPool::send(const LeafEntry& leaf, std::size_t maximum, Order order) {
+  const ChannelPointer channel = channelOf(leaf, maximum);
+  exchanges_[order.exchange] = channel;
+  const auto position = std::find_if(channel->waiting.begin(), channel->waiting.end(),
+                                     [&](const Order& other) { return other.rank > order.rank; });
+  channel->waiting.insert(position, std::move(order));
+  dispatch(channel);
+}
+
+void LeafPool::warm(const LeafEntry& leaf, std::size_t maximum) {
+  const ChannelPointer channel = channelOf(leaf, maximum);
+  if (channel->connections.empty()) {
+    open(channel);
+  }
+}
+
+void LeafPool::open(const ChannelPointer& channel) {
+  const std::weak_ptr<Channel> weak = channel;
+  auto connection = std::make_shared<LeafConnection>(
+      context_, channel->leaf.address,
+      [this, weak](LeafConnection& source, LeafConnection::Event event, std::shared_ptr<const HttpReply> reply) {
+        onEvent(weak, source, event, reply);
+      });
+  channel->connections.push_back(connection);
+  ++channel->connecting;
+  ++counters_.connectionsOpened;
+  connection->open(kConnectTimeout);
+}
+
+void LeafPool::dispatch(const ChannelPointer& channel) {
+  const Moment now = steadyNow();
+  while (!channel->waiting.empty()) {
+    std::shared_ptr<LeafConnection> free;
+    for (auto& connection : channel->connections) {
+      if (connection->idle() && connection->usableUntil(now)) {
+        free = connection;
+        break;
+      }
+    }
+    if (!free) {
+      break;
+    }
+    Order order = std::move(channel->waiting.front());
+    channel->waiting.pop_front();
+    start(channel, free, std::move(order));
+  }
+  auto& connections = channel->connections;
+  const auto stale = [&](const std::shared_ptr<LeafConnection>& connection) {
+    const bool expired = connection->idle() && (channel->retired || !connection->usableUntil(now));
+    if (expired) {
+      connection->close();
+    }
+    return expired;
+  };
+  connections.erase(std::remove_if(connections.begin(), connections.end(), stale), connections.end());
+  while (channel->connecting < channel->waiting.size() && connections.size() < channel->maximum) {
+    open(channel);
+  }
+}
+
+void LeafPool::start(const ChannelPointer& channel, const std::shared_ptr<LeafConnection>& connection,
+                     Order order) {
+  const auto remaining = std::chrono::duration_cast<Duration>(order.deadline - steadyNow());
+  const std::string bytes = order.request->bytesFor(channel->leaf.id, std::max(remaining, Duration(1000)));
+  ++counters_.exchanges;
+  if (order.listener.onWritten) {
+    order.listener.onWritten();
+  }
+  const auto request = order.request;
+  channel->running.push_back(Channel::Running{connection, std::move(order)});
+  connection->exchange(bytes, request->isHead(), [this, request](const HttpReply& reply) {
+    return repliesTo(reply, request->requestId(), names_);
+  });
+}
+
+void LeafPool::onEvent(const std::weak_ptr<Channel>& weak, LeafConnection& connection,
+                       LeafConnection::Event event, const std::shared_ptr<const HttpReply>& reply) {
+  const ChannelPointer channel = weak.lock();
+  if (!channel) {
+    return;
+  }
+  switch (event) {
+    case LeafConnection::Event::kReady:
+      --channel->connecting;
+      connection.keepIdleFor(kDefaultIdle, steadyNow());
+      break;
+    case LeafConnection::Event::kReplied:
+      onReplied(channel, connection, reply);
+      break;
+    case LeafConnection::Event::kClosed:
+      onClosed(channel, connection);
+      break;
+  }
+  dispatch(channel);
+}
+
+void LeafPool::onReplied(const ChannelPointer& channel, LeafConnection& connection,
+                         const std::shared_ptr<const HttpReply>& reply) {
+  auto& running = channel->running;
+  const auto found = std::find_if(running.begin(), running.end(), [&](const Channel::Running& candidate) {
+    return candidate.connection.get() == &connection;
+  });
+  if (found == running.end()) {
+    return;
+  }
+  Order order = std::move(found->order);
+  const std::shared_ptr<LeafConnection> kept = found->connection;
+  running.erase(found);
+  exchanges_.erase(order.exchange);
+  if (kept->idle()) {
+    const auto told = idleTimeoutOf(*reply);
+    kept->keepIdleFor(told ? std::max(*told - kIdleReserve, Duration(0)) : kDefaultIdle, steadyNow());
+  } else {
+    auto& connections = channel->connections;
+    connections.erase(std::remove(connections.begin(), connections.end(), kept), connections.end());
+  }
+  order.listener.onOutcome(classifyReply(reply, names_));
+}
+
+void LeafPool::onClosed(const ChannelPointer& channel, LeafConnection& connection) {
+  auto& connections = channel->connections;
+  const auto position =
+      std::find_if(connections.begin(), connections.end(),
+                   [&](const std::shared_ptr<LeafConnection>& other) { return other.get() == &connection; });
+  if (position == connections.end()) {
+    return;
+  }
+  const std::shared_ptr<LeafConnection> kept = *position;
+  connections.erase(position);
+  auto& running = channel->running;
+  const auto found = std::find_if(running.begin(), running.end(), [&](const Channel::Running& candidate) {
+    return candidate.connection == kept;
+  });
+  if (found != running.end()) {
+    Order order = std::move(found->order);
+    running.erase(found);
+    exchanges_.erase(order.exchange);
+    order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kNoAnswer));
+    return;
+  }
+  if (!kept->wasOpen()) {
+    --channel->connecting;
+    ++counters_.connectionsFailed;
+    // Nothing waits for a leaf that cannot be reached, unless another connection serves it.
+    if (connections.empty()) {
+      std::list<Order> refused = std::move(channel->waiting);
+      channel->waiting.clear();
+      for (Order& order : refused) {
+        exchanges_.erase(order.exchange);
+        order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kNotSent));
+      }
+    }
+  }
+}
+
+void LeafPool::abandon(ExchangeId exchange) {
+  const auto entry = exchanges_.find(exchange);
+  if (entry == exchanges_.end()) {
+    return;
+  }
+  const ChannelPointer channel = entry->second.lock();
+  if (!channel) {
+    exchanges_.erase(entry);
+    return;
+  }
+  const auto waiting = std::find_if(channel->waiting.begin(), channel->waiting.end(),
+                                    [&](const Order& order) { return order.exchange == exchange; });
+  if (waiting != channel->waiting.end()) {
+    Order order = std::move(*waiting);
+    channel->waiting.erase(waiting);
+    exchanges_.erase(exchange);
+    order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kWithdrawn));
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_, kAbandonGrace);
+  const std::weak_ptr<Channel> weak = channel;
+  timer->async_wait([this, timer, weak, exchange](const boost::system::error_code& error) {
+    const ChannelPointer target = weak.lock();
+    if (!error && target) {
+      cutOff(target, exchange);
+    }
+  });
+}
+
+void LeafPool::cutOff(const ChannelPointer& channel, ExchangeId exchange) {
+  auto& running = channel->running;
+  const auto found = std::find_if(running.begin(), running.end(), [&](const Channel::Running& candidate) {
+    return candidate.order.exchange == exchange;
+  });
+  if (found == running.end()) {
+    return;
+  }
+  const std::shared_ptr<LeafConnection> connection = found->connection;
+  Order order = std::move(found->order);
+  running.erase(found);
+  exchanges_.erase(exchange);
+  ++counters_.abandonedAtWork;
+  connection->close();
+  auto& connections = channel->connections;
+  connections.erase(std::remove(connections.begin(), connections.end(), connection), connections.end());
+  order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kWithdrawn));
+  dispatch(channel);
+}
+
+void LeafPool::retain(const std::function<bool(const std::string& leaf)>& keep) {
+  std::vector<std::string> finished;
+  for (auto& [id, channel] : channels_) {
+    channel->retired = !keep(id);
+    if (!channel->retired) {
+      continue;
+    }
+    dispatch(channel);
+    if (channel->connections.empty() && channel->running.empty() && channel->waiting.empty()) {
+      finished.push_back(id);
+    }
+  }
+  for (const std::string& id : finished) {
+    channels_.erase(id);
+  }
+}
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/serving/leaf_pool.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/// Connections to leafs: a bounded number for each, kept open between exchanges, opened ahead where that
+/// pays. Requests that find no free connection wait in order of their rank.
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "coordination/serving/leaf_outcome.h"
+#include "coordination/serving/query_actions.h"
+#include "protocol/serving/leaf_messages.h"
+#include "transport/serving/leaf_connection.h"
+
+namespace oakpier {
+
+struct LeafPoolCounters {
+  std::uint64_t exchanges = 0;
+  std::uint64_t connectionsOpened = 0;
+  std::uint64_t connectionsFailed = 0;
+  std::uint64_t abandonedAtWork = 0;
+};
+
+class LeafPool {
+ public:
+  struct Listener {
+    /// The first byte of the request is about to be written.
+    std::function<void()> onWritten;
+    std::function<void(const LeafOutcome&)> onOutcome;
+  };
+  struct Order {
+    ExchangeId exchange = 0;
+    std::shared_ptr<const LeafRequestTemplate> request;
+    unsigned rank = 0;
+    Moment deadline{};
+    Listener listener;
+  };
+
+  LeafPool(boost::asio::io_context& context, const HeaderNames& names);
+  LeafPool(const LeafPool&) = delete;
+  LeafPool& operator=(const LeafPool&) = delete;
+  ~LeafPool();
+
+  /// `maximum`: connections that this daemon may hold to the leaf.
+  void send(const LeafEntry& leaf, std::size_t maximum, Order order);
+  /// The outcome no longer matters: a waiting request is dropped, one at work is cut off after a while.
+  void abandon(ExchangeId exchange);
+  /// Opens the first connection to a leaf ahead of its first request.
+  void warm(const LeafEntry& leaf, std::size_t maximum);
+  /// Closes the connections to leafs for which `keep` is false, once they are idle.
+  void retain(const std::function<bool(const std::string& leaf)>& keep);
+
+  const LeafPoolCounters& counters() const { return counters_; }
+
+ private:
+  struct Channel;
+  using ChannelPointer = std::shared_ptr<Channel>;
+
+  ChannelPointer channelOf(const LeafEntry& leaf, std::size_t maximum);
+  void open(const ChannelPointer& channel);
+  void dispatch(const ChannelPointer& channel);
+  void start(const ChannelPointer& channel, const std::shared_ptr<LeafConnection>& connection, Order order);
+  void onEvent(const std::weak_ptr<Channel>& weak, LeafConnection& connection, LeafConnection::Event event,
+               const std::shared_ptr<const HttpReply>& reply);
+  void onClosed(const ChannelPointer& channel, LeafConnection& connection);
+  void onReplied(const ChannelPointer& channel, LeafConnection& connection,
+                 const std::shared_ptr<const HttpReply>& reply);
+  void cutOff(const ChannelPointer& channel, ExchangeId exchange);
+
+  boost::asio::io_context& context_;
+  const HeaderNames& names_;
+  std::unordered_map<std::string, ChannelPointer> channels_;
+  std::unordered_map<ExchangeId, std::weak_ptr<Channel>> exchanges_;
+  LeafPoolCounters counters_;
+};
+
+}  // namespace oakpier
--- /dev/null
+++ b/src/transport/serving/source_client.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// One connection to the configuration source; one call at a time.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "state/endpoint.h"
+#include "state/time.h"
+#include "transport/serving/reply_reader.h"
+
+namespace oakpier {
+
+class SourceClient {
+ public:
+  /// Empty when there was no whole reply in time.
+  using Callback = std::function<void(std::optional<HttpReply> reply)>;
+
+  SourceClient(boost::asio::io_context& context, const Endpoint& address);
+
+  void setAddress(const Endpoint& address);
+  void call(const HttpRequest& request, Duration timeout, Callback callback);
+
+ private:
+  struct Connection;
+  void finish(std::optional<HttpReply> reply);
+  void write(const std::shared_ptr<Connection>& connection);
+  void read(const std::shared_ptr<Connection>& connection);
+
+  boost::asio::io_context& context_;
+  Endpoint address_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<Connection> connection_;
+  std::string outgoing_;
+  Callback callback_;
+};
+
+}  // namespace oakpier
