--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -312,6 +312,10 @@
 
 /// News about this process: anything but alive is refuted, unless it is true.
 void Membership::mergeSelf(const MemberUpdate& update) {
+  if (settings_.adoptHigherIncarnation && update.incarnation() > incarnation_) {
+    incarnation_ = update.incarnation() + 1;
+    return;
+  }
   const bool aboutThisProcess = update.incarnation() == incarnation_;
   if (!aboutThisProcess || update.condition() == MEMBER_ALIVE || leaving_) {
     return;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -39,6 +39,9 @@
   Duration settlingTime = std::chrono::seconds(60);
   /// How long the dead are remembered, so that old news cannot revive them.
   Duration tombstoneLifetime = std::chrono::minutes(15);
+  /// Take a higher incarnation than an earlier process at the same address had. Its clock may have been
+  /// ahead; otherwise nobody would believe that this process lives.
+  bool adoptHigherIncarnation = false;
 };
 
 struct OutgoingProbe {
--- a/src/coordination/serving/extra_send_budget.h
+++ b/src/coordination/serving/extra_send_budget.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct ExtraSendBounds {
   /// Extra sends earned by one request.
@@ -49,4 +49,4 @@
   std::unordered_map<std::string, ExtraSendBudget> budgets_;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/leaf_outcome.h
+++ b/src/coordination/serving/leaf_outcome.h
@@ -8,7 +8,7 @@
 
 #include "state/serving/http_message.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// What a leaf tells of its load with an answer.
 struct ReportedLoad {
@@ -43,4 +43,4 @@
   std::optional<ReportedLoad> load;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -55,4 +55,4 @@
   return best;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/leaf_selection.h
+++ b/src/coordination/serving/leaf_selection.h
@@ -9,7 +9,7 @@
 #include "coordination/serving/leaf_status.h"
 #include "state/random.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct SelectionRequest {
   /// Leafs that were already tried for the request.
@@ -27,4 +27,4 @@
 std::shared_ptr<LeafStatus> selectLeaf(const LeafRegistry::Leafs& leafs, const SelectionRequest& request,
                                        RandomEngine& random, Moment now);
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/leaf_status.cpp
+++ b/src/coordination/serving/leaf_status.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -143,4 +143,4 @@
   return found == services_.end() ? kNone : found->second;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/leaf_status.h
+++ b/src/coordination/serving/leaf_status.h
@@ -12,7 +12,7 @@
 #include "state/serving/leaf_directory.h"
 #include "state/time.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// Not thread-safe; owned by the request thread.
 class LeafStatus {
@@ -74,4 +74,4 @@
   std::unordered_map<std::string, Leafs> services_;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -5,7 +5,7 @@
 
 #include "coordination/serving/leaf_selection.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -158,4 +158,4 @@
   }
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -13,7 +13,7 @@
 #include "coordination/serving/query_actions.h"
 #include "coordination/serving/query_policy.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 class PartExchange {
  public:
@@ -70,4 +70,4 @@
   Moment hedgeBy_ = kNever;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -5,7 +5,7 @@
 
 #include "coordination/serving/record_merge.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 Query::Query(std::shared_ptr<const ServingView> view, const Route& route, QueryContext& context,
              Moment receivedAt, Moment deadline)
@@ -177,7 +177,7 @@
   }
 }
 
-void Query::finish(QueryAnswer answer, QueryActions& actions) {
+void Query::finish(FinalAnswer answer, QueryActions& actions) {
   finished_ = true;
   for (PartExchange& part : parts_) {
     part.close(actions);
@@ -199,4 +199,4 @@
   return answer;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -11,7 +11,7 @@
 #include "coordination/serving/part_exchange.h"
 #include "state/serving/leaf_directory.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 class Query {
  public:
@@ -45,7 +45,7 @@
   void decide(Moment now, QueryActions& actions);
   void decideGather(Moment now, QueryActions& actions);
   void decideSingle(Moment now, QueryActions& actions);
-  void finish(QueryAnswer answer, QueryActions& actions);
+  void finish(FinalAnswer answer, QueryActions& actions);
   void finishWithoutAnswer(Moment now, QueryActions& actions);
   MergedAnswer merge() const;
 
@@ -61,4 +61,4 @@
   bool finished_ = false;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/query_actions.h
+++ b/src/coordination/serving/query_actions.h
@@ -13,7 +13,7 @@
 #include "state/serving/http_message.h"
 #include "state/time.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// Identifies one send to one leaf, unique within the daemon process.
 using ExchangeId = std::uint64_t;
@@ -46,14 +46,14 @@
   bool timedOut = false;
 };
 
-using QueryAnswer = std::variant<ForwardedAnswer, MergedAnswer, Refusal, Failure>;
+using FinalAnswer = std::variant<ForwardedAnswer, MergedAnswer, Refusal, Failure>;
 
 struct QueryActions {
   std::vector<SendAction> sends;
   /// Exchanges whose outcome no longer matters to the query.
   std::vector<ExchangeId> abandons;
   /// Set once, with the last actions of the query.
-  std::optional<QueryAnswer> answer;
+  std::optional<FinalAnswer> answer;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -12,7 +12,7 @@
 #include "state/random.h"
 #include "state/serving/serving_configuration.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct QueryPolicy {
   /// Kept free before the target latency for the way back to the caller and for merging.
@@ -58,4 +58,4 @@
   }
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/record_merge.cpp
+++ b/src/coordination/serving/record_merge.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <functional>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 std::string greatestRecords(const std::vector<std::string_view>& parts, std::size_t count) {
   std::vector<std::string_view> records;
@@ -21,4 +21,4 @@
   return merged;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/record_merge.h
+++ b/src/coordination/serving/record_merge.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 inline constexpr std::size_t kRecordBytes = 16;
 
@@ -15,4 +15,4 @@
 /// records, compared byte by byte, greatest first; equal records all count.
 std::string greatestRecords(const std::vector<std::string_view>& parts, std::size_t count);
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 std::vector<std::string> ServingKnowledge::onConfiguration(
     std::shared_ptr<const ServingConfiguration> configuration) {
@@ -21,27 +21,29 @@
   return {};
 }
 
-void ServingKnowledge::onLeaf(const LeafEntry& entry, std::uint64_t revision, Moment now) {
-  static_cast<void>(now);
+bool ServingKnowledge::onLeaf(const LeafEntry& entry, std::uint64_t revision) {
   KnownLeaf& known = leafs_[entry.id];
   if (known.revision >= revision) {
-    return;
+    return false;
   }
-  changed_ = changed_ || known.revision == 0 || !known.entry.sameAs(entry);
+  const bool changed = known.revision == 0 || known.removeAt != kNever || !known.entry.sameAs(entry);
+  changed_ = changed_ || changed;
   known.entry = entry;
   known.revision = revision;
   known.removeAt = kNever;
+  return changed;
 }
 
-void ServingKnowledge::onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now) {
+bool ServingKnowledge::onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now) {
   const auto found = leafs_.find(id);
   if (found == leafs_.end() || found->second.revision >= revision) {
-    return;
+    return false;
   }
   KnownLeaf& known = found->second;
   known.revision = revision;
   known.removeAt = known.entry.draining ? now : now + settings_.removalDelay;
   onTime(now);
+  return true;
 }
 
 void ServingKnowledge::onListing(const std::vector<std::string>& listedIds, std::uint64_t revision,
@@ -95,4 +97,4 @@
   return view;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -13,7 +13,7 @@
 
 #include "coordination/serving/source_records.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct KnowledgeSettings {
   /// A leaf whose record went without notice is used on for this long, as records also go by mistake.
@@ -26,8 +26,10 @@
 
   /// Returns the problems of a configuration that is refused.
   std::vector<std::string> onConfiguration(std::shared_ptr<const ServingConfiguration> configuration);
-  void onLeaf(const LeafEntry& entry, std::uint64_t revision, Moment now);
-  void onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now);
+  /// Returns whether anything but its revision has changed.
+  bool onLeaf(const LeafEntry& entry, std::uint64_t revision);
+  /// Returns whether the leaf was known.
+  bool onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now);
   /// A whole listing as of `revision` was handed in; leafs it did not name are gone.
   void onListing(const std::vector<std::string>& listedIds, std::uint64_t revision, Moment now);
   /// Removals that were delayed take effect.
@@ -57,4 +59,4 @@
   bool changed_ = false;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/source_reader.cpp
+++ b/src/coordination/serving/source_reader.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -18,6 +18,7 @@
     return std::nullopt;
   }
   inProgress_ = true;
+  current_ = next_;
   return next_;
 }
 
@@ -25,26 +26,35 @@
   inProgress_ = false;
   failuresInRow_ = 0;
   listingComplete_ = false;
-  if (next_.kind == SourceCall::Kind::kChanges) {
+  if (current_.kind == SourceCall::Kind::kChanges) {
     knownRevision_ = std::max(knownRevision_, page.revision);
-    next_.afterRevision = page.revision;
+    next_.afterRevision = knownRevision_;
     nextCallAt_ = now + settings_.pace;
     return;
   }
-  if (next_.afterKey.empty()) {
+  if (current_.afterKey.empty()) {
     listingRevision_ = page.revision;
   }
   if (page.more && !page.records.empty()) {
-    next_.afterKey = page.records.back().key;
+    next_ = SourceCall{SourceCall::Kind::kList, page.records.back().key, 0, {}};
     nextCallAt_ = now;
     return;
   }
   listingComplete_ = true;
-  knownRevision_ = listingRevision_;
-  next_ = SourceCall{SourceCall::Kind::kChanges, "", listingRevision_};
+  knownRevision_ = std::max(knownRevision_, listingRevision_);
+  next_ = SourceCall{SourceCall::Kind::kChanges, "", knownRevision_, settings_.wait};
   nextCallAt_ = now + settings_.pace;
 }
 
+void SourceReader::onNews(std::uint64_t revision, Moment freshAt, Duration stagger) {
+  if (revision < knownRevision_) {
+    return;
+  }
+  knownRevision_ = revision;
+  next_ = SourceCall{SourceCall::Kind::kChanges, "", revision, settings_.wait};
+  nextCallAt_ = freshAt + settings_.pace + settings_.wait + stagger;
+}
+
 void SourceReader::onFailure(SourceFailure failure, Moment now) {
   inProgress_ = false;
   listingComplete_ = false;
@@ -59,4 +69,4 @@
   nextCallAt_ = now + longest / 2 + Duration(static_cast<std::int64_t>(drawBelow(half + 1, random_)));
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/source_reader.h
+++ b/src/coordination/serving/source_reader.h
@@ -3,7 +3,8 @@
 /// Decides when the configuration source is asked for what: first a listing, then the changes since.
 ///
 /// Invariants: one call at a time; after a failure the next call waits longer, up to a bound; a listing is
-/// followed by the changes since its first page, as its pages are no snapshot.
+/// followed by the changes since its first page, as its pages are no snapshot; the known revision never
+/// goes back.
 
 #include <cstdint>
 #include <optional>
@@ -12,7 +13,7 @@
 #include "coordination/serving/source_records.h"
 #include "state/random.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct SourceCall {
   enum class Kind { kList, kChanges };
@@ -21,11 +22,17 @@
   std::string afterKey;
   /// For kChanges.
   std::uint64_t afterRevision = 0;
+  /// For kChanges: how long the source may wait for a change before it answers with none.
+  Duration wait{};
 };
 
 struct SourceReaderSettings {
-  /// Between two calls for changes.
-  Duration pace = std::chrono::milliseconds(1200);
+  /// Between the answer to a call for changes and the next, so that changes in quick succession are read
+  /// together.
+  Duration pace = std::chrono::milliseconds(250);
+  /// How long the source may wait for a change. Bounds how long a lost answer, or the loss of the daemon that
+  /// reads for the others, stays unnoticed.
+  Duration wait = std::chrono::milliseconds(1500);
   Duration shortestBackoff = std::chrono::milliseconds(150);
   Duration longestBackoff = std::chrono::milliseconds(1000);
 };
@@ -41,6 +48,11 @@
   void onPage(const SourcePage& page, Moment now);
   void onFailure(SourceFailure failure, Moment now);
 
+  /// Another daemon has told everything up to `revision`, as the source said it at `freshAt`. This daemon's
+  /// own next call waits until the other's next news is overdue by `stagger`, so that the other goes on
+  /// reading.
+  void onNews(std::uint64_t revision, Moment freshAt, Duration stagger);
+
   /// The page that was just handed in ends a whole listing.
   bool listingComplete() const { return listingComplete_; }
   /// Everything up to this revision is known; 0 before the first listing.
@@ -52,6 +64,8 @@
   RandomEngine random_;
   SourceCall next_;
   bool inProgress_ = false;
+  /// The call in progress.
+  SourceCall current_;
   bool listingComplete_ = false;
   std::uint64_t listingRevision_ = 0;
   std::uint64_t knownRevision_ = 0;
@@ -59,4 +73,4 @@
   Moment nextCallAt_{};
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/coordination/serving/source_records.h
+++ b/src/coordination/serving/source_records.h
@@ -9,7 +9,7 @@
 
 #include "state/serving/leaf_directory.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct SourceRecord {
   std::string key;
@@ -55,4 +55,4 @@
 using SourceStatement =
     std::variant<std::monostate, ServingConfiguration, LeafEntry, LeafRemoval, UnusableRecord>;
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/coordination/serving/source_relay.cpp
@@ -0,0 +1,109 @@
+#include "coordination/serving/source_relay.h"
+
+#include <algorithm>
+
+#include "coordination/serving/forwarding_tree.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+/// A daemon asks for everything no more often than this.
+constexpr Duration kAskPeriod = std::chrono::milliseconds(300);
+
+void addRecord(const SourceRecord& record, SourceNews& news) {
+  SourceRecordNews* added = news.add_records();
+  added->set_key(record.key);
+  added->set_value(record.value);
+  added->set_revision(record.revision);
+  added->set_gone(record.gone);
+}
+
+}  // namespace
+
+std::vector<SourceRecord> recordsOf(const SourceNews& news) {
+  std::vector<SourceRecord> records;
+  for (const SourceRecordNews& item : news.records()) {
+    records.push_back(SourceRecord{item.key(), item.value(), item.revision(), item.gone()});
+  }
+  return records;
+}
+
+std::size_t SourceRelay::place() const {
+  return static_cast<std::size_t>(std::lower_bound(members_.begin(), members_.end(), self_) -
+                                  members_.begin());
+}
+
+std::uint64_t SourceRelay::ageAt(Moment now) const {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (now - freshAt_).count()));
+}
+
+void SourceRelay::keep(const SourceRecord& record) {
+  if (record.gone) {
+    records_.erase(record.key);
+    return;
+  }
+  SourceRecord& kept = records_[record.key];
+  if (kept.revision <= record.revision) {
+    kept = record;
+  }
+}
+
+RelayActions SourceRelay::onRead(std::uint64_t afterRevision, std::uint64_t revision,
+                                 const std::vector<SourceRecord>& records, Moment now) {
+  RelayActions actions;
+  forwardedRevision_ = std::max(forwardedRevision_, revision);
+  SourceNews news;
+  news.set_after_revision(afterRevision);
+  news.set_revision(revision);
+  news.set_age_us(ageAt(now));
+  news.set_reader(self_.text());
+  for (const SourceRecord& record : records) {
+    addRecord(record, news);
+  }
+  for (const Endpoint& child : forwardTo(members_, self_, self_)) {
+    actions.news.push_back(OutgoingNews{child, news});
+  }
+  return actions;
+}
+
+RelayActions SourceRelay::onNews(const Endpoint& sender, const SourceNews& news, std::uint64_t knownRevision,
+                                 Moment now) {
+  RelayActions actions;
+  if (news.revision() == 0) {
+    return actions;
+  }
+  const std::uint64_t after = news.whole() ? 0 : news.after_revision();
+  const bool usable = news.whole() || knownRevision > 0;
+  if (news.revision() > knownRevision && (after > knownRevision || !usable)) {
+    if (now - askedAt_ > kAskPeriod) {
+      askedAt_ = now;
+      actions.ask = sender;
+    }
+  } else if (news.revision() >= knownRevision) {
+    actions.accepted = true;
+    freshAt_ = std::max(freshAt_, now - Duration(static_cast<std::int64_t>(news.age_us())));
+  }
+  const auto reader = Endpoint::parse(news.reader());
+  if (!news.whole() && reader && news.revision() > forwardedRevision_) {
+    forwardedRevision_ = news.revision();
+    for (const Endpoint& child : forwardTo(members_, *reader, self_)) {
+      actions.news.push_back(OutgoingNews{child, news});
+    }
+  }
+  return actions;
+}
+
+OutgoingNews SourceRelay::everything(const Endpoint& to, std::uint64_t knownRevision, Moment now) const {
+  OutgoingNews outgoing{to, {}};
+  outgoing.news.set_whole(true);
+  outgoing.news.set_revision(knownRevision);
+  outgoing.news.set_age_us(ageAt(now));
+  outgoing.news.set_reader(self_.text());
+  for (const auto& [key, record] : records_) {
+    addRecord(record, outgoing.news);
+  }
+  return outgoing;
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/coordination/serving/source_relay.h
@@ -0,0 +1,70 @@
+#pragma once
+
+/// Passes what one daemon read from the configuration source on to the others, so that few read and all
+/// know, and a daemon that the source refuses still learns.
+///
+/// Invariants: news is taken over only when nothing before it is missing; a daemon that misses something asks
+/// for everything; news of one revision is forwarded at most once by each daemon.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/serving/source_records.h"
+#include "oakpier/peer.pb.h"
+#include "state/endpoint.h"
+#include "state/time.h"
+
+namespace oakpier::serving {
+
+struct OutgoingNews {
+  Endpoint to;
+  SourceNews news;
+};
+
+struct RelayActions {
+  std::vector<OutgoingNews> news;
+  /// Ask this daemon for everything.
+  std::optional<Endpoint> ask;
+  /// The news may be taken over: every record in it, and for whole news nothing else is listed.
+  bool accepted = false;
+};
+
+class SourceRelay {
+ public:
+  explicit SourceRelay(const Endpoint& self) : self_(self) {}
+
+  /// `members`: serving daemons in rising order, as for `forwardTo`.
+  void setMembers(std::vector<Endpoint> members) { members_ = std::move(members); }
+  /// This daemon's place among the members; the one of place 0 reads first.
+  std::size_t place() const;
+
+  /// This daemon has read the changes between two revisions; `records` are those worth passing on.
+  RelayActions onRead(std::uint64_t afterRevision, std::uint64_t revision,
+                      const std::vector<SourceRecord>& records, Moment now);
+  /// `knownRevision`: everything up to it is known here.
+  RelayActions onNews(const Endpoint& sender, const SourceNews& news, std::uint64_t knownRevision, Moment now);
+  /// Everything this daemon knows, for one that asks.
+  OutgoingNews everything(const Endpoint& to, std::uint64_t knownRevision, Moment now) const;
+
+  /// Keeps a record for daemons that ask.
+  void keep(const SourceRecord& record);
+  /// When the source last said what is known here.
+  Moment freshAt() const { return freshAt_; }
+  void setFreshAt(Moment moment) { freshAt_ = moment; }
+
+ private:
+  std::uint64_t ageAt(Moment now) const;
+
+  Endpoint self_;
+  std::vector<Endpoint> members_;
+  std::map<std::string, SourceRecord> records_;
+  Moment freshAt_{};
+  std::uint64_t forwardedRevision_ = 0;
+  Moment askedAt_{};
+};
+
+std::vector<SourceRecord> recordsOf(const SourceNews& news);
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -14,7 +14,7 @@
 #include "protocol/serving/caller_messages.h"
 #include "transport/steady_clock.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -27,7 +27,11 @@
 constexpr Duration kStopReserve = std::chrono::milliseconds(300);
 /// Share of the bound on extra sends that is really used.
 constexpr double kExtraSendShare = 0.85;
-constexpr double kExpectedDaemons = 12;
+/// Until the others had time to be found, this many daemons are assumed.
+constexpr std::size_t kUsualDaemons = 12;
+constexpr Duration kSettlingTime = std::chrono::seconds(4);
+/// One in this many daemons may be added or come back at any time.
+constexpr std::size_t kSpareShare = 3;
 
 /// Answers any request with whether callers should be sent here.
 class ReadinessHandler : public RequestHandler {
@@ -46,7 +50,7 @@
 ExtraSendBounds boundsFrom(const GatewaySettings& settings) {
   ExtraSendBounds bounds;
   bounds.ratio = settings.extraSendRatio * kExtraSendShare;
-  bounds.saved = std::max(1.0, settings.extraSendSlack * kExtraSendShare / kExpectedDaemons);
+  bounds.saved = std::max(1.0, settings.extraSendSlack * kExtraSendShare / kUsualDaemons);
   return bounds;
 }
 
@@ -59,18 +63,20 @@
         published_(emptyView()),
         random_(std::random_device{}()),
         budgets_(boundsFrom(settings)),
-        requests_(requestContext_, names, published_,
+        requests_(requestContext_, names, published_, settings.peerAddress,
                   QueryContext{leafs_, budgets_, random_, QueryPolicy{}, settings.zone, {}}),
         readinessHandler_(ready_),
         callers_(requestContext_, requests_),
         readiness_(requestContext_, readinessHandler_),
-        source_(controlContext_, settings.sourceAddress, dialect, published_, [this] { onView(); }),
+        source_(controlContext_, settings.sourceAddress, dialect,
+                PeerLinkSettings{settings.peerAddress, settings.zone, settings.seeds}, published_,
+                {[this] { onView(); }, [this](std::size_t count) { onDaemonCount(count); }}),
         signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
         stopTimer_(requestContext_) {}
 
   int run() {
-    for (const std::string& problem :
-         {callers_.listen(settings_.callerAddress), readiness_.listen(settings_.readinessAddress)}) {
+    for (const std::string& problem : {callers_.listen(settings_.callerAddress),
+                                       readiness_.listen(settings_.readinessAddress), source_.start()}) {
       if (!problem.empty()) {
         log(LogLevel::kError, "not started", {{"problem", problem}});
         return EXIT_FAILURE;
@@ -79,12 +85,12 @@
     log(LogLevel::kInfo, "started",
         {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
     awaitSignal();
-    source_.start();
     const auto keepRunning = boost::asio::make_work_guard(controlContext_);
     std::thread control([this] { controlContext_.run(); });
     requestContext_.run();
     controlContext_.stop();
     control.join();
+    source_.stop();
     log(LogLevel::kInfo, "stopped", {{"name", settings_.name}});
     return EXIT_SUCCESS;
   }
@@ -111,6 +117,13 @@
     });
   }
 
+  /// On the control thread. Until the others are known, a usual number is taken.
+  void onDaemonCount(std::size_t count) {
+    const bool settled = steadyNow() - startedAt_ > kSettlingTime;
+    const std::size_t planned = settled ? count + count / kSpareShare + 1 : std::max(count, kUsualDaemons);
+    boost::asio::post(requestContext_, [this, planned] { requests_.setDaemonCount(planned); });
+  }
+
   void awaitSignal() {
     signals_.async_wait([this](const boost::system::error_code& error, int signal) {
       if (error) {
@@ -133,7 +146,7 @@
     settings_ = *fresh;
     budgets_.setBounds(boundsFrom(settings_));
     boost::asio::post(controlContext_,
-                      [this, address = settings_.sourceAddress] { source_.setSource(address); });
+                      [this, fresh = settings_] { source_.reload(fresh.sourceAddress, fresh.seeds); });
     log(LogLevel::kInfo, "settings reloaded", {{"name", settings_.name}});
   }
 
@@ -145,6 +158,7 @@
     stopping_ = true;
     ready_ = false;
     stopRequestedAt_ = steadyNow();
+    boost::asio::post(controlContext_, [this] { source_.leave(); });
     callers_.startClosing();
     checkStop();
   }
@@ -184,6 +198,7 @@
   boost::asio::signal_set signals_;
   boost::asio::steady_timer stopTimer_;
   bool stopping_ = false;
+  const Moment startedAt_ = steadyNow();
   Moment stopRequestedAt_{};
 };
 
@@ -194,4 +209,4 @@
   return Gateway(settings, names, dialect, reload).run();
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -9,7 +9,7 @@
 #include "protocol/serving/header_names.h"
 #include "protocol/serving/source_dialect.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// Reads the settings again; empty when they cannot be used, after saying why in the log.
 using SettingsReload = std::function<std::optional<GatewaySettings>()>;
@@ -18,4 +18,4 @@
 int runGateway(const GatewaySettings& settings, const HeaderNames& names, const SourceDialect& dialect,
                const SettingsReload& reload);
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -8,7 +8,7 @@
 #include "state/endpoint.h"
 #include "state/time.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct GatewaySettings {
   std::string name;
@@ -31,4 +31,4 @@
   double extraSendSlack = 50;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/programs/gateway/peer_link.cpp
@@ -0,0 +1,152 @@
+#include "programs/gateway/peer_link.h"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "transport/steady_clock.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+/// A tick that comes this late means that the process was paused.
+constexpr Duration kPause = std::chrono::seconds(1);
+/// Frames that were on the way for longer are not believed.
+constexpr std::uint32_t kTimeToLiveMilliseconds = 1000;
+
+MembershipSettings membershipSettings() {
+  MembershipSettings settings;
+  settings.adoptHigherIncarnation = true;
+  return settings;
+}
+
+std::uint64_t newIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+}  // namespace
+
+PeerLink::PeerLink(boost::asio::io_context& context, const PeerLinkSettings& settings, Handlers handlers)
+    : context_(context),
+      settings_(settings),
+      handlers_(std::move(handlers)),
+      membership_(settings.self, settings.zone, newIncarnation(), membershipSettings(),
+                  RandomEngine(std::random_device{}())),
+      transport_(settings.self,
+                 {[this](PeerEnvelope envelope, bool stale) {
+                    if (!stale) {
+                      boost::asio::post(context_,
+                                        [this, envelope = std::move(envelope)] { onEnvelope(envelope); });
+                    }
+                  },
+                  [](const Endpoint&, const PeerEnvelope&) {}}),
+      tick_(context) {
+  membership_.setSeeds(settings.seeds);
+}
+
+std::string PeerLink::start() {
+  const std::string problem = transport_.start();
+  if (problem.empty()) {
+    scheduleTick();
+  }
+  return problem;
+}
+
+void PeerLink::stop() { transport_.stop(); }
+
+void PeerLink::scheduleTick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      return;
+    }
+    const Moment now = steadyNow();
+    if (lastTickAt_ != Moment{} && now - lastTickAt_ > kPause) {
+      membership_.onPause(now);
+    }
+    lastTickAt_ = now;
+    carryOut(membership_.onTime(now));
+    publishMembers();
+    scheduleTick();
+  });
+}
+
+void PeerLink::onEnvelope(const PeerEnvelope& envelope) {
+  const auto sender = Endpoint::parse(envelope.sender());
+  if (!sender) {
+    return;
+  }
+  const Moment now = steadyNow();
+  if (envelope.has_probe()) {
+    carryOut(membership_.onProbe(*sender, envelope.probe(), now));
+  } else if (envelope.has_probe_reply()) {
+    carryOut(membership_.onReply(*sender, envelope.probe_reply(), now));
+  } else if (envelope.has_source_news()) {
+    handlers_.onNews(*sender, envelope.source_news());
+  } else if (envelope.has_source_news_request()) {
+    handlers_.onNewsRequest(*sender);
+  }
+  publishMembers();
+}
+
+void PeerLink::carryOut(const MembershipActions& actions) {
+  for (const OutgoingProbe& outgoing : actions.probes) {
+    PeerEnvelope envelope;
+    *envelope.mutable_probe() = outgoing.probe;
+    send(outgoing.to, std::move(envelope));
+  }
+  for (const OutgoingProbeReply& outgoing : actions.replies) {
+    PeerEnvelope envelope;
+    *envelope.mutable_probe_reply() = outgoing.reply;
+    send(outgoing.to, std::move(envelope));
+  }
+}
+
+void PeerLink::send(const Endpoint& to, PeerEnvelope envelope) {
+  envelope.set_sender(settings_.self.text());
+  envelope.set_incarnation(membership_.incarnation());
+  envelope.set_time_to_live_ms(kTimeToLiveMilliseconds);
+  transport_.send(to, std::move(envelope));
+}
+
+void PeerLink::sendNews(const Endpoint& to, const SourceNews& news) {
+  PeerEnvelope envelope;
+  *envelope.mutable_source_news() = news;
+  send(to, std::move(envelope));
+}
+
+void PeerLink::askForNews(const Endpoint& from) {
+  PeerEnvelope envelope;
+  envelope.mutable_source_news_request();
+  send(from, std::move(envelope));
+}
+
+void PeerLink::leave() { carryOut(membership_.leave(steadyNow())); }
+
+void PeerLink::publishMembers() {
+  if (membership_.version() == publishedVersion_) {
+    return;
+  }
+  publishedVersion_ = membership_.version();
+  std::vector<Endpoint> members;
+  bool selfListed = false;
+  for (const MemberRecord& record : membership_.members().records()) {
+    if (!selfListed && settings_.self < record.address) {
+      members.push_back(settings_.self);
+      selfListed = true;
+    }
+    if (record.serving() && record.address != settings_.self) {
+      members.push_back(record.address);
+    }
+  }
+  if (!selfListed) {
+    members.push_back(settings_.self);
+  }
+  handlers_.onMembers(members);
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/programs/gateway/peer_link.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// The gateway's link to the other daemons: membership by probing, and frames between them. Runs on the
+/// control thread.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/membership.h"
+#include "transport/peer_transport.h"
+
+namespace oakpier::serving {
+
+struct PeerLinkSettings {
+  Endpoint self;
+  std::string zone;
+  std::vector<Endpoint> seeds;
+};
+
+class PeerLink {
+ public:
+  struct Handlers {
+    std::function<void(const Endpoint& sender, const SourceNews& news)> onNews;
+    std::function<void(const Endpoint& sender)> onNewsRequest;
+    /// The serving daemons, this one included, in rising order.
+    std::function<void(const std::vector<Endpoint>& members)> onMembers;
+  };
+
+  PeerLink(boost::asio::io_context& context, const PeerLinkSettings& settings, Handlers handlers);
+
+  /// Returns a text when the address cannot be bound, else an empty one.
+  std::string start();
+  void stop();
+  void setSeeds(const std::vector<Endpoint>& seeds) { membership_.setSeeds(seeds); }
+  void sendNews(const Endpoint& to, const SourceNews& news);
+  void askForNews(const Endpoint& from);
+  /// Tells others that this daemon leaves.
+  void leave();
+
+ private:
+  void onEnvelope(const PeerEnvelope& envelope);
+  void carryOut(const MembershipActions& actions);
+  void send(const Endpoint& to, PeerEnvelope envelope);
+  void scheduleTick();
+  void publishMembers();
+
+  boost::asio::io_context& context_;
+  PeerLinkSettings settings_;
+  Handlers handlers_;
+  Membership membership_;
+  PeerTransport transport_;
+  boost::asio::steady_timer tick_;
+  Moment lastTickAt_{};
+  std::uint64_t publishedVersion_ = 0;
+};
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -1,13 +1,14 @@
 #include "programs/gateway/request_gateway.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 #include "protocol/serving/caller_messages.h"
 #include "protocol/serving/hop_headers.h"
 #include "transport/steady_clock.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -15,8 +16,6 @@
 constexpr unsigned kBadRequest = 400;
 /// For callers that come before the first configuration is known.
 constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(300);
-/// More connections than this to one leaf only queue there.
-constexpr std::size_t kMostConnections = 6;
 
 }  // namespace
 
@@ -33,44 +32,63 @@
 };
 
 RequestGateway::RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
-                               Published<ServingView>& published, QueryContext queryContext)
+                               Published<ServingView>& published, const Endpoint& self, QueryContext queryContext)
     : context_(context),
       names_(names),
       published_(published),
       queryContext_(std::move(queryContext)),
       leafs_(queryContext_.leafs),
       pool_(context, names),
-      view_(published.read()) {}
+      view_(published.read()),
+      self_(self) {}
+
+void RequestGateway::setDaemonCount(std::size_t count) {
+  if (count != daemonCount_) {
+    daemonCount_ = count;
+    onView();
+  }
+}
 
 void RequestGateway::onView() {
   view_ = published_.read();
-  const Moment now = steadyNow();
-  maximumConnections_.clear();
+  const LeafsByService leafs = ownLeafs();
+  leafs_.reconcile(leafs, steadyNow());
+  std::unordered_set<std::string> used;
+  for (const auto& [service, entries] : leafs) {
+    for (const LeafEntry& leaf : entries) {
+      used.insert(leaf.id);
+      if (shares_.count(service) != 0) {
+        pool_.warm(leaf, connectionsTo(service));
+      }
+    }
+  }
+  pool_.retain([&](const std::string& leaf) { return used.count(leaf) != 0; });
+}
+
+LeafsByService RequestGateway::ownLeafs() {
+  std::unordered_map<std::string, std::size_t> maximumConnections;
   if (view_->configuration) {
     for (const ServiceDefinition& service : view_->configuration->services) {
-      maximumConnections_[service.name] = service.maximumConnections;
+      maximumConnections[service.name] = service.maximumConnections;
     }
   }
-  leafs_.reconcile(*view_->leafs, now);
-  std::unordered_map<std::string, bool> listed;
-  for (const auto& [service, leafs] : *view_->leafs) {
-    for (const LeafEntry& leaf : leafs) {
-      listed[leaf.id] = !leaf.draining;
-      if (!leaf.draining && maximumConnections_.count(service) != 0) {
-        pool_.warm(leaf, connectionShare(service));
-      }
+  shares_.clear();
+  LeafsByService leafs;
+  for (const auto& [service, entries] : *view_->leafs) {
+    const auto maximum = maximumConnections.find(service);
+    if (maximum == maximumConnections.end()) {
+      continue;
     }
+    const ConnectionShare share = shareOf(entries.size(), maximum->second, daemonCount_);
+    shares_[service] = share;
+    leafs[service] = chooseSubset(entries, share.leafs, self_);
   }
-  pool_.retain([&](const std::string& leaf) {
-    const auto found = listed.find(leaf);
-    return found != listed.end() && found->second;
-  });
+  return leafs;
 }
 
-std::size_t RequestGateway::connectionShare(const std::string& service) const {
-  const auto found = maximumConnections_.find(service);
-  const std::size_t all = found == maximumConnections_.end() ? 1 : found->second;
-  return std::clamp<std::size_t>(all / std::max<std::size_t>(1, daemonCount_), 1, kMostConnections);
+std::size_t RequestGateway::connectionsTo(const std::string& service) const {
+  const auto found = shares_.find(service);
+  return found == shares_.end() ? 1 : found->second.connections;
 }
 
 std::function<void()> RequestGateway::onRequest(HttpRequest request, ResponseWriter writer) {
@@ -142,7 +160,7 @@
     }
     onOutcome(active, action, outcome);
   };
-  pool_.send(leaf, connectionShare(leaf.service), std::move(order));
+  pool_.send(leaf, connectionsTo(leaf.service), std::move(order));
 }
 
 void RequestGateway::onOutcome(const ActivePointer& active, const SendAction& action,
@@ -152,7 +170,7 @@
   }
 }
 
-void RequestGateway::answer(const ActivePointer& active, const QueryAnswer& answer) {
+void RequestGateway::answer(const ActivePointer& active, const FinalAnswer& answer) {
   if (std::holds_alternative<Refusal>(answer)) {
     ++counters_.refused;
   } else if (std::holds_alternative<Failure>(answer)) {
@@ -187,4 +205,4 @@
   });
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -8,13 +8,14 @@
 #include <memory>
 #include <unordered_map>
 
+#include "coordination/serving/leaf_subset.h"
 #include "coordination/serving/query.h"
 #include "protocol/serving/header_names.h"
 #include "state/published.h"
 #include "transport/serving/http_service.h"
 #include "transport/serving/leaf_pool.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct RequestCounters {
   std::uint64_t received = 0;
@@ -28,14 +29,14 @@
 class RequestGateway : public RequestHandler {
  public:
   RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
-                 Published<ServingView>& published, QueryContext queryContext);
+                 Published<ServingView>& published, const Endpoint& self, QueryContext queryContext);
 
   std::function<void()> onRequest(HttpRequest request, ResponseWriter writer) override;
 
   /// A new view was published.
   void onView();
   /// How many daemons share each leaf's connections.
-  void setDaemonCount(std::size_t count) { daemonCount_ = count; }
+  void setDaemonCount(std::size_t count);
   const RequestCounters& counters() const { return counters_; }
   const LeafPoolCounters& poolCounters() const { return pool_.counters(); }
 
@@ -46,9 +47,11 @@
   void apply(const ActivePointer& active, QueryActions actions);
   void send(const ActivePointer& active, const SendAction& action);
   void onOutcome(const ActivePointer& active, const SendAction& action, const LeafOutcome& outcome);
-  void answer(const ActivePointer& active, const QueryAnswer& answer);
+  void answer(const ActivePointer& active, const FinalAnswer& answer);
   void armTimer(const ActivePointer& active);
-  std::size_t connectionShare(const std::string& service) const;
+  std::size_t connectionsTo(const std::string& service) const;
+  /// The leafs that this daemon uses, for each service.
+  LeafsByService ownLeafs();
 
   boost::asio::io_context& context_;
   const HeaderNames& names_;
@@ -57,9 +60,10 @@
   LeafRegistry& leafs_;
   LeafPool pool_;
   std::shared_ptr<const ServingView> view_;
-  std::unordered_map<std::string, unsigned> maximumConnections_;
+  Endpoint self_;
+  std::unordered_map<std::string, ConnectionShare> shares_;
   std::size_t daemonCount_ = 12;
   RequestCounters counters_;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/protocol/serving/caller_messages.cpp
+++ b/src/protocol/serving/caller_messages.cpp
@@ -7,7 +7,7 @@
 
 #include "protocol/serving/hop_headers.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -69,7 +69,7 @@
 
 }  // namespace
 
-HttpReply replyFor(const QueryAnswer& answer, const std::string& requestId, const HeaderNames& names) {
+HttpReply replyFor(const FinalAnswer& answer, const std::string& requestId, const HeaderNames& names) {
   HttpReply reply = std::visit(ReplyBuilder{names}, answer);
   if (findHeader(reply.headers, names.requestId) == nullptr) {
     reply.headers.push_back({names.requestId, requestId});
@@ -108,4 +108,4 @@
   return bytes;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/protocol/serving/caller_messages.h
+++ b/src/protocol/serving/caller_messages.h
@@ -8,10 +8,10 @@
 #include "protocol/serving/header_names.h"
 #include "state/serving/http_message.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// The reply that tells a caller the answer to its query.
-HttpReply replyFor(const QueryAnswer& answer, const std::string& requestId, const HeaderNames& names);
+HttpReply replyFor(const FinalAnswer& answer, const std::string& requestId, const HeaderNames& names);
 
 /// A reply of the gateway's own with a short text body.
 HttpReply ownReply(unsigned status, const std::string& text);
@@ -22,4 +22,4 @@
 /// The bytes of a reply. `close`: the connection ends with it. `isHead`: the body is left out.
 std::string serialize(const HttpReply& reply, bool close, bool isHead);
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/protocol/serving/header_names.h
+++ b/src/protocol/serving/header_names.h
@@ -5,7 +5,7 @@
 
 #include <string>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct HeaderNames {
   /// Identifies one request of a caller; leafs return it.
@@ -26,4 +26,4 @@
   std::string missingParts = "Oakpier-Missing-Parts";
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/protocol/serving/hop_headers.cpp
+++ b/src/protocol/serving/hop_headers.cpp
@@ -5,7 +5,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -38,4 +38,4 @@
   return result.ec == std::errc() && result.ptr == text.data() + text.size();
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/protocol/serving/leaf_messages.cpp
+++ b/src/protocol/serving/leaf_messages.cpp
@@ -6,7 +6,7 @@
 
 #include "protocol/serving/hop_headers.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -115,4 +115,4 @@
   return std::nullopt;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/protocol/serving/leaf_messages.h
+++ b/src/protocol/serving/leaf_messages.h
@@ -11,7 +11,7 @@
 #include "state/serving/http_message.h"
 #include "state/time.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// The part of a caller's request that every leaf gets alike, serialized once.
 class LeafRequestTemplate {
@@ -40,4 +40,4 @@
 /// How long the leaf keeps an idle connection, if the reply tells.
 std::optional<Duration> idleTimeoutOf(const HttpReply& reply);
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/protocol/serving/source_dialect.h
+++ b/src/protocol/serving/source_dialect.h
@@ -9,7 +9,7 @@
 #include "coordination/serving/source_records.h"
 #include "state/serving/http_message.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 class SourceDialect {
  public:
@@ -20,4 +20,4 @@
   virtual SourceStatement interpret(const SourceRecord& record) const = 0;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/state/serving/http_message.cpp
+++ b/src/state/serving/http_message.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cctype>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 bool sameHeaderName(std::string_view left, std::string_view right) {
   const auto sameLetter = [](unsigned char one, unsigned char other) {
@@ -21,4 +21,4 @@
   return nullptr;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/state/serving/http_message.h
+++ b/src/state/serving/http_message.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct Header {
   std::string name;
@@ -36,4 +36,4 @@
 /// The first header of that name; null when there is none.
 const std::string* findHeader(const HeaderList& headers, std::string_view name);
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/state/serving/leaf_directory.h
+++ b/src/state/serving/leaf_directory.h
@@ -13,7 +13,7 @@
 #include "state/serving/serving_configuration.h"
 #include "state/time.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// One incarnation of a leaf; a restarted leaf has another id.
 struct LeafEntry {
@@ -44,4 +44,4 @@
   std::shared_ptr<const LeafsByService> leafs;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/state/serving/route_table.cpp
+++ b/src/state/serving/route_table.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cctype>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -43,4 +43,4 @@
   return nullptr;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/state/serving/route_table.h
+++ b/src/state/serving/route_table.h
@@ -8,7 +8,7 @@
 
 #include "state/serving/serving_configuration.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// Immutable. Refers to the routes of the configuration it was built from, which must outlive it.
 class RouteTable {
@@ -22,4 +22,4 @@
   std::unordered_map<std::string, const Route*> routes_;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/state/serving/serving_configuration.cpp
+++ b/src/state/serving/serving_configuration.cpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -91,4 +91,4 @@
   return ConfigurationCheck(configuration).run();
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/state/serving/serving_configuration.h
+++ b/src/state/serving/serving_configuration.h
@@ -10,7 +10,7 @@
 
 #include "state/time.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// One of several services that share the requests of a route in proportion to their weights.
 struct WeightedService {
@@ -75,4 +75,4 @@
 /// Every reason, in plain words, why the configuration cannot be used; empty when it can.
 std::vector<std::string> problemsOf(const ServingConfiguration& configuration);
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/http_service.cpp
+++ b/src/transport/serving/http_service.cpp
@@ -6,7 +6,7 @@
 #include "transport/serving/http_session.h"
 #include "transport/serving/socket_options.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -79,4 +79,4 @@
   }
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/http_service.h
+++ b/src/transport/serving/http_service.h
@@ -16,7 +16,7 @@
 #include "state/serving/serving_configuration.h"
 #include "state/time.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 class HttpSession;
 
@@ -74,4 +74,4 @@
   bool closing_ = false;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/http_session.cpp
+++ b/src/transport/serving/http_session.cpp
@@ -7,7 +7,7 @@
 #include "protocol/serving/caller_messages.h"
 #include "transport/serving/socket_options.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace http = boost::beast::http;
 
@@ -262,4 +262,4 @@
   socket_.close(ignored);
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/http_session.h
+++ b/src/transport/serving/http_session.h
@@ -14,7 +14,7 @@
 
 #include "transport/serving/http_service.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
@@ -62,4 +62,4 @@
   std::function<void()> onGone_;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/leaf_connection.cpp
+++ b/src/transport/serving/leaf_connection.cpp
@@ -5,7 +5,7 @@
 
 #include "transport/serving/socket_options.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -139,4 +139,4 @@
   }
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/leaf_connection.h
+++ b/src/transport/serving/leaf_connection.h
@@ -12,7 +12,7 @@
 #include "state/time.h"
 #include "transport/serving/reply_reader.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 class LeafConnection : public std::enable_shared_from_this<LeafConnection> {
  public:
@@ -66,4 +66,4 @@
   Moment idleUntil_ = kNever;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -6,7 +6,7 @@
 
 #include "transport/steady_clock.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -110,8 +110,11 @@
     start(channel, free, std::move(order));
   }
   auto& connections = channel->connections;
+  std::size_t surplus = connections.size() > channel->maximum ? connections.size() - channel->maximum : 0;
   const auto stale = [&](const std::shared_ptr<LeafConnection>& connection) {
-    const bool expired = connection->idle() && (channel->retired || !connection->usableUntil(now));
+    const bool unwanted = channel->retired || !connection->usableUntil(now) || surplus > 0;
+    const bool expired = connection->idle() && unwanted;
+    surplus -= expired && surplus > 0 ? 1 : 0;
     if (expired) {
       connection->close();
     }
@@ -284,4 +287,4 @@
   }
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -15,7 +15,7 @@
 #include "protocol/serving/leaf_messages.h"
 #include "transport/serving/leaf_connection.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 struct LeafPoolCounters {
   std::uint64_t exchanges = 0;
@@ -77,4 +77,4 @@
   LeafPoolCounters counters_;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/reply_reader.cpp
+++ b/src/transport/serving/reply_reader.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace http = boost::beast::http;
 
@@ -76,4 +76,4 @@
   return reply;
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/reply_reader.h
+++ b/src/transport/serving/reply_reader.h
@@ -10,7 +10,7 @@
 
 #include "state/serving/http_message.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 class ReplyReader {
  public:
@@ -42,4 +42,4 @@
   bool keepsConnection_ = false;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/socket_options.cpp
+++ b/src/transport/serving/socket_options.cpp
@@ -2,7 +2,7 @@
 
 #include <netinet/tcp.h>
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -23,4 +23,4 @@
   return {boost::asio::ip::make_address_v4(endpoint.ip(), ignored), endpoint.port()};
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/socket_options.h
+++ b/src/transport/serving/socket_options.h
@@ -6,7 +6,7 @@
 
 #include "state/endpoint.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 /// No delay for small writes; a peer that is silent for seconds counts as gone. Failures are ignored, since
 /// the connection then only notices later.
@@ -14,4 +14,4 @@
 
 boost::asio::ip::tcp::endpoint toAsio(const Endpoint& endpoint);
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/source_client.cpp
+++ b/src/transport/serving/source_client.cpp
@@ -5,7 +5,7 @@
 
 #include "transport/serving/socket_options.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 namespace {
 
@@ -116,4 +116,4 @@
   callback(std::move(reply));
 }
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
--- a/src/transport/serving/source_client.h
+++ b/src/transport/serving/source_client.h
@@ -14,7 +14,7 @@
 #include "state/time.h"
 #include "transport/serving/reply_reader.h"
 
-namespace oakpier {
+namespace oakpier::serving {
 
 class SourceClient {
  public:
@@ -40,4 +40,4 @@
   Callback callback_;
 };
 
-}  // namespace oakpier
+}  // namespace oakpier::serving
