Test the gateway: units, properties and raw peers on loopback

Cause: the thin path had no tests of its own. Found: the Keep-Alive header's time was never read (test failed first; mended).

--- a/src/protocol/serving/caller_messages.cpp
+++ b/src/protocol/serving/caller_messages.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
@@ -97,7 +99,9 @@
   for (const Header& header : reply.headers) {
     bytes.append(header.name).append(": ").append(header.value).append("\r\n");
   }
-  bytes.append("Content-Length: ").append(std::to_string(reply.body.size())).append("\r\n");
+  if (reply.status != kNoContent && reply.status != kNotModified) {
+    bytes.append("Content-Length: ").append(std::to_string(reply.body.size())).append("\r\n");
+  }
   if (close) {
     bytes.append("Connection: close\r\n");
   }
--- a/src/protocol/serving/leaf_messages.cpp
+++ b/src/protocol/serving/leaf_messages.cpp
@@ -1,6 +1,5 @@
 #include "protocol/serving/leaf_messages.h"
 
-#include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 #include <utility>
 
@@ -11,6 +10,7 @@
 namespace {
 
 constexpr unsigned kMisdirected = 421;
+constexpr std::string_view kTimeoutParameter = "timeout=";
 
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
@@ -105,12 +105,11 @@
   if (text == nullptr) {
     return std::nullopt;
   }
-  for (const auto& parameter : boost::beast::http::param_list{"; " + *text}) {
-    unsigned seconds = 0;
-    const std::string_view value(parameter.second.data(), parameter.second.size());
-    if (parameter.first == "timeout" && parseNumber(value, seconds)) {
-      return std::chrono::seconds(seconds);
-    }
+  const std::size_t place = text->find(kTimeoutParameter);
+  unsigned seconds = 0;
+  if (place != std::string::npos &&
+      parseNumber(std::string_view(*text).substr(place + kTimeoutParameter.size()), seconds)) {
+    return std::chrono::seconds(seconds);
   }
   return std::nullopt;
 }
--- /dev/null
+++ b/tests/serving/coordination/leaf_knowledge_test.cpp
@@ -0,0 +1,94 @@
+#include <catch2/catch.hpp>
+
+#include "coordination/serving/leaf_selection.h"
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+constexpr Duration kUsual = std::chrono::milliseconds(20);
+
+}  // namespace
+
+TEST_CASE("a leaf that is overdue with an answer is avoided until it answers", "[serving]") {
+  LeafRegistry registry;
+  registry.reconcile(leafsOf({"s"}, 2), at(0));
+  const auto& leafs = registry.leafsOf("s");
+  RandomEngine random(1);
+  const std::vector<std::string> tried;
+  const std::string zone = "a";
+  const SelectionRequest request{tried, kUsual, zone};
+  leafs[0]->onStarted(1, kUsual, at(0));
+  REQUIRE(leafs[0]->stalledFor(at(10)).count() <= 0);
+  REQUIRE(leafs[0]->stalledFor(at(50)) == std::chrono::milliseconds(30));
+  for (int repeat = 0; repeat < 20; ++repeat) {
+    REQUIRE(selectLeaf(leafs, request, random, at(50)) == leafs[1]);
+  }
+  leafs[0]->onFinished(1, LeafOutcome::Kind::kAnswered, at(60));
+  REQUIRE(leafs[0]->stalledFor(at(60)).count() == 0);
+}
+
+TEST_CASE("a leaf that cannot be reached is the last choice, yet still a choice", "[serving]") {
+  LeafRegistry registry;
+  registry.reconcile(leafsOf({"s"}, 2), at(0));
+  const auto& leafs = registry.leafsOf("s");
+  RandomEngine random(1);
+  const std::string zone = "a";
+  leafs[0]->onStarted(1, kUsual, at(0));
+  leafs[0]->onFinished(1, LeafOutcome::Kind::kNotSent, at(1));
+  REQUIRE(leafs[0]->ejected(at(2)));
+  REQUIRE(selectLeaf(leafs, {{}, kUsual, zone}, random, at(2)) == leafs[1]);
+  const std::vector<std::string> tried{leafs[1]->entry().id};
+  REQUIRE(selectLeaf(leafs, {tried, kUsual, zone}, random, at(2)) == leafs[0]);
+  REQUIRE_FALSE(leafs[0]->ejected(at(5000)));
+}
+
+TEST_CASE("a draining, vanished or replaced leaf gets nothing", "[serving]") {
+  LeafRegistry registry;
+  LeafsByService directory = leafsOf({"s"}, 3);
+  registry.reconcile(directory, at(0));
+  const auto before = registry.leafsOf("s");
+  before[2]->onStarted(1, kUsual, at(0));
+  before[2]->onFinished(1, LeafOutcome::Kind::kWrongInstance, at(1));
+  directory["s"][0].draining = true;
+  directory["s"].erase(directory["s"].begin() + 1);
+  registry.reconcile(directory, at(2));
+  RandomEngine random(1);
+  const std::string zone = "a";
+  REQUIRE(selectLeaf(registry.leafsOf("s"), {{}, kUsual, zone}, random, at(3)) == nullptr);
+  REQUIRE_FALSE(before[1]->usable());
+}
+
+TEST_CASE("what is known of a leaf survives a new directory", "[serving]") {
+  LeafRegistry registry;
+  registry.reconcile(leafsOf({"s"}, 1), at(0));
+  const auto leaf = registry.leafsOf("s").front();
+  leaf->onStarted(1, kUsual, at(0));
+  registry.reconcile(leafsOf({"s", "t"}, 1), at(1));
+  REQUIRE(registry.leafsOf("s").front() == leaf);
+  REQUIRE(leaf->inProgress() == 1);
+}
+
+TEST_CASE("extra sends never exceed the share of requests and what may be saved", "[serving]") {
+  OAKPIER_PROPERTY("budget", [] {
+    const ExtraSendBounds bounds{*rc::gen::element(0.05, 0.2, 0.5), *rc::gen::element(1.0, 3.0)};
+    const auto steps = *rc::gen::container<std::vector<bool>>(300, rc::gen::arbitrary<bool>());
+    ExtraSendBudget budget;
+    double earned = 0;
+    double spent = 0;
+    for (const bool request : steps) {
+      if (request) {
+        budget.earn(bounds);
+        earned += bounds.ratio;
+      } else if (budget.spend()) {
+        spent += 1;
+      }
+      RC_ASSERT(spent <= earned + 1e-9);
+      RC_ASSERT(budget.tokens() <= bounds.saved);
+    }
+  });
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/coordination/query_test.cpp
@@ -0,0 +1,172 @@
+#include "coordination/serving/query.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+using Kind = LeafOutcome::Kind;
+
+std::string record(char letter) { return std::string(16, letter); }
+
+const std::vector<std::string> kShards{"s0", "s1", "s2", "s3"};
+
+}  // namespace
+
+TEST_CASE("an answer from all shards merges the greatest records at once", "[serving]") {
+  const auto view = viewOf({gatherRoute(kShards, 0.5)}, kShards, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  REQUIRE(started.sends.size() == 4);
+  QueryActions last;
+  char letter = 'a';
+  for (const SendAction& send : started.sends) {
+    query.onWritten(send.exchange);
+    last = query.onOutcome(send.exchange, outcomeOf(Kind::kAnswered, record(letter++)), at(10));
+  }
+  const auto& answer = std::get<MergedAnswer>(*last.answer);
+  REQUIRE(answer.records == record('d') + record('c') + record('b'));
+  REQUIRE(answer.signatures.size() == 4);
+  REQUIRE(answer.missingShards == 0);
+}
+
+TEST_CASE("near the target latency a query answers with the shards that are in", "[serving]") {
+  const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
+  QueryWorld world(view, 0);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  for (const SendAction& send : started.sends) {
+    query.onWritten(send.exchange);
+  }
+  for (std::size_t place = 0; place < 3; ++place) {
+    REQUIRE_FALSE(query.onOutcome(started.sends[place].exchange, outcomeOf(Kind::kAnswered), at(10)).answer);
+  }
+  REQUIRE_FALSE(query.onTime(at(100)).answer);
+  const QueryActions last = query.onTime(at(190));
+  REQUIRE(std::get<MergedAnswer>(*last.answer).missingShards == 1);
+  REQUIRE(last.abandons == std::vector<ExchangeId>{started.sends[3].exchange});
+}
+
+TEST_CASE("with too few shards a query waits, and ends without success at its deadline", "[serving]") {
+  const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 1);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(500));
+  const QueryActions started = query.start(at(0));
+  query.onWritten(started.sends[0].exchange);
+  query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kAnswered), at(10));
+  REQUIRE_FALSE(query.onTime(at(300)).answer);
+  REQUIRE(std::get<Failure>(*query.onTime(at(500)).answer).timedOut);
+}
+
+TEST_CASE("a stalled shard is asked at its other replica before the target is missed", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s0"}, 1.0)}, {"s0"}, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  query.onWritten(started.sends[0].exchange);
+  const Moment hedgeAt = query.nextDecisionAt();
+  REQUIRE(hedgeAt < at(190));
+  const QueryActions hedged = query.onTime(hedgeAt);
+  REQUIRE(hedged.sends.size() == 1);
+  REQUIRE(hedged.sends[0].leaf != started.sends[0].leaf);
+  const QueryActions last =
+      query.onOutcome(hedged.sends[0].exchange, outcomeOf(Kind::kAnswered, record('x')), at(120));
+  REQUIRE(std::get<MergedAnswer>(*last.answer).records == record('x'));
+}
+
+TEST_CASE("a request that no leaf could take is refused with a time to come back", "[serving]") {
+  const auto view = viewOf({singleRoute("s", false, 2)}, {"s"}, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  QueryActions actions = query.start(at(0));
+  while (!actions.answer) {
+    REQUIRE(actions.sends.size() == 1);
+    query.onWritten(actions.sends[0].exchange);
+    actions = query.onOutcome(actions.sends[0].exchange, outcomeOf(Kind::kNotExecuted), at(1));
+  }
+  REQUIRE(std::get<Refusal>(*actions.answer).retryAfter.count() > 0);
+}
+
+TEST_CASE("a leaf's own failure is passed on when nothing else is left", "[serving]") {
+  const auto view = viewOf({singleRoute("s", true, 1)}, {"s"}, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  query.onWritten(started.sends[0].exchange);
+  const auto last = query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kLeafFailed), at(5));
+  REQUIRE(std::get<ForwardedAnswer>(*last.answer).reply->status == 500);
+}
+
+TEST_CASE("promises of a query hold for any outcomes in any order", "[serving]") {
+  OAKPIER_PROPERTY("promises", [] {
+    const bool gather = *rc::gen::arbitrary<bool>();
+    const bool repeatable = gather || *rc::gen::arbitrary<bool>();
+    const auto attempts = *rc::gen::inRange<unsigned>(1, 4);
+    const auto replicas = *rc::gen::inRange<std::size_t>(0, 5);
+    Route route = gather ? gatherRoute(kShards, 0.5) : singleRoute("s0", repeatable, attempts);
+    route.attempts = attempts;
+    const auto view = viewOf({route}, kShards, replicas);
+    QueryWorld world(view, *rc::gen::element(0.0, 1.0, 50.0));
+    Query query(view, view->configuration->routes[0], *world.context, at(0), at(600));
+
+    std::vector<SendAction> out;
+    std::map<std::string, std::set<std::string>> ranAt;
+    std::size_t mayHaveRun = 0;
+    std::size_t answers = 0;
+    std::optional<FinalAnswer> answer;
+    const auto take = [&](const QueryActions& actions) {
+      RC_ASSERT(answers == 0 || actions.sends.empty());
+      for (const SendAction& send : actions.sends) {
+        RC_ASSERT(repeatable || mayHaveRun == 0);
+        out.push_back(send);
+      }
+      if (actions.answer) {
+        ++answers;
+        answer = actions.answer;
+      }
+    };
+    int now = 0;
+    take(query.start(at(now)));
+    while (answers == 0) {
+      now += *rc::gen::inRange(1, 60);
+      if (out.empty() || *rc::gen::inRange(0, 3) == 0) {
+        take(query.onTime(at(now)));
+        RC_ASSERT(answers == 1 || now < 600);
+        continue;
+      }
+      const auto place = *rc::gen::inRange<std::size_t>(0, out.size());
+      const SendAction send = out[place];
+      out.erase(out.begin() + static_cast<std::ptrdiff_t>(place));
+      const Kind kind = *rc::gen::element(Kind::kAnswered, Kind::kLeafFailed, Kind::kNotExecuted,
+                                          Kind::kWrongInstance, Kind::kNoAnswer, Kind::kNotSent);
+      if (kind != Kind::kNotSent) {
+        query.onWritten(send.exchange);
+      }
+      const bool notRun = kind == Kind::kNotSent || kind == Kind::kNotExecuted || kind == Kind::kWrongInstance;
+      if (!notRun) {
+        ++mayHaveRun;
+        ranAt[send.leaf->entry().service].insert(send.leaf->entry().id);
+        RC_ASSERT(ranAt[send.leaf->entry().service].size() <= attempts);
+      }
+      take(query.onOutcome(send.exchange, outcomeOf(kind, record('r')), at(now)));
+    }
+    RC_ASSERT(answers == 1U);
+    if (std::holds_alternative<Refusal>(*answer)) {
+      RC_ASSERT(mayHaveRun == 0U);
+    }
+    if (const auto* merged = std::get_if<MergedAnswer>(&*answer)) {
+      RC_ASSERT(merged->signatures.size() + merged->missingShards == kShards.size());
+      RC_ASSERT(merged->signatures.size() >= 2U);
+    }
+    RC_ASSERT(query.onTime(at(now + 1000)).sends.empty());
+  });
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/coordination/source_test.cpp
@@ -0,0 +1,209 @@
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "coordination/serving/forwarding_tree.h"
+#include "coordination/serving/leaf_subset.h"
+#include "coordination/serving/serving_knowledge.h"
+#include "coordination/serving/source_reader.h"
+#include "coordination/serving/source_relay.h"
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+std::shared_ptr<const ServingConfiguration> configurationOf(std::uint64_t version) {
+  auto configuration = std::make_shared<ServingConfiguration>();
+  configuration->version = version;
+  return configuration;
+}
+
+SourcePage pageOf(std::uint64_t revision, bool more = false, const std::string& lastKey = "k") {
+  return SourcePage{{SourceRecord{lastKey, "", revision, false}}, more, revision};
+}
+
+SourceReader readerOf() { return SourceReader(SourceReaderSettings{}, RandomEngine(3)); }
+
+}  // namespace
+
+TEST_CASE("versions of the configuration never go back, whoever tells them", "[serving]") {
+  ServingKnowledge knowledge{KnowledgeSettings{}};
+  REQUIRE(knowledge.onConfiguration(configurationOf(5)).empty());
+  REQUIRE(knowledge.takeChangedView()->configuration->version == 5);
+  REQUIRE(knowledge.onConfiguration(configurationOf(4)).empty());
+  REQUIRE(knowledge.takeChangedView() == nullptr);
+  REQUIRE(knowledge.configurationVersion() == 5);
+  auto wrong = std::make_shared<ServingConfiguration>();
+  wrong->version = 9;
+  wrong->routes = {singleRoute("unknown", true, 1)};
+  REQUIRE_FALSE(knowledge.onConfiguration(wrong).empty());
+  REQUIRE(knowledge.configurationVersion() == 5);
+}
+
+TEST_CASE("a leaf that leaves by notice goes at once, one that vanishes a little later", "[serving]") {
+  ServingKnowledge knowledge{KnowledgeSettings{std::chrono::milliseconds(1000)}};
+  knowledge.onLeaf(leafEntry("one", "s", 1), 1);
+  LeafEntry draining = leafEntry("two", "s", 2);
+  draining.draining = true;
+  knowledge.onLeaf(draining, 2);
+  knowledge.onListing({"one", "two"}, 2, at(0));
+  knowledge.onLeafRemoved("two", 3, at(0));
+  REQUIRE(knowledge.leafCount() == 1);
+  knowledge.onLeafRemoved("one", 4, at(0));
+  REQUIRE(knowledge.leafCount() == 1);
+  REQUIRE(knowledge.nextRemovalAt() == at(1000));
+  SECTION("it comes back") {
+    REQUIRE(knowledge.onLeaf(leafEntry("one", "s", 1), 5));
+    knowledge.onTime(at(2000));
+    REQUIRE(knowledge.leafCount() == 1);
+  }
+  SECTION("old news of it does not bring it back") {
+    REQUIRE_FALSE(knowledge.onLeaf(leafEntry("one", "s", 1), 3));
+    knowledge.onTime(at(1000));
+    REQUIRE(knowledge.leafCount() == 0);
+  }
+}
+
+TEST_CASE("leafs that a listing does not name are gone, newer ones excepted", "[serving]") {
+  ServingKnowledge knowledge{KnowledgeSettings{Duration(0)}};
+  knowledge.onLeaf(leafEntry("old", "s", 1), 1);
+  knowledge.onLeaf(leafEntry("new", "s", 2), 9);
+  knowledge.onListing({}, 5, at(0));
+  REQUIRE(knowledge.leafCount() == 1);
+}
+
+TEST_CASE("a listing is followed by the changes since its first page", "[serving]") {
+  SourceReader reader = readerOf();
+  REQUIRE(reader.takeCall(at(0))->kind == SourceCall::Kind::kList);
+  REQUIRE_FALSE(reader.takeCall(at(0)));
+  reader.onPage(pageOf(10, true, "b"), at(1));
+  const auto second = reader.takeCall(at(1));
+  REQUIRE(second->afterKey == "b");
+  reader.onPage(pageOf(12), at(2));
+  REQUIRE(reader.listingComplete());
+  const auto changes = reader.takeCall(reader.nextCallAt());
+  REQUIRE(changes->kind == SourceCall::Kind::kChanges);
+  REQUIRE(changes->afterRevision == 10);
+}
+
+TEST_CASE("lost history means a new listing; failures make calls rarer up to a bound", "[serving]") {
+  SourceReader reader = readerOf();
+  reader.takeCall(at(0));
+  reader.onPage(pageOf(10), at(0));
+  Moment now = reader.nextCallAt();
+  REQUIRE(reader.takeCall(now));
+  reader.onFailure(SourceFailure::kHistoryGone, now);
+  for (int failures = 0; failures < 20; ++failures) {
+    REQUIRE(reader.nextCallAt() - now <= std::chrono::milliseconds(1000));
+    REQUIRE(reader.nextCallAt() - now >= std::chrono::milliseconds(75));
+    now = reader.nextCallAt();
+    REQUIRE(reader.takeCall(now)->kind == SourceCall::Kind::kList);
+    reader.onFailure(SourceFailure::kUnavailable, now);
+  }
+}
+
+TEST_CASE("news from another daemon puts off the own call until the next is overdue", "[serving]") {
+  SourceReader reader = readerOf();
+  reader.takeCall(at(0));
+  reader.onPage(pageOf(10), at(0));
+  const SourceReaderSettings settings;
+  reader.onNews(20, at(100), std::chrono::milliseconds(200));
+  REQUIRE(reader.nextCallAt() == at(300) + settings.pace + settings.wait);
+  REQUIRE(reader.takeCall(reader.nextCallAt())->afterRevision == 20);
+  reader.onNews(15, at(9000), {});
+  REQUIRE(reader.knownRevision() == 20);
+}
+
+TEST_CASE("every daemon gets forwarded news exactly once and passes it to few", "[serving]") {
+  OAKPIER_PROPERTY("tree", [] {
+    const auto count = *rc::gen::inRange<std::uint32_t>(1, 400);
+    std::vector<Endpoint> members;
+    for (std::uint32_t number = 0; number < count; ++number) {
+      members.emplace_back(number * 7 + 1, 1);
+    }
+    const Endpoint root = members[*rc::gen::inRange<std::size_t>(0, members.size())];
+    std::map<Endpoint, int> told;
+    for (const Endpoint& member : members) {
+      const auto children = forwardTo(members, root, member);
+      RC_ASSERT(children.size() <= kForwardingDegree);
+      for (const Endpoint& child : children) {
+        ++told[child];
+      }
+    }
+    RC_ASSERT(told.size() == members.size() - 1);
+    RC_ASSERT(told.count(root) == 0U);
+    for (const auto& [member, times] : told) {
+      RC_ASSERT(times == 1);
+    }
+  });
+}
+
+TEST_CASE("a daemon that misses news asks for everything and then knows it", "[serving]") {
+  const Endpoint one(1, 1);
+  const Endpoint other(2, 1);
+  SourceRelay reader(one);
+  SourceRelay receiver(other);
+  reader.setMembers({one, other});
+  receiver.setMembers({one, other});
+  reader.setFreshAt(at(1000));
+  reader.keep({"servers/x", "value", 7, false});
+  const auto sent = reader.onRead(5, 8, {{"servers/x", "value", 7, false}}, at(1100));
+  REQUIRE(sent.news.size() == 1);
+  const SourceNews news = sent.news[0].news;
+  REQUIRE(news.age_us() == 100'000);
+
+  SECTION("nothing is missing") {
+    const auto taken = receiver.onNews(one, news, 6, at(5000));
+    REQUIRE(taken.accepted);
+    REQUIRE(receiver.freshAt() == at(4900));
+  }
+  SECTION("something is missing") {
+    const auto refused = receiver.onNews(one, news, 3, at(5000));
+    REQUIRE_FALSE(refused.accepted);
+    REQUIRE(*refused.ask == one);
+    const auto whole = reader.everything(other, 8, at(1200));
+    REQUIRE(receiver.onNews(one, whole.news, 3, at(5100)).accepted);
+    REQUIRE(recordsOf(whole.news).size() == 1);
+  }
+  SECTION("it is older than what is known") { REQUIRE_FALSE(receiver.onNews(one, news, 9, at(5000)).accepted); }
+}
+
+TEST_CASE("news of one revision is forwarded once", "[serving]") {
+  std::vector<Endpoint> members;
+  for (std::uint32_t number = 1; number <= 30; ++number) {
+    members.emplace_back(number, 1);
+  }
+  SourceRelay relay(members[1]);
+  relay.setMembers(members);
+  SourceNews news;
+  news.set_after_revision(1);
+  news.set_revision(2);
+  news.set_reader(members[0].text());
+  REQUIRE(relay.onNews(members[0], news, 1, at(1)).news.size() == kForwardingDegree);
+  REQUIRE(relay.onNews(members[5], news, 2, at(2)).news.empty());
+}
+
+TEST_CASE("leafs' connections suffice for any number of daemons", "[serving]") {
+  OAKPIER_PROPERTY("subsets", [] {
+    const auto daemons = *rc::gen::inRange<std::uint32_t>(1, 200);
+    const std::size_t maximum = *rc::gen::element<std::size_t>(26, 70, 110);
+    // Enough leafs that every daemon can have two connections.
+    const std::size_t leafs = std::max<std::size_t>(2, daemons * 4 / maximum + 1);
+    const LeafsByService directory = leafsOf({"s"}, leafs);
+    const ConnectionShare share = shareOf(leafs, maximum, daemons);
+    std::map<std::string, std::size_t> connections;
+    for (std::uint32_t number = 0; number < daemons; ++number) {
+      const auto subset = chooseSubset(directory.at("s"), share.leafs, Endpoint(number + 1, 9));
+      RC_ASSERT(subset.size() >= 2U);
+      for (const LeafEntry& leaf : subset) {
+        connections[leaf.id] += share.connections;
+      }
+    }
+    for (const auto& [leaf, count] : connections) {
+      RC_ASSERT(count <= maximum);
+    }
+  });
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/platform/platform_test.cpp
@@ -0,0 +1,112 @@
+#include <catch2/catch.hpp>
+
+#include "platform/settings.h"
+#include "platform/store_dialect.h"
+
+namespace oakpier::serving::platform {
+
+namespace {
+
+const char* const kSettings = R"({
+  "node_name": "edge-a-1", "zone": "a", "ip": "10.1.0.9", "unknown": [1],
+  "bind_addresses": {"http": "10.1.0.9:8104", "readiness": "10.1.0.9:8108", "admin": "10.1.0.9:8106"},
+  "internal_port_range": [7380, 7395], "seeds": ["10.1.0.9:8106", "10.2.0.21:8106"],
+  "bounds": {"grace_s": 6, "retry_budget_ratio": 0.2, "budget_slack": 56},
+  "platform": {"address": "10.200.1.7:8102"}})";
+
+const char* const kConfiguration = R"({"version": 7, "routes": [
+  {"name": "g", "host": "h.example", "path_prefix": "/a/", "route_type": "idempotent", "timeout_ms": 800,
+   "target_latency_ms": 80, "priority": 2, "gather": ["s", "t"], "attempts": 2, "top_k": 5,
+   "min_success_ratio": 0.75},
+  {"name": "o", "host": "h.example", "path_prefix": "/b/", "route_type": "non_idempotent", "timeout_ms": 900,
+   "target_latency_ms": 90, "priority": 1, "service": "s", "attempts": 1},
+  {"name": "w", "host": "h.example", "path_prefix": "/c/", "route_type": "idempotent", "timeout_ms": 900,
+   "target_latency_ms": 90, "priority": 1, "backends": [{"service": "s", "weight": 1},
+   {"service": "t", "weight": 3}], "attempts": 1}],
+  "services": [{"name": "s", "max_connections": 26}, {"name": "t", "max_connections": 110}],
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
+             "idle_timeout_ms": 15000}})";
+
+HttpReply okReply(const std::string& body) {
+  HttpReply reply;
+  reply.status = 200;
+  reply.body = body;
+  return reply;
+}
+
+}  // namespace
+
+TEST_CASE("settings are read, fields that are not known passed over", "[platform]") {
+  const auto settings = std::get<GatewaySettings>(parseSettings(kSettings));
+  REQUIRE(settings.callerAddress.text() == "10.1.0.9:8104");
+  REQUIRE(settings.peerAddress.text() == "10.1.0.9:7380");
+  REQUIRE(settings.seeds[1].text() == "10.2.0.21:7380");
+  REQUIRE(settings.stopGrace == std::chrono::seconds(6));
+  REQUIRE(settings.extraSendSlack == 56);
+}
+
+TEST_CASE("settings that cannot be used say why", "[platform]") {
+  REQUIRE_FALSE(std::get<SettingsError>(parseSettings("{")).text.empty());
+  REQUIRE(std::get<SettingsError>(parseSettings("{}")).text.find("node_name") != std::string::npos);
+  std::string wrong = kSettings;
+  wrong.replace(wrong.find("10.200.1.7:8102"), 15, "store.example:1");
+  REQUIRE(std::get<SettingsError>(parseSettings(wrong)).text.find("store.example:1") != std::string::npos);
+}
+
+TEST_CASE("configurations and leaf entries are understood", "[platform]") {
+  const StoreDialect dialect;
+  const auto configuration =
+      std::get<ServingConfiguration>(dialect.interpret({"op/config", kConfiguration, 1, false}));
+  REQUIRE(configuration.version == 7);
+  REQUIRE(problemsOf(configuration).empty());
+  const auto& gather = std::get<GatherTarget>(configuration.routes[0].target);
+  REQUIRE(gather.shards.size() == 2);
+  REQUIRE(gather.topRecords == 5);
+  REQUIRE(configuration.routes[0].repeatable);
+  REQUIRE_FALSE(configuration.routes[1].repeatable);
+  REQUIRE(std::get<SingleTarget>(configuration.routes[2].target).services[1].weight == 3);
+  REQUIRE(configuration.limits.idleTimeout == std::chrono::seconds(15));
+
+  const auto leaf = std::get<LeafEntry>(
+      dialect.interpret({"servers/i-1",
+                         R"({"service":"s","address":"10.9.0.1:80","zone":"a","capacity":2,"state":"draining",
+                             "warmup_left_ms":1500,"sequence":4})",
+                         1, false}));
+  REQUIRE(leaf.id == "i-1");
+  REQUIRE(leaf.draining);
+  REQUIRE(leaf.warmupLeft == std::chrono::milliseconds(1500));
+  REQUIRE(std::get<LeafRemoval>(dialect.interpret({"servers/i-1", "", 2, true})).id == "i-1");
+  REQUIRE(std::holds_alternative<std::monostate>(dialect.interpret({"other/key", "x", 1, false})));
+  REQUIRE(std::holds_alternative<UnusableRecord>(dialect.interpret({"op/config", "{", 1, false})));
+  REQUIRE(std::holds_alternative<UnusableRecord>(dialect.interpret({"servers/i", "{}", 1, false})));
+}
+
+TEST_CASE("calls and answers of the store are spelt as it publishes them", "[platform]") {
+  const StoreDialect dialect;
+  const SourceCall list{SourceCall::Kind::kList, "a b/c", 0, {}};
+  const SourceCall changes{SourceCall::Kind::kChanges, "", 411, std::chrono::milliseconds(1500)};
+  REQUIRE(dialect.requestFor(list).target == "/kv-range?path_prefix=&after=a%20b/c");
+  REQUIRE(dialect.requestFor(changes).target == "/kv-watch?path_prefix=&after=411&wait_ms=1500");
+  const auto page = std::get<SourcePage>(dialect.decode(
+      list,
+      okReply(R"({"items":[{"tls_key":"k","value":"bm9kZS0x","revision":4,"created":4,"lease":0}],"more":true,
+                  "at":530})")));
+  REQUIRE(page.more);
+  REQUIRE(page.revision == 530);
+  REQUIRE(page.records[0].value == "node-1");
+  const auto events = std::get<SourcePage>(dialect.decode(
+      changes, okReply(R"({"events":[{"tls_key":"k","revision":5,"gone":true}],"at":531})")));
+  REQUIRE(events.records[0].gone);
+  const auto failureOf = [&](unsigned status) {
+    HttpReply reply;
+    reply.status = status;
+    return std::get<SourceFailure>(dialect.decode(changes, reply));
+  };
+  REQUIRE(failureOf(410) == SourceFailure::kHistoryGone);
+  REQUIRE(failureOf(429) == SourceFailure::kThrottled);
+  REQUIRE(failureOf(503) == SourceFailure::kUnavailable);
+  REQUIRE(failureOf(404) == SourceFailure::kNoAnswer);
+  REQUIRE(std::get<SourceFailure>(dialect.decode(changes, okReply("{}"))) == SourceFailure::kNoAnswer);
+}
+
+}  // namespace oakpier::serving::platform
--- /dev/null
+++ b/tests/serving/support/loopback.h
@@ -0,0 +1,124 @@
+#pragma once
+
+/// Raw peers on loopback that do exactly what a test says, driven by the same loop as the code under test.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "state/endpoint.h"
+
+namespace oakpier::serving {
+
+/// Runs the loop until the condition holds; fails when it does not within a generous bound.
+inline void runUntil(boost::asio::io_context& context, const std::function<bool()>& condition) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!condition()) {
+    REQUIRE(std::chrono::steady_clock::now() < end);
+    context.restart();
+    context.run_one_for(std::chrono::milliseconds(50));
+  }
+}
+
+/// Accepts connections; keeps all that each has received.
+class RawServer {
+ public:
+  struct Connection {
+    explicit Connection(boost::asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+    boost::asio::ip::tcp::socket socket;
+    std::string received;
+    bool ended = false;
+    char chunk[4096];
+
+    void write(const std::string& bytes) { boost::asio::write(socket, boost::asio::buffer(bytes)); }
+    void end() { socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
+    void reset() {
+      socket.set_option(boost::asio::socket_base::linger(true, 0));
+      socket.close();
+    }
+  };
+
+  explicit RawServer(boost::asio::io_context& context)
+      : acceptor_(context, {boost::asio::ip::address_v4::loopback(), 0}) {
+    accept();
+  }
+
+  Endpoint address() const { return Endpoint(0x7f000001, acceptor_.local_endpoint().port()); }
+  std::vector<std::shared_ptr<Connection>>& connections() { return connections_; }
+  std::size_t requests() const {
+    std::size_t count = 0;
+    for (const auto& connection : connections_) {
+      for (std::size_t place = connection->received.find("\r\n\r\n"); place != std::string::npos;
+           place = connection->received.find("\r\n\r\n", place + 1)) {
+        ++count;
+      }
+    }
+    return count;
+  }
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      connections_.push_back(std::make_shared<Connection>(std::move(socket)));
+      read(connections_.back());
+      accept();
+    });
+  }
+
+  static void read(const std::shared_ptr<Connection>& connection) {
+    connection->socket.async_read_some(
+        boost::asio::buffer(connection->chunk),
+        [connection](const boost::system::error_code& error, std::size_t count) {
+          connection->received.append(connection->chunk, count);
+          if (error) {
+            connection->ended = true;
+          } else {
+            read(connection);
+          }
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<Connection>> connections_;
+};
+
+/// One raw connection to a server under test.
+class RawClient {
+ public:
+  RawClient(boost::asio::io_context& context, const Endpoint& address)
+      : connection_(std::make_shared<RawServer::Connection>(boost::asio::ip::tcp::socket(context))) {
+    connection_->socket.connect({boost::asio::ip::address_v4::loopback(), address.port()});
+    read(connection_);
+  }
+
+  void write(const std::string& bytes) { connection_->write(bytes); }
+  void reset() { connection_->reset(); }
+  const std::string& received() const { return connection_->received; }
+  bool ended() const { return connection_->ended; }
+
+ private:
+  static void read(const std::shared_ptr<RawServer::Connection>& connection) {
+    connection->socket.async_read_some(
+        boost::asio::buffer(connection->chunk),
+        [connection](const boost::system::error_code& error, std::size_t count) {
+          connection->received.append(connection->chunk, count);
+          if (error) {
+            connection->ended = true;
+          } else {
+            read(connection);
+          }
+        });
+  }
+
+  std::shared_ptr<RawServer::Connection> connection_;
+};
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -0,0 +1,198 @@
+#include "transport/serving/leaf_pool.h"
+
+#include <catch2/catch.hpp>
+
+#include "serving/support/loopback.h"
+#include "serving/support/serving_fixtures.h"
+#include "transport/steady_clock.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+using Kind = LeafOutcome::Kind;
+
+struct PoolWorld {
+  PoolWorld() : server(context), pool(context, names) {
+    leaf = leafEntry("leaf-1", "s", 1);
+    leaf.address = server.address();
+  }
+
+  void send(ExchangeId exchange, const std::string& requestId, const std::string& body = "") {
+    HttpRequest request{"GET", "/x", {{"Host", "h"}, {names.requestId, requestId}}, body};
+    LeafPool::Order order;
+    order.exchange = exchange;
+    order.request = std::make_shared<const LeafRequestTemplate>(request, names);
+    order.deadline = steadyNow() + std::chrono::seconds(30);
+    order.listener.onWritten = [this] { ++written; };
+    order.listener.onOutcome = [this](const LeafOutcome& outcome) { outcomes.push_back(outcome); };
+    pool.send(leaf, 1, std::move(order));
+  }
+
+  std::string reply(const std::string& requestId, const std::string& body) const {
+    return "HTTP/1.1 200 OK\r\n" + names.requestId + ": " + requestId + "\r\n" + names.signature +
+           ": s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  void awaitRequests(std::size_t count) {
+    runUntil(context, [&] { return server.requests() >= count; });
+  }
+  void awaitOutcomes(std::size_t count) {
+    runUntil(context, [&] { return outcomes.size() >= count; });
+  }
+  RawServer::Connection& connection(std::size_t number) { return *server.connections().at(number); }
+
+  HeaderNames names;
+  boost::asio::io_context context;
+  RawServer server;
+  LeafPool pool;
+  LeafEntry leaf;
+  std::size_t written = 0;
+  std::vector<LeafOutcome> outcomes;
+};
+
+}  // namespace
+
+TEST_CASE("a connection is kept for the next request to the leaf", "[serving]") {
+  PoolWorld world;
+  for (ExchangeId exchange = 1; exchange <= 3; ++exchange) {
+    const std::string id = "id-" + std::to_string(exchange);
+    world.send(exchange, id);
+    world.awaitRequests(exchange);
+    world.connection(0).write(world.reply(id, "body"));
+    world.awaitOutcomes(exchange);
+    REQUIRE(world.outcomes.back().kind == Kind::kAnswered);
+  }
+  REQUIRE(world.server.connections().size() == 1);
+}
+
+TEST_CASE("a late second answer is not taken for the answer to the next request", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.awaitRequests(1);
+  world.connection(0).write(world.reply("one", "first"));
+  world.awaitOutcomes(1);
+  world.send(2, "two");
+  world.awaitRequests(2);
+  world.connection(0).write(world.reply("one", "again") + world.reply("two", "second"));
+  world.awaitOutcomes(2);
+  REQUIRE(world.outcomes[1].reply->body == "second");
+}
+
+TEST_CASE("bytes after a whole answer end the connection, not the answer", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.awaitRequests(1);
+  world.connection(0).write(world.reply("one", "first") + "surplus");
+  world.awaitOutcomes(1);
+  REQUIRE(world.outcomes[0].reply->body == "first");
+  world.send(2, "two");
+  world.awaitRequests(2);
+  REQUIRE(world.server.connections().size() == 2);
+}
+
+TEST_CASE("an answer without a length ends with its connection; a reset makes it incomplete", "[serving]") {
+  PoolWorld world;
+  const std::string head = "HTTP/1.1 200 OK\r\n" + world.names.requestId + ": one\r\n" +
+                           world.names.signature + ": s\r\n\r\nwhole";
+  SECTION("ended in order") {
+    world.send(1, "one");
+    world.awaitRequests(1);
+    world.connection(0).write(head);
+    world.connection(0).end();
+    world.awaitOutcomes(1);
+    REQUIRE(world.outcomes[0].reply->body == "whole");
+  }
+  SECTION("reset") {
+    world.send(1, "one");
+    world.awaitRequests(1);
+    world.connection(0).write(head);
+    world.connection(0).reset();
+    world.awaitOutcomes(1);
+    REQUIRE(world.outcomes[0].kind == Kind::kNoAnswer);
+  }
+}
+
+TEST_CASE("an answer cut short is no answer, and the request is never sent again", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.awaitRequests(1);
+  const std::string whole = world.reply("one", "0123456789");
+  world.connection(0).write(whole.substr(0, whole.size() - 4));
+  world.connection(0).end();
+  world.awaitOutcomes(1);
+  REQUIRE(world.outcomes[0].kind == Kind::kNoAnswer);
+  REQUIRE(world.server.requests() == 1);
+  REQUIRE(world.written == 1);
+}
+
+TEST_CASE("a kept connection that breaks under a request does not make it go out twice", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.awaitRequests(1);
+  world.connection(0).write(world.reply("one", ""));
+  world.awaitOutcomes(1);
+  world.send(2, "two");
+  world.awaitRequests(2);
+  world.connection(0).reset();
+  world.awaitOutcomes(2);
+  REQUIRE(world.outcomes[1].kind == Kind::kNoAnswer);
+  REQUIRE(world.server.requests() == 2);
+}
+
+TEST_CASE("bytes that are not an answer are no answer", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.awaitRequests(1);
+  world.connection(0).write("garbage garbage\r\n\r\n");
+  world.awaitOutcomes(1);
+  REQUIRE(world.outcomes[0].kind == Kind::kNoAnswer);
+}
+
+TEST_CASE("a leaf that refuses connections leaves the request unsent", "[serving]") {
+  PoolWorld world;
+  {
+    RawServer gone(world.context);
+    world.leaf.address = gone.address();
+  }
+  world.send(1, "one");
+  world.awaitOutcomes(1);
+  REQUIRE(world.outcomes[0].kind == Kind::kNotSent);
+  REQUIRE(world.written == 0);
+}
+
+TEST_CASE("a waiting request that is abandoned is never sent", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.send(2, "two");
+  world.awaitRequests(1);
+  world.pool.abandon(2);
+  REQUIRE(world.outcomes.size() == 1);
+  REQUIRE(world.outcomes[0].kind == Kind::kWithdrawn);
+  world.connection(0).write(world.reply("one", ""));
+  world.awaitOutcomes(2);
+  REQUIRE(world.server.requests() == 1);
+}
+
+TEST_CASE("an abandoned request that stays at work is cut off", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.awaitRequests(1);
+  world.pool.abandon(1);
+  runUntil(world.context, [&] { return world.connection(0).ended; });
+  REQUIRE(world.outcomes[0].kind == Kind::kWithdrawn);
+}
+
+TEST_CASE("an early answer to a request that is still being written ends the connection", "[serving]") {
+  PoolWorld world;
+  // Larger than the buffers of the connection, and the server does not read it to its end at first.
+  world.send(1, "one", std::string(32U << 20U, 'x'));
+  runUntil(world.context, [&] { return !world.server.connections().empty(); });
+  world.connection(0).write(world.reply("one", "early"));
+  world.awaitOutcomes(1);
+  REQUIRE(world.outcomes[0].reply->body == "early");
+  world.send(2, "two");
+  runUntil(world.context, [&] { return world.server.connections().size() == 2; });
+}
+
+}  // namespace oakpier::serving
