--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kHedgeRetry = std::chrono::milliseconds(10);
 /// A hedge is never sent sooner than this after the first send.
 constexpr Duration kShortestHedgeDelay = std::chrono::milliseconds(3);
+constexpr Duration kHedgeMargin = std::chrono::milliseconds(5);
 /// Leafs that turn a request away do not use up its attempts, but no more than this many are asked.
 constexpr std::size_t kMostSends = 6;
 
@@ -22,7 +23,7 @@
     : service_(std::move(service)), route_(route), context_(context) {}
 
 void PartExchange::start(Moment now, Moment hedgeBy, QueryActions& actions) {
-  context_.budgets.earn(service_);
+  context_.budgets.earn(service_, now);
   hedgeBy_ = hedgeBy;
   if (!send(now, actions)) {
     state_ = State::kExhausted;
@@ -45,13 +46,25 @@
   actions.sends.push_back(SendAction{attempt.exchange, leaf});
   attempts_.push_back(std::move(attempt));
   if (route_.repeatable) {
-    const Duration delay = std::max(kShortestHedgeDelay, latency.high());
-    const Moment latest = hedgeBy_ == kNever ? kNever : hedgeBy_ - latency.typical() * 2;
-    hedgeAt_ = std::max(now + latency.typical(), std::min(now + delay, latest));
+    hedgeAt_ = now + hedgeDelay(latency, now);
   }
   return true;
 }
 
+Duration PartExchange::hedgeDelay(const RouteLatency& latency, Moment now) {
+  const Duration early = std::max(kShortestHedgeDelay, latency.high());
+  if (hedgeBy_ == kNever) {
+    return early;
+  }
+  // The latest moment from which the other leaf can still be expected to answer in time.
+  const Duration late = hedgeBy_ - now - latency.high() - kHedgeMargin;
+  if (late <= early) {
+    return std::max(latency.typical(), late);
+  }
+  const double spent = 1.0 - context_.budgets.fill(service_);
+  return early + Duration(static_cast<std::int64_t>((late - early).count() * spent));
+}
+
 std::size_t PartExchange::countedAttempts() const {
   return static_cast<std::size_t>(std::count_if(attempts_.begin(), attempts_.end(), [](const Attempt& attempt) {
     return !(attempt.finished && attempt.knownNotRun);
@@ -73,7 +86,7 @@
   const bool mayArrive = std::any_of(attempts_.begin(), attempts_.end(), [](const Attempt& attempt) {
     return attempt.written || !attempt.finished;
   });
-  if (mayArrive && !context_.budgets.spend(service_)) {
+  if (mayArrive && !context_.budgets.spend(service_, now)) {
     return false;
   }
   return send(now, actions);
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -52,6 +52,8 @@
   };
 
   bool send(Moment now, QueryActions& actions);
+  /// Early while the budget is full, later the less is left of it.
+  Duration hedgeDelay(const RouteLatency& latency, Moment now);
   bool mayTryAgain() const;
   /// Sends again if that is allowed, and pays for it.
   bool sendAgain(Moment now, QueryActions& actions);
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -17,6 +17,11 @@
   const auto target = route.targetLatency.count();
   const auto share = Duration(static_cast<std::int64_t>(target * context.policy.answerMarginShare));
   answerBy_ = receivedAt + route.targetLatency - context.policy.answerMargin - share;
+  leafDeadline_ = deadline_;
+  if (isGather()) {
+    const auto useful = Duration(static_cast<std::int64_t>(target * context.policy.usefulFactor));
+    leafDeadline_ = std::min(deadline_, receivedAt + useful);
+  }
 }
 
 std::string Query::chooseService() const {
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -28,8 +28,9 @@
 
   /// When `onTime` is due.
   Moment nextDecisionAt() const;
-  /// A leaf request handed over now may be worked on until then.
-  Moment deadline() const { return deadline_; }
+  /// Leafs may work on their requests until then. Later answers of shards would be of little worth to the
+  /// caller, and the work would keep the leafs from newer requests.
+  Moment leafDeadline() const { return leafDeadline_; }
   bool finished() const { return finished_; }
   const Route& route() const { return route_; }
 
@@ -54,6 +55,7 @@
   const GatherTarget* gather_;
   QueryContext& context_;
   Moment deadline_;
+  Moment leafDeadline_;
   /// From then on a gather query answers as soon as enough shards are in.
   Moment answerBy_;
   std::vector<PartExchange> parts_;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -26,7 +26,7 @@
 /// Kept free before the process would be killed.
 constexpr Duration kStopReserve = std::chrono::milliseconds(300);
 /// Share of the bound on extra sends that is really used.
-constexpr double kExtraSendShare = 0.85;
+constexpr double kExtraSendShare = 0.9;
 /// Until the others had time to be found, this many daemons are assumed.
 constexpr std::size_t kUsualDaemons = 12;
 constexpr Duration kSettlingTime = std::chrono::seconds(4);
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -147,7 +147,7 @@
   order.exchange = action.exchange;
   order.request = active->request;
   order.rank = active->query->route().rank;
-  order.deadline = active->query->deadline();
+  order.deadline = active->query->leafDeadline();
   order.listener.onWritten = [active, action] { active->query->onWritten(action.exchange); };
   order.listener.onOutcome = [this, active, action, started = steadyNow()](const LeafOutcome& outcome) {
     const Moment now = steadyNow();
--- a/tests/serving/coordination/leaf_knowledge_test.cpp
+++ b/tests/serving/coordination/leaf_knowledge_test.cpp
@@ -73,16 +73,22 @@
 
 TEST_CASE("extra sends never exceed the share of requests and what may be saved", "[serving]") {
   OAKPIER_PROPERTY("budget", [] {
-    const ExtraSendBounds bounds{*rc::gen::element(0.05, 0.2, 0.5), *rc::gen::element(1.0, 3.0)};
-    const auto steps = *rc::gen::container<std::vector<bool>>(300, rc::gen::arbitrary<bool>());
+    const ExtraSendBounds bounds{*rc::gen::element(0.05, 0.2, 0.5), *rc::gen::element(0.0, 0.3),
+                                 *rc::gen::element(1.0, 3.0)};
+    const auto steps = *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 40));
     ExtraSendBudget budget;
     double earned = 0;
     double spent = 0;
-    for (const bool request : steps) {
-      if (request) {
-        budget.earn(bounds);
+    Moment now = at(1);
+    budget.earn(bounds, now);
+    earned += bounds.ratio;
+    for (const int step : steps) {
+      now += std::chrono::milliseconds(step);
+      earned += bounds.perSecond * step / 1000.0;
+      if (step % 2 == 0) {
+        budget.earn(bounds, now);
         earned += bounds.ratio;
-      } else if (budget.spend()) {
+      } else if (budget.spend(bounds, now)) {
         spent += 1;
       }
       RC_ASSERT(spent <= earned + 1e-9);
