Refuse at once what the leafs' queues make far too late

Change: the expected answer time from leafs' speed and queues decides, shards that an answer may lack left out; the time to come back is the time by which the answer would be late.

--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -16,14 +16,18 @@
 
 }  // namespace
 
-Duration expectedLatency(const LeafStatus& leaf, const SelectionRequest& request, Moment now) {
+Duration queueingLatency(const LeafStatus& leaf, Duration typicalLatency, Moment now) {
   const double slots = std::max(1U, leaf.entry().slots);
   const double waiting = std::max(0.0, leaf.queueLength(now) + 1.0 - slots);
   double factor = leaf.slowness() * (1.0 + waiting / slots);
   if (leaf.warmingUp(now)) {
     factor *= kWarmupFactor;
   }
-  auto expected = Duration(static_cast<std::int64_t>(request.typicalLatency.count() * factor));
+  return Duration(static_cast<std::int64_t>(typicalLatency.count() * factor));
+}
+
+Duration expectedLatency(const LeafStatus& leaf, const SelectionRequest& request, Moment now) {
+  Duration expected = queueingLatency(leaf, request.typicalLatency, now);
   if (leaf.entry().zone != request.ownZone) {
     expected += kOtherZonePenalty;
   }
--- a/src/coordination/serving/leaf_selection.h
+++ b/src/coordination/serving/leaf_selection.h
@@ -20,7 +20,10 @@
   const std::string& ownZone;
 };
 
-/// The expected time to an answer, with penalties for what makes one doubtful.
+/// The time to an answer that the leaf's speed and queue let expect.
+Duration queueingLatency(const LeafStatus& leaf, Duration typicalLatency, Moment now);
+
+/// The same, with penalties for what makes an answer doubtful or costly.
 Duration expectedLatency(const LeafStatus& leaf, const SelectionRequest& request, Moment now);
 
 /// Null when no usable leaf is left.
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -4,6 +4,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "coordination/serving/admission.h"
 #include "protocol/serving/caller_messages.h"
 #include "protocol/serving/hop_headers.h"
 #include "transport/steady_clock.h"
@@ -109,6 +110,11 @@
     writer.write(ownReply(kNotFound, "no route for this host and path"));
     return nullptr;
   }
+  if (const auto refusal = refuseWhenBusy(*route, queryContext_, now)) {
+    ++counters_.refused;
+    writer.write(refusalReply(refusal->retryAfter, "not run: the leafs are too busy"));
+    return nullptr;
+  }
   Moment deadline = now + route->timeout;
   std::uint64_t milliseconds = 0;
   const std::string* told = findHeader(request.headers, names_.deadline);
--- /dev/null
+++ b/tests/serving/coordination/admission_test.cpp
@@ -0,0 +1,54 @@
+#include "coordination/serving/admission.h"
+
+#include <catch2/catch.hpp>
+
+#include "serving/support/serving_fixtures.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+void occupy(const LeafRegistry& leafs, const std::string& service, std::size_t requests) {
+  for (const auto& leaf : leafs.leafsOf(service)) {
+    for (std::size_t number = 0; number < requests; ++number) {
+      leaf->onStarted(number + 1, std::chrono::milliseconds(60), at(0));
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a request whose answer would come far too late is refused at once", "[serving]") {
+  const auto view = viewOf({singleRoute("s", true, 2)}, {"s"}, 2);
+  QueryWorld world(view);
+  const Route& route = view->configuration->routes[0];
+  REQUIRE_FALSE(refuseWhenBusy(route, *world.context, at(1)));
+  occupy(world.registry, "s", 40);
+  const auto refusal = refuseWhenBusy(route, *world.context, at(1));
+  REQUIRE(refusal);
+  REQUIRE(refusal->retryAfter >= world.context->policy.retryAfter);
+  REQUIRE(refusal->retryAfter <= std::chrono::seconds(1));
+}
+
+TEST_CASE("busy shards that an answer may lack do not lead to a refusal", "[serving]") {
+  const std::vector<std::string> shards{"s0", "s1", "s2", "s3"};
+  const auto view = viewOf({gatherRoute(shards, 0.75)}, shards, 2);
+  QueryWorld world(view);
+  const Route& route = view->configuration->routes[0];
+  occupy(world.registry, "s0", 40);
+  REQUIRE_FALSE(refuseWhenBusy(route, *world.context, at(1)));
+  occupy(world.registry, "s1", 40);
+  REQUIRE(refuseWhenBusy(route, *world.context, at(1)));
+}
+
+TEST_CASE("a service without a reachable leaf is tried, not refused as busy", "[serving]") {
+  const auto view = viewOf({singleRoute("s", true, 2)}, {"s"}, 1);
+  QueryWorld world(view);
+  const auto leaf = world.registry.leafsOf("s").front();
+  leaf->onStarted(1, std::chrono::milliseconds(10), at(0));
+  leaf->onFinished(1, LeafOutcome::Kind::kNotSent, at(0));
+  REQUIRE(leaf->ejected(at(1)));
+  REQUIRE_FALSE(refuseWhenBusy(view->configuration->routes[0], *world.context, at(1)));
+}
+
+}  // namespace oakpier::serving
