Never believe less than the source held at the known revision

Found five ways to lose or revive a leaf: news left out records its sender had learnt elsewhere; news cleared the ids of a listing in progress; a listing's end dropped leafs that news had brought; a late page revived a removed leaf; a whole answer held leafs that a listing had dropped. Change: the control thread's decisions move to SourceFollower (no socket), listings are taken over whole, old pages are passed over.

--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -39,9 +39,7 @@
   if (found == leafs_.end() || found->second.revision >= revision) {
     return false;
   }
-  KnownLeaf& known = found->second;
-  known.revision = revision;
-  known.removeAt = known.entry.draining ? now : now + settings_.removalDelay;
+  beginRemoval(found->second, revision, now);
   onTime(now);
   return true;
 }
@@ -51,15 +49,17 @@
   changed_ = changed_ || !listed_;
   listed_ = true;
   const std::set<std::string> listed(listedIds.begin(), listedIds.end());
-  std::vector<std::string> missing;
-  for (const auto& [id, leaf] : leafs_) {
+  for (auto& [id, leaf] : leafs_) {
     if (listed.count(id) == 0 && leaf.revision <= revision && leaf.removeAt == kNever) {
-      missing.push_back(id);
+      beginRemoval(leaf, revision, now);
     }
   }
-  for (const std::string& id : missing) {
-    onLeafRemoved(id, revision + 1, now);
-  }
+  onTime(now);
+}
+
+void ServingKnowledge::beginRemoval(KnownLeaf& leaf, std::uint64_t revision, Moment now) {
+  leaf.revision = revision;
+  leaf.removeAt = leaf.entry.draining ? now : now + settings_.removalDelay;
 }
 
 void ServingKnowledge::onTime(Moment now) {
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -51,6 +51,8 @@
     Moment removeAt = kNever;
   };
 
+  void beginRemoval(KnownLeaf& leaf, std::uint64_t revision, Moment now);
+
   KnowledgeSettings settings_;
   std::shared_ptr<const ServingConfiguration> configuration_;
   std::shared_ptr<const RouteTable> routes_;
--- /dev/null
+++ b/src/coordination/serving/source_follower.cpp
@@ -0,0 +1,164 @@
+#include "coordination/serving/source_follower.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace oakpier::serving {
+
+SourceFollower::SourceFollower(const Endpoint& self, const FollowerSettings& settings, Interpreter interpret,
+                               RandomEngine random)
+    : settings_(settings),
+      interpret_(std::move(interpret)),
+      reader_(settings.reader, random),
+      knowledge_(settings.knowledge),
+      relay_(self) {}
+
+std::optional<SourceCall> SourceFollower::takeCall(Moment now) {
+  const auto call = reader_.takeCall(now);
+  counters_.calls += call ? 1 : 0;
+  return call;
+}
+
+Moment SourceFollower::nextDueAt() const { return std::min(reader_.nextCallAt(), knowledge_.nextRemovalAt()); }
+
+FollowerActions SourceFollower::onAnswer(const SourceCall& call, const SourceAnswer& answer, Moment now) {
+  FollowerActions actions;
+  if (const auto* failure = std::get_if<SourceFailure>(&answer)) {
+    ++counters_.failures;
+    reader_.onFailure(*failure, now);
+  } else {
+    onPage(call, std::get<SourcePage>(answer), now, actions);
+  }
+  return actions;
+}
+
+void SourceFollower::onPage(const SourceCall& call, const SourcePage& page, Moment now,
+                            FollowerActions& actions) {
+  if (call.kind == SourceCall::Kind::kChanges) {
+    // News may have told more meanwhile; then the page is old and could bring back what is gone.
+    if (page.revision >= reader_.knownRevision()) {
+      const std::vector<SourceRecord> newest = newestOf(page.records);
+      takeOver(newest, now, actions);
+      relay_.setFreshAt(now);
+      actions.news = relay_.onRead(call.afterRevision, page.revision, newest, now).news;
+    }
+    reader_.onPage(page, now);
+    return;
+  }
+  if (call.afterKey.empty()) {
+    listing_.clear();
+    listingRevision_ = page.revision;
+  }
+  listing_.insert(listing_.end(), page.records.begin(), page.records.end());
+  const std::uint64_t knownBefore = reader_.knownRevision();
+  reader_.onPage(page, now);
+  if (!reader_.listingComplete()) {
+    return;
+  }
+  if (listingRevision_ >= knownBefore) {
+    takeOverListing(newestOf(listing_), listingRevision_, now, actions);
+    relay_.setFreshAt(now);
+  }
+  listing_.clear();
+}
+
+std::vector<SourceRecord> SourceFollower::newestOf(const std::vector<SourceRecord>& records) {
+  std::map<std::string, const SourceRecord*> newest;
+  for (const SourceRecord& record : records) {
+    const SourceRecord*& known = newest[record.key];
+    if (known == nullptr || known->revision <= record.revision) {
+      known = &record;
+    }
+  }
+  std::vector<SourceRecord> result;
+  for (const auto& [key, record] : newest) {
+    result.push_back(*record);
+  }
+  return result;
+}
+
+void SourceFollower::takeOverListing(const std::vector<SourceRecord>& records, std::uint64_t revision,
+                                     Moment now, FollowerActions& actions) {
+  std::vector<std::string> leafs;
+  std::set<std::string> keys;
+  for (const SourceRecord& record : records) {
+    keys.insert(record.key);
+    if (const auto leaf = takeOver(record, now, actions)) {
+      leafs.push_back(*leaf);
+    }
+    relay_.keep(record);
+  }
+  relay_.dropUnlisted(keys, revision);
+  knowledge_.onListing(leafs, revision, now);
+}
+
+void SourceFollower::takeOver(const std::vector<SourceRecord>& records, Moment now, FollowerActions& actions) {
+  for (const SourceRecord& record : records) {
+    takeOver(record, now, actions);
+    relay_.keep(record);
+  }
+}
+
+std::optional<std::string> SourceFollower::takeOver(const SourceRecord& record, Moment now,
+                                                    FollowerActions& actions) {
+  SourceStatement statement = interpret_(record);
+  if (auto* configuration = std::get_if<ServingConfiguration>(&statement)) {
+    takeOverConfiguration(std::move(*configuration), actions);
+  } else if (const auto* leaf = std::get_if<LeafEntry>(&statement)) {
+    knowledge_.onLeaf(*leaf, record.revision);
+    return leaf->id;
+  } else if (const auto* removal = std::get_if<LeafRemoval>(&statement)) {
+    knowledge_.onLeafRemoved(removal->id, record.revision, now);
+  } else if (const auto* unusable = std::get_if<UnusableRecord>(&statement)) {
+    actions.problems.push_back(unusable->problem);
+  }
+  return std::nullopt;
+}
+
+void SourceFollower::takeOverConfiguration(ServingConfiguration configuration, FollowerActions& actions) {
+  const std::uint64_t version = configuration.version;
+  const auto problems =
+      knowledge_.onConfiguration(std::make_shared<const ServingConfiguration>(std::move(configuration)));
+  for (const std::string& problem : problems) {
+    actions.problems.push_back("configuration " + std::to_string(version) + ": " + problem);
+  }
+  counters_.configurationsRefused += problems.empty() ? 0 : 1;
+}
+
+FollowerActions SourceFollower::onNews(const Endpoint& sender, const SourceNews& news, Moment now) {
+  FollowerActions actions;
+  RelayActions relayed = relay_.onNews(sender, news, reader_.knownRevision(), now);
+  if (relayed.accepted) {
+    ++counters_.newsAccepted;
+    if (news.whole()) {
+      takeOverListing(recordsOf(news), news.revision(), now, actions);
+    } else {
+      takeOver(recordsOf(news), now, actions);
+    }
+    reader_.onNews(news.revision(), relay_.freshAt(), stagger());
+  }
+  actions.news = std::move(relayed.news);
+  actions.ask = relayed.ask;
+  counters_.newsAsked += actions.ask ? 1 : 0;
+  return actions;
+}
+
+std::optional<OutgoingNews> SourceFollower::onNewsRequest(const Endpoint& sender, Moment now) const {
+  if (reader_.knownRevision() == 0) {
+    return std::nullopt;
+  }
+  return relay_.everything(sender, reader_.knownRevision(), now);
+}
+
+Duration SourceFollower::stagger() const {
+  const std::size_t place = relay_.place();
+  if (place == 0) {
+    return {};
+  }
+  return settings_.newsGrace +
+         settings_.staggerStep * static_cast<int>(std::min(place, settings_.mostStaggerSteps));
+}
+
+}  // namespace oakpier::serving
--- a/src/coordination/serving/source_relay.cpp
+++ b/src/coordination/serving/source_relay.cpp
@@ -49,6 +49,13 @@
   }
 }
 
+void SourceRelay::dropUnlisted(const std::set<std::string>& keys, std::uint64_t revision) {
+  for (auto record = records_.begin(); record != records_.end();) {
+    const bool dropped = keys.count(record->first) == 0 && record->second.revision <= revision;
+    record = dropped ? records_.erase(record) : std::next(record);
+  }
+}
+
 RelayActions SourceRelay::onRead(std::uint64_t afterRevision, std::uint64_t revision,
                                  const std::vector<SourceRecord>& records, Moment now) {
   RelayActions actions;
--- a/src/coordination/serving/source_relay.h
+++ b/src/coordination/serving/source_relay.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
 
   /// Keeps a record for daemons that ask.
   void keep(const SourceRecord& record);
+  /// Forgets records that a whole listing as of `revision` did not name, newer ones excepted.
+  void dropUnlisted(const std::set<std::string>& keys, std::uint64_t revision);
   /// When the source last said what is known here.
   Moment freshAt() const { return freshAt_; }
   void setFreshAt(Moment moment) { freshAt_ = moment; }
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -10,9 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/serving/serving_knowledge.h"
-#include "coordination/serving/source_reader.h"
-#include "coordination/serving/source_relay.h"
+#include "coordination/serving/source_follower.h"
 #include "programs/gateway/peer_link.h"
 #include "protocol/serving/source_dialect.h"
 #include "state/published.h"
@@ -20,13 +18,6 @@
 
 namespace oakpier::serving {
 
-struct SourceCounters {
-  std::uint64_t calls = 0;
-  std::uint64_t failures = 0;
-  std::uint64_t newsAccepted = 0;
-  std::uint64_t newsAsked = 0;
-};
-
 class SourceLoop {
  public:
   struct Handlers {
@@ -43,38 +34,26 @@
   void stop() { peers_.stop(); }
   void leave() { peers_.leave(); }
   void reload(const Endpoint& source, const std::vector<Endpoint>& seeds);
-  bool complete() const { return knowledge_.complete(); }
-  const SourceCounters& counters() const { return counters_; }
+  bool complete() const { return follower_.complete(); }
+  const FollowerCounters& counters() const { return follower_.counters(); }
 
  private:
   void schedule();
   void step();
-  void onReply(const SourceCall& call, const std::optional<HttpReply>& reply);
-  void onFailure(SourceFailure failure);
-  void onPage(const SourceCall& call, const SourcePage& page);
+  void onAnswer(const SourceCall& call, const SourceAnswer& answer);
   void onNews(const Endpoint& sender, const SourceNews& news);
   void onNewsRequest(const Endpoint& sender);
   void onMembers(const std::vector<Endpoint>& members);
-  /// Returns the records that changed anything.
-  std::vector<SourceRecord> takeOver(const std::vector<SourceRecord>& records);
-  bool takeOver(const SourceRecord& record);
-  bool takeOverConfiguration(ServingConfiguration configuration);
-  void carryOut(const RelayActions& actions);
+  void carryOut(const FollowerActions& actions);
   void publish();
-  Duration stagger() const;
 
   const SourceDialect& dialect_;
   Published<ServingView>& published_;
   Handlers handlers_;
   SourceClient client_;
-  SourceReader reader_;
-  ServingKnowledge knowledge_;
-  SourceRelay relay_;
+  SourceFollower follower_;
   PeerLink peers_;
   boost::asio::steady_timer timer_;
-  /// Ids of the leafs that the listing in progress has named so far.
-  std::vector<std::string> listedLeafs_;
-  SourceCounters counters_;
 };
 
 }  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/coordination/source_follower_test.cpp
@@ -0,0 +1,216 @@
+#include "coordination/serving/source_follower.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+/// A source that keeps its history, with leaf records only. A record's value is the leaf's service.
+class SourceModel {
+ public:
+  void put(const std::string& id) { change({"leaf/" + id, "s", ++revision_, false}); }
+  void remove(const std::string& id) { change({"leaf/" + id, "", ++revision_, true}); }
+
+  SourcePage answer(const SourceCall& call) const {
+    return call.kind == SourceCall::Kind::kList ? list(call.afterKey) : changes(call.afterRevision);
+  }
+
+  /// Ids that are listed and have not changed after that revision; and those removed up to it.
+  void check(std::uint64_t knownRevision, const std::set<std::string>& believed) const {
+    for (const auto& [key, record] : records_) {
+      const std::string id = key.substr(key.find('/') + 1);
+      if (record.revision <= knownRevision) {
+        RC_ASSERT((believed.count(id) != 0) == !record.gone);
+      }
+    }
+  }
+
+ private:
+  static constexpr std::size_t kPage = 3;
+
+  void change(const SourceRecord& record) {
+    records_[record.key] = record;
+    history_.push_back(record);
+  }
+
+  SourcePage list(const std::string& after) const {
+    SourcePage page;
+    page.revision = revision_;
+    for (const auto& [key, record] : records_) {
+      if (key <= after || record.gone) {
+        continue;
+      }
+      if (page.records.size() == kPage) {
+        page.more = true;
+        break;
+      }
+      page.records.push_back(record);
+    }
+    return page;
+  }
+
+  SourcePage changes(std::uint64_t after) const {
+    SourcePage page;
+    page.revision = revision_;
+    std::copy_if(history_.begin(), history_.end(), std::back_inserter(page.records),
+                 [&](const SourceRecord& record) { return record.revision > after; });
+    return page;
+  }
+
+  std::uint64_t revision_ = 1;
+  std::map<std::string, SourceRecord> records_;
+  std::vector<SourceRecord> history_;
+};
+
+SourceStatement interpret(const SourceRecord& record) {
+  const std::string id = record.key.substr(record.key.find('/') + 1);
+  if (record.gone) {
+    return LeafRemoval{id};
+  }
+  return leafEntry(id, record.value, 1);
+}
+
+/// Some daemons that follow one source and tell each other; calls and messages take their time or get lost.
+class FollowerWorld {
+ public:
+  explicit FollowerWorld(std::size_t daemons) {
+    for (std::uint32_t number = 0; number < daemons; ++number) {
+      members_.emplace_back(number + 1, 1);
+      FollowerSettings settings;
+      settings.knowledge.removalDelay = Duration(0);
+      daemons_.push_back(Daemon{SourceFollower(members_.back(), settings, interpret, RandomEngine(number)), {}, {}});
+    }
+  }
+
+  void step() {
+    now_ += Duration(std::chrono::milliseconds(*rc::gen::inRange(1, 400)));
+    const auto number = *rc::gen::inRange<std::size_t>(0, daemons_.size());
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        changeSource();
+        break;
+      case 1:
+        daemons_[number].follower.setMembers(*rc::gen::arbitrary<bool>() ? members_ : std::vector<Endpoint>{});
+        break;
+      case 2:
+        deliver(*rc::gen::inRange(0, 4) != 0);
+        break;
+      default:
+        advance(number);
+        break;
+    }
+    check();
+  }
+
+ private:
+  struct Daemon {
+    SourceFollower follower;
+    /// The call in progress and what the source said when it arrived there.
+    std::optional<std::pair<SourceCall, SourcePage>> call;
+    std::set<std::string> believed;
+  };
+  struct Message {
+    Endpoint from;
+    Endpoint to;
+    std::optional<SourceNews> news;
+  };
+
+  void changeSource() {
+    const std::string id(1, *rc::gen::inRange('a', 'k'));
+    if (*rc::gen::inRange(0, 3) == 0) {
+      source_.remove(id);
+    } else {
+      source_.put(id);
+    }
+  }
+
+  void advance(std::size_t number) {
+    Daemon& daemon = daemons_[number];
+    if (!daemon.call) {
+      if (const auto call = daemon.follower.takeCall(now_)) {
+        daemon.call = std::make_pair(*call, source_.answer(*call));
+      }
+      return;
+    }
+    const auto [call, page] = *daemon.call;
+    daemon.call.reset();
+    const int fate = *rc::gen::inRange(0, 6);
+    SourceAnswer answer = page;
+    if (fate == 0) {
+      answer = SourceFailure::kNoAnswer;
+    } else if (fate == 1) {
+      answer = SourceFailure::kHistoryGone;
+    }
+    send(number, daemon.follower.onAnswer(call, answer, now_));
+  }
+
+  void send(std::size_t number, const FollowerActions& actions) {
+    for (const OutgoingNews& outgoing : actions.news) {
+      messages_.push_back({members_[number], outgoing.to, outgoing.news});
+    }
+    if (actions.ask) {
+      messages_.push_back({members_[number], *actions.ask, std::nullopt});
+    }
+  }
+
+  void deliver(bool arrives) {
+    if (messages_.empty()) {
+      return;
+    }
+    const auto place = *rc::gen::inRange<std::size_t>(0, messages_.size());
+    const Message message = messages_[place];
+    messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(place));
+    const std::size_t receiver = message.to.packed() >> 16U;
+    if (!arrives) {
+      return;
+    }
+    SourceFollower& follower = daemons_[receiver - 1].follower;
+    if (message.news) {
+      send(receiver - 1, follower.onNews(message.from, *message.news, now_));
+    } else if (const auto all = follower.onNewsRequest(message.from, now_)) {
+      messages_.push_back({message.to, message.from, all->news});
+    }
+  }
+
+  void check() {
+    for (Daemon& daemon : daemons_) {
+      if (const auto view = daemon.follower.takeChangedView()) {
+        daemon.believed.clear();
+        for (const auto& [service, leafs] : *view->leafs) {
+          for (const LeafEntry& leaf : leafs) {
+            daemon.believed.insert(leaf.id);
+          }
+        }
+      }
+      source_.check(daemon.follower.knownRevision(), daemon.believed);
+    }
+  }
+
+  SourceModel source_;
+  std::vector<Endpoint> members_;
+  std::vector<Daemon> daemons_;
+  std::deque<Message> messages_;
+  Moment now_ = at(1);
+};
+
+}  // namespace
+
+TEST_CASE("what a daemon believes is what the source held at the revision it knows", "[serving]") {
+  OAKPIER_PROPERTY("followers", [] {
+    FollowerWorld world(*rc::gen::inRange<std::size_t>(1, 5));
+    const auto steps = *rc::gen::inRange(1, 250);
+    for (int step = 0; step < steps; ++step) {
+      world.step();
+    }
+  });
+}
+
+}  // namespace oakpier::serving
