--- a/src/transport/serving/source_client.cpp
+++ b/src/transport/serving/source_client.cpp
@@ -36,7 +36,10 @@
   for (const Header& header : request.headers) {
     outgoing_.append(header.name).append(": ").append(header.value).append("\r\n");
   }
-  outgoing_.append("Host: ").append(address_.text()).append("\r\n\r\n");
+  if (findHeader(request.headers, "Host") == nullptr) {
+    outgoing_.append("Host: ").append(address_.text()).append("\r\n");
+  }
+  outgoing_.append("\r\n");
   timer_.expires_after(timeout);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error && callback_ && timer_.expiry() <= std::chrono::steady_clock::now()) {
--- /dev/null
+++ b/tests/platform_model/observations.cpp
@@ -0,0 +1,102 @@
+#include "platform_model/observations.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace oakpier::serving::model {
+
+namespace {
+
+/// A leaf that said it leaves gets nothing later than this.
+constexpr Duration kDrainBound = std::chrono::seconds(3);
+constexpr std::size_t kRecord = 16;
+
+std::vector<std::string> splitAtCommas(const std::string& text) {
+  std::vector<std::string> parts;
+  std::size_t begin = 0;
+  while (begin < text.size()) {
+    std::size_t end = text.find(',', begin);
+    end = end == std::string::npos ? text.size() : end;
+    const std::size_t first = text.find_first_not_of(' ', begin);
+    parts.push_back(text.substr(first, end - first));
+    begin = end + 1;
+  }
+  return parts;
+}
+
+std::string sortedRecords(const std::vector<std::string>& bodies, std::size_t count) {
+  std::vector<std::string> records;
+  for (const std::string& body : bodies) {
+    for (std::size_t begin = 0; begin + kRecord <= body.size(); begin += kRecord) {
+      records.push_back(body.substr(begin, kRecord));
+    }
+  }
+  std::sort(records.begin(), records.end(), std::greater<>());
+  std::string all;
+  for (std::size_t place = 0; place < std::min(count, records.size()); ++place) {
+    all += records[place];
+  }
+  return all;
+}
+
+}  // namespace
+
+void Observations::onArrival(const std::string& requestId, const std::string& leaf, bool leaving, Moment now) {
+  ++arrivals_;
+  ++runs_[requestId];
+  const auto draining = drainingSince_.find(leaf);
+  if (leaving && draining != drainingSince_.end() && now - draining->second > kDrainBound) {
+    violations_.push_back("request " + requestId + " reached leaf " + leaf + " long after it said it leaves");
+  }
+}
+
+void Observations::checkMerged(const std::string& requestId, const std::set<std::string>& shards,
+                               std::size_t topRecords, const std::string& signatures, std::size_t missing,
+                               const std::string& body) {
+  std::set<std::string> services;
+  std::vector<std::string> bodies;
+  for (const std::string& signature : splitAtCommas(signatures)) {
+    const auto part = signed_.find(signature);
+    if (part == signed_.end() || part->second.requestId != requestId) {
+      violations_.push_back("answer to " + requestId + " names a part of another request: " + signature);
+      return;
+    }
+    if (shards.count(part->second.service) == 0 || !services.insert(part->second.service).second) {
+      violations_.push_back("answer to " + requestId + " names a shard twice or one that is not asked");
+    }
+    bodies.push_back(part->second.body);
+  }
+  if (services.size() + missing != shards.size()) {
+    violations_.push_back("answer to " + requestId + " miscounts its missing shards");
+  }
+  if (body != sortedRecords(bodies, topRecords)) {
+    violations_.push_back("answer to " + requestId + " is not the merge of the parts that it names");
+  }
+}
+
+void Observations::checkForwarded(const std::string& requestId, const std::string& signature,
+                                  const std::string& body) {
+  const auto part = signed_.find(signature);
+  const bool own = part != signed_.end() && part->second.requestId == requestId && part->second.body == body;
+  if (!own) {
+    violations_.push_back("answer to " + requestId + " is not what a leaf gave for it");
+  }
+}
+
+void Observations::checkRefusedOnce(const std::string& requestId) {
+  if (runs_.count(requestId) != 0) {
+    violations_.push_back("request " + requestId + " was refused as not run, and ran");
+  }
+}
+
+void Observations::checkOnce(const std::set<std::string>& requestIds) {
+  for (const std::string& id : requestIds) {
+    const auto runs = runs_.find(id);
+    if (runs != runs_.end() && runs->second > 1) {
+      violations_.push_back("request " + id + ", not to be repeated, ran " + std::to_string(runs->second) +
+                            " times");
+    }
+  }
+}
+
+}  // namespace oakpier::serving::model
--- /dev/null
+++ b/tests/platform_model/observations.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/// What the model's leafs and clients have seen, and the promises checked on it.
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "state/time.h"
+
+namespace oakpier::serving::model {
+
+/// One signed answer that a leaf gave.
+struct SignedPart {
+  std::string requestId;
+  std::string service;
+  std::string body;
+};
+
+class Observations {
+ public:
+  void onArrival(const std::string& requestId, const std::string& leaf, bool leaving, Moment now);
+  void onSigned(const std::string& signature, SignedPart part) { signed_[signature] = std::move(part); }
+  void onDraining(const std::string& leaf, Moment now) { drainingSince_[leaf] = now; }
+
+  /// A success to a request for all `shards`.
+  void checkMerged(const std::string& requestId, const std::set<std::string>& shards, std::size_t topRecords,
+                   const std::string& signatures, std::size_t missing, const std::string& body);
+  /// A success to a request for one leaf.
+  void checkForwarded(const std::string& requestId, const std::string& signature, const std::string& body);
+  /// A refusal of a request that may run only once.
+  void checkRefusedOnce(const std::string& requestId);
+  /// After the day: requests that may run only once.
+  void checkOnce(const std::set<std::string>& requestIds);
+
+  const std::vector<std::string>& violations() const { return violations_; }
+  std::size_t arrivals() const { return arrivals_; }
+
+ private:
+  std::map<std::string, SignedPart> signed_;
+  std::map<std::string, std::size_t> runs_;
+  std::map<std::string, Moment> drainingSince_;
+  std::vector<std::string> violations_;
+  std::size_t arrivals_ = 0;
+};
+
+}  // namespace oakpier::serving::model
--- /dev/null
+++ b/tests/platform_model/platform_day.cpp
@@ -0,0 +1,329 @@
+#include "platform_model/platform_day.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+
+#include "platform/header_names.h"
+#include "transport/steady_clock.h"
+
+namespace oakpier::serving::model {
+
+namespace {
+
+constexpr Duration kReadyBound = std::chrono::seconds(30);
+constexpr Duration kClientPatience = std::chrono::seconds(12);
+constexpr std::size_t kSeeds = 3;
+/// Daemons have addresses 127.0.1.1, 127.0.1.2 and so on, with the same ports, as on separate machines.
+constexpr std::uint32_t kFirstGatewayIp = 0x7f000101;
+
+std::string textOf(const HttpReply& reply, const std::string& name) {
+  const std::string* value = findHeader(reply.headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+}  // namespace
+
+struct PlatformDay::Gateway {
+  std::string name;
+  std::string zone;
+  Endpoint callers;
+  Endpoint readiness;
+  std::string settingsFile;
+  std::unique_ptr<Process> process;
+  std::vector<std::shared_ptr<Client>> idle;
+};
+
+struct PlatformDay::Client {
+  Client(boost::asio::io_context& context, const Endpoint& address) : connection(context, address) {}
+  SourceClient connection;
+};
+
+PlatformDay::PlatformDay(Deployment deployment, DaySettings settings)
+    : deployment_(std::move(deployment)),
+      settings_(std::move(settings)),
+      random_(settings_.seed),
+      store_(context_),
+      results_(deployment_.classes.size()) {}
+
+PlatformDay::~PlatformDay() = default;
+
+std::string PlatformDay::start() {
+  std::filesystem::create_directories(settings_.folder);
+  const auto ports = freePorts(4);
+  storeAddress_ = Endpoint(INADDR_LOOPBACK, ports[0]);
+  const std::string problem = store_.listen(storeAddress_);
+  if (!problem.empty()) {
+    return problem;
+  }
+  store_.put("op/config", configurationText(deployment_, 1, false));
+  for (std::size_t number = 0; number < deployment_.shards; ++number) {
+    shards_.insert(shardName(number));
+    for (std::size_t replica = 0; replica < deployment_.replicas; ++replica) {
+      addLeaf(shardName(number), deployment_.zones[replica % deployment_.zones.size()]);
+    }
+  }
+  for (std::size_t number = 0; number < deployment_.singleLeafs; ++number) {
+    addLeaf(kSingleService, deployment_.zones[number % deployment_.zones.size()]);
+  }
+  for (std::uint32_t number = 0; number < deployment_.gateways; ++number) {
+    auto gateway = std::make_unique<Gateway>();
+    gateway->name = "gateway-" + std::to_string(number + 1);
+    gateway->zone = deployment_.zones[number % deployment_.zones.size()];
+    gateway->callers = Endpoint(kFirstGatewayIp + number, ports[1]);
+    gateway->readiness = Endpoint(kFirstGatewayIp + number, ports[2]);
+    gateway->settingsFile = settings_.folder + "/" + gateway->name + ".json";
+    nlohmann::json seeds = nlohmann::json::array();
+    for (std::uint32_t seed = 0; seed < std::min<std::size_t>(kSeeds, deployment_.gateways); ++seed) {
+      seeds.push_back(Endpoint(kFirstGatewayIp + seed, ports[3]).text());
+    }
+    const nlohmann::json file = {
+        {"node_name", gateway->name},
+        {"zone", gateway->zone},
+        {"ip", gateway->callers.ip()},
+        {"bind_addresses", {{"http", gateway->callers.text()}, {"readiness", gateway->readiness.text()}}},
+        {"internal_port_range", {ports[3], ports[3]}},
+        {"seeds", seeds},
+        {"bounds", {{"grace_s", 6}, {"retry_budget_ratio", 0.2}, {"budget_slack", 56}}},
+        {"platform", {{"address", storeAddress_.text()}}}};
+    std::ofstream(gateway->settingsFile) << file.dump(2);
+    startGateway(*gateway);
+    gateways_.push_back(std::move(gateway));
+  }
+  return allReady() ? "" : "not every gateway became ready; see the logs in " + settings_.folder;
+}
+
+void PlatformDay::addLeaf(const std::string& service, const std::string& zone) {
+  LeafSettings leaf;
+  leaf.id = "leaf-" + std::to_string(leafs_.size() + 1);
+  leaf.service = service;
+  leaf.zone = zone;
+  leaf.address = Endpoint(INADDR_LOOPBACK, freePorts(1)[0]);
+  leafs_.push_back(
+      std::make_unique<LeafStandin>(context_, leaf, observations_, settings_.seed + leafs_.size()));
+  if (leafs_.back()->listen().empty()) {
+    publish(*leafs_.back());
+  }
+}
+
+void PlatformDay::publish(const LeafStandin& leaf) {
+  store_.put("servers/" + leaf.settings().id, leaf.entry());
+}
+
+void PlatformDay::startGateway(Gateway& gateway) {
+  constexpr int kReplace = 1;
+  setenv("OAKPIER_BOOT", gateway.settingsFile.c_str(), kReplace);
+  gateway.process = std::make_unique<Process>(settings_.gatewayProgram, std::vector<std::string>{},
+                                              settings_.folder + "/" + gateway.name + ".log");
+}
+
+bool PlatformDay::allReady() {
+  const Moment giveUpAt = steadyNow() + kReadyBound;
+  for (const auto& gateway : gateways_) {
+    bool ready = false;
+    while (!ready && steadyNow() < giveUpAt) {
+      SourceClient probe(context_, gateway->readiness);
+      bool done = false;
+      probe.call({"GET", "/ready", {}, ""}, std::chrono::seconds(1), [&](std::optional<HttpReply> reply) {
+        ready = reply && reply->status == 200;
+        done = true;
+      });
+      while (!done) {
+        context_.restart();
+        context_.run_one();
+      }
+      if (!ready) {
+        runFor(std::chrono::milliseconds(20));
+      }
+    }
+    if (!ready) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void PlatformDay::runFor(Duration duration) {
+  context_.restart();
+  context_.run_for(duration);
+}
+
+void PlatformDay::play() {
+  playing_ = true;
+  for (std::size_t number = 0; number < deployment_.classes.size(); ++number) {
+    scheduleRequests(number);
+  }
+  if (settings_.troubles) {
+    planTroubles();
+  }
+  runFor(settings_.length);
+  playing_ = false;
+  const Moment giveUpAt = steadyNow() + kClientPatience;
+  while (waiting_ > 0 && steadyNow() < giveUpAt) {
+    runFor(std::chrono::milliseconds(20));
+  }
+  for (const auto& gateway : gateways_) {
+    gateway->process->signal(SIGTERM);
+  }
+  for (const auto& gateway : gateways_) {
+    while (gateway->process->running()) {
+      runFor(std::chrono::milliseconds(20));
+    }
+  }
+  observations_.checkOnce(onceIds_);
+}
+
+void PlatformDay::after(Duration delay, std::function<void()> action) {
+  timers_.push_back(std::make_unique<boost::asio::steady_timer>(context_, delay));
+  timers_.back()->async_wait([action = std::move(action)](const boost::system::error_code& error) {
+    if (!error) {
+      action();
+    }
+  });
+}
+
+void PlatformDay::planTroubles() {
+  const Duration part = settings_.length / 10;
+  after(part, [this] { store_.put("op/config", configurationText(deployment_, 3, true)); });
+  after(part * 2, [this] {
+    leafs_[0]->drain();
+    observations_.onDraining(leafs_[0]->settings().id, steadyNow());
+    publish(*leafs_[0]);
+    addLeaf(leafs_[0]->settings().service, leafs_[0]->settings().zone);
+  });
+  after(part * 3, [this] { leafs_[3]->crash(); });
+  after(part * 4, [this] { store_.setDown(true); });
+  after(part * 6, [this] {
+    store_.setDown(false);
+    store_.remove("servers/" + leafs_[3]->settings().id);
+    store_.forgetHistory();
+  });
+  after(part * 5, [this] { gateways_[1]->process->signal(SIGTERM); });
+  after(part * 8, [this] {
+    if (!gateways_[1]->process->running()) {
+      startGateway(*gateways_[1]);
+    }
+  });
+}
+
+void PlatformDay::scheduleRequests(std::size_t classNumber) {
+  const double rate = deployment_.classes[classNumber].perSecond;
+  const double gap = std::exponential_distribution<double>(rate)(random_);
+  after(Duration(static_cast<std::int64_t>(gap * 1e6)), [this, classNumber] {
+    if (playing_) {
+      ask(classNumber);
+      scheduleRequests(classNumber);
+    }
+  });
+}
+
+std::shared_ptr<PlatformDay::Client> PlatformDay::clientOf(Gateway& gateway) {
+  if (gateway.idle.empty()) {
+    return std::make_shared<Client>(context_, gateway.callers);
+  }
+  auto client = gateway.idle.back();
+  gateway.idle.pop_back();
+  return client;
+}
+
+void PlatformDay::ask(std::size_t classNumber) {
+  const RequestClass& requestClass = deployment_.classes[classNumber];
+  const HeaderNames names = platform::headerNames();
+  const std::string id = "request-" + std::to_string(nextRequest_++);
+  if (!requestClass.repeatable) {
+    onceIds_.insert(id);
+  }
+  Gateway& gateway = *gateways_[drawBelow(gateways_.size(), random_)];
+  const HttpRequest request{requestClass.repeatable ? "GET" : "POST",
+                            pathOf(requestClass) + id,
+                            {{"Host", kHost},
+                             {names.requestId, id},
+                             {names.deadline, std::to_string(toMilliseconds(requestClass.deadline))}},
+                            ""};
+  ++results_[classNumber].asked;
+  ++waiting_;
+  const auto client = clientOf(gateway);
+  client->connection.call(request, kClientPatience,
+                          [this, classNumber, id, client, &gateway, askedAt = steadyNow()](
+                              std::optional<HttpReply> reply) {
+                            gateway.idle.push_back(client);
+                            onReply(classNumber, id, askedAt, reply);
+                          });
+}
+
+void PlatformDay::onReply(std::size_t classNumber, const std::string& id, Moment askedAt,
+                          const std::optional<HttpReply>& reply) {
+  --waiting_;
+  ClassResult& result = results_[classNumber];
+  const RequestClass& requestClass = deployment_.classes[classNumber];
+  if (!reply) {
+    ++result.failed;
+  } else if (reply->status == 200) {
+    ++result.answered;
+    const std::string missing = textOf(*reply, platform::headerNames().missingParts);
+    result.partial += missing.empty() || missing == "0" ? 0 : 1;
+    result.inTarget += steadyNow() - askedAt <= requestClass.target ? 1 : 0;
+    check(requestClass, id, *reply);
+  } else if (reply->status == 503) {
+    ++result.refused;
+    if (!requestClass.repeatable) {
+      observations_.checkRefusedOnce(id);
+    }
+  } else {
+    ++result.failed;
+  }
+}
+
+void PlatformDay::check(const RequestClass& requestClass, const std::string& id, const HttpReply& reply) {
+  const HeaderNames names = platform::headerNames();
+  if (!requestClass.gather) {
+    observations_.checkForwarded(id, textOf(reply, names.signature), reply.body);
+    return;
+  }
+  const std::string missing = textOf(reply, names.missingParts);
+  observations_.checkMerged(id, shards_, requestClass.topRecords, textOf(reply, names.partSignatures),
+                            missing.empty() ? 0 : std::stoul(missing), reply.body);
+}
+
+bool PlatformDay::passed() const {
+  const bool served = std::all_of(results_.begin(), results_.end(),
+                                  [](const ClassResult& result) { return result.answered > 0; });
+  return served && observations_.violations().empty();
+}
+
+void PlatformDay::report(std::ostream& out) const {
+  out << std::left << std::setw(16) << "class" << std::right;
+  for (const char* column : {"asked", "answered", "in target", "partial", "refused", "failed"}) {
+    out << std::setw(11) << column;
+  }
+  out << "\n";
+  for (std::size_t number = 0; number < results_.size(); ++number) {
+    const ClassResult& result = results_[number];
+    out << std::left << std::setw(16) << deployment_.classes[number].name << std::right;
+    for (const std::size_t figure : {result.asked, result.answered, result.inTarget, result.partial,
+                                     result.refused, result.failed}) {
+      out << std::setw(11) << figure;
+    }
+    out << "\n";
+  }
+  out << "leaf requests: " << observations_.arrivals() << ", calls to the store: " << store_.calls()
+      << ", broken promises: " << observations_.violations().size() << "\n";
+  for (const std::string& violation : observations_.violations()) {
+    out << "  " << violation << "\n";
+  }
+}
+
+void PlatformDay::printAddresses(std::ostream& out) const {
+  for (const auto& gateway : gateways_) {
+    out << gateway->name << " in " << gateway->zone << ": http://" << gateway->callers.text() << "\n";
+  }
+  const HeaderNames names = platform::headerNames();
+  out << "try: curl -i -H 'Host: " << kHost << "' -H '" << names.requestId << ": try-1' -H '" << names.deadline
+      << ": 2000' http://" << gateways_.front()->callers.text() << pathOf(deployment_.classes.front()) << "x\n";
+}
+
+}  // namespace oakpier::serving::model
--- /dev/null
+++ b/tests/platform_model/store_standin.cpp
@@ -0,0 +1,160 @@
+#include "platform_model/store_standin.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <nlohmann/json.hpp>
+
+#include "protocol/serving/caller_messages.h"
+
+namespace oakpier::serving::model {
+
+namespace {
+
+using nlohmann::json;
+using Query = std::map<std::string, std::string>;
+
+constexpr std::size_t kPage = 50;
+
+Query queryOf(const std::string& target) {
+  Query query;
+  std::size_t begin = target.find('?');
+  while (begin != std::string::npos) {
+    const std::size_t end = target.find('&', begin + 1);
+    const std::string part = target.substr(begin + 1, end == std::string::npos ? end : end - begin - 1);
+    const std::size_t equals = part.find('=');
+    query[part.substr(0, equals)] = equals == std::string::npos ? "" : part.substr(equals + 1);
+    begin = end;
+  }
+  return query;
+}
+
+std::string valueOf(const Query& query, const std::string& name) {
+  const auto found = query.find(name);
+  return found == query.end() ? "" : found->second;
+}
+
+std::uint64_t numberOf(const Query& query, const std::string& name) {
+  const std::string text = valueOf(query, name);
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+std::string encoded(const std::string& bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+bool startsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+HttpReply jsonReply(const json& body) {
+  HttpReply reply;
+  reply.status = 200;
+  reply.headers.push_back({"Content-Type", "application/json"});
+  reply.body = body.dump();
+  return reply;
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin(boost::asio::io_context& context) : context_(context), service_(context, *this) {}
+
+void StoreStandin::put(const std::string& key, const std::string& value) {
+  apply(Change{key, value, ++revision_, false});
+}
+
+void StoreStandin::remove(const std::string& key) { apply(Change{key, "", ++revision_, true}); }
+
+void StoreStandin::apply(Change change) {
+  if (change.gone) {
+    items_.erase(change.key);
+  } else {
+    items_[change.key] = change;
+  }
+  history_.push_back(std::move(change));
+  watches_.remove_if([this](Watch& watch) { return answer(watch, false); });
+}
+
+void StoreStandin::forgetHistory() {
+  history_.clear();
+  forgottenRevision_ = revision_;
+}
+
+std::function<void()> StoreStandin::onRequest(HttpRequest request, ResponseWriter writer) {
+  ++calls_;
+  const Query query = queryOf(request.target);
+  if (down_) {
+    writer.write(ownReply(503, "down"));
+  } else if (startsWith(request.target, "/kv-range")) {
+    writer.write(range(query));
+  } else if (startsWith(request.target, "/kv-watch")) {
+    watch(query, std::move(writer));
+  } else {
+    writer.write(ownReply(404, "no such call"));
+  }
+  return nullptr;
+}
+
+HttpReply StoreStandin::range(const Query& query) const {
+  json items = json::array();
+  bool more = false;
+  for (const auto& [key, item] : items_) {
+    if (!startsWith(key, valueOf(query, "path_prefix")) || key <= valueOf(query, "after")) {
+      continue;
+    }
+    if (items.size() == kPage) {
+      more = true;
+      break;
+    }
+    items.push_back({{"tls_key", key},
+                     {"value", encoded(item.value)},
+                     {"revision", item.revision},
+                     {"created", item.revision},
+                     {"lease", 0}});
+  }
+  return jsonReply({{"items", items}, {"more", more}, {"at", revision_}});
+}
+
+void StoreStandin::watch(const Query& query, ResponseWriter writer) {
+  if (numberOf(query, "after") < forgottenRevision_) {
+    writer.write(ownReply(410, "history is gone"));
+    return;
+  }
+  Watch& watch = watches_.emplace_back(context_, std::move(writer));
+  watch.prefix = valueOf(query, "path_prefix");
+  watch.after = numberOf(query, "after");
+  if (answer(watch, false)) {
+    watches_.pop_back();
+    return;
+  }
+  watch.timer.expires_after(std::chrono::milliseconds(numberOf(query, "wait_ms")));
+  watch.timer.async_wait([this, waiting = &watch](const boost::system::error_code& error) {
+    if (!error) {
+      watches_.remove_if([&](Watch& other) { return &other == waiting && answer(other, true); });
+    }
+  });
+}
+
+bool StoreStandin::answer(Watch& watch, bool must) const {
+  json events = json::array();
+  for (const Change& change : history_) {
+    if (change.revision <= watch.after || !startsWith(change.key, watch.prefix)) {
+      continue;
+    }
+    json event = {{"tls_key", change.key}, {"revision", change.revision}};
+    if (change.gone) {
+      event["gone"] = true;
+    } else {
+      event["value"] = encoded(change.value);
+    }
+    events.push_back(event);
+  }
+  if (events.empty() && !must) {
+    return false;
+  }
+  watch.writer.write(jsonReply({{"events", events}, {"at", revision_}}));
+  return true;
+}
+
+}  // namespace oakpier::serving::model
