--- a/src/coordination/serving/forwarding_tree.cpp
+++ b/src/coordination/serving/forwarding_tree.cpp
@@ -14,7 +14,8 @@
   // Places are counted from the root on.
   const std::size_t count = members.size();
   const auto placeOf = [&](const Endpoint& member) {
-    return static_cast<std::size_t>(std::lower_bound(members.begin(), members.end(), member) - members.begin());
+    return static_cast<std::size_t>(std::lower_bound(members.begin(), members.end(), member) -
+                                    members.begin());
   };
   const std::size_t first = placeOf(root);
   const std::size_t own = (placeOf(self) + count - first) % count;
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -66,9 +66,9 @@
 }
 
 std::size_t PartExchange::countedAttempts() const {
-  return static_cast<std::size_t>(std::count_if(attempts_.begin(), attempts_.end(), [](const Attempt& attempt) {
-    return !(attempt.finished && attempt.knownNotRun);
-  }));
+  return static_cast<std::size_t>(
+      std::count_if(attempts_.begin(), attempts_.end(),
+                    [](const Attempt& attempt) { return !(attempt.finished && attempt.knownNotRun); }));
 }
 
 bool PartExchange::mayTryAgain() const {
@@ -137,8 +137,8 @@
 }
 
 void PartExchange::concludeIfExhausted(Moment now, QueryActions& actions) {
-  const bool anyOut =
-      std::any_of(attempts_.begin(), attempts_.end(), [](const Attempt& attempt) { return !attempt.finished; });
+  const bool anyOut = std::any_of(attempts_.begin(), attempts_.end(),
+                                  [](const Attempt& attempt) { return !attempt.finished; });
   if (anyOut) {
     return;
   }
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -121,7 +121,8 @@
 }
 
 bool Query::mayHaveRun() const {
-  return std::any_of(parts_.begin(), parts_.end(), [](const PartExchange& part) { return part.mayHaveRun(); });
+  return std::any_of(parts_.begin(), parts_.end(),
+                     [](const PartExchange& part) { return part.mayHaveRun(); });
 }
 
 bool Query::enoughParts() const {
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -21,7 +21,9 @@
   return call;
 }
 
-Moment SourceFollower::nextDueAt() const { return std::min(reader_.nextCallAt(), knowledge_.nextRemovalAt()); }
+Moment SourceFollower::nextDueAt() const {
+  return std::min(reader_.nextCallAt(), knowledge_.nextRemovalAt());
+}
 
 FollowerActions SourceFollower::onAnswer(const SourceCall& call, const SourceAnswer& answer, Moment now) {
   FollowerActions actions;
@@ -94,7 +96,8 @@
   knowledge_.onListing(leafs, revision, now);
 }
 
-void SourceFollower::takeOver(const std::vector<SourceRecord>& records, Moment now, FollowerActions& actions) {
+void SourceFollower::takeOver(const std::vector<SourceRecord>& records, Moment now,
+                              FollowerActions& actions) {
   for (const SourceRecord& record : records) {
     takeOver(record, now, actions);
     relay_.keep(record);
--- a/src/coordination/serving/source_relay.h
+++ b/src/coordination/serving/source_relay.h
@@ -45,7 +45,8 @@
   RelayActions onRead(std::uint64_t afterRevision, std::uint64_t revision,
                       const std::vector<SourceRecord>& records, Moment now);
   /// `knownRevision`: everything up to it is known here.
-  RelayActions onNews(const Endpoint& sender, const SourceNews& news, std::uint64_t knownRevision, Moment now);
+  RelayActions onNews(const Endpoint& sender, const SourceNews& news, std::uint64_t knownRevision,
+                      Moment now);
   /// Everything this daemon knows, for one that asks.
   OutgoingNews everything(const Endpoint& to, std::uint64_t knownRevision, Moment now) const;
 
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -36,14 +36,14 @@
       handlers_(std::move(handlers)),
       membership_(settings.self, settings.zone, newIncarnation(), membershipSettings(),
                   RandomEngine(std::random_device{}())),
-      transport_(settings.self,
-                 {[this](PeerEnvelope envelope, bool stale) {
-                    if (!stale) {
-                      boost::asio::post(context_,
-                                        [this, envelope = std::move(envelope)] { onEnvelope(envelope); });
-                    }
-                  },
-                  [](const Endpoint&, const PeerEnvelope&) {}}),
+      transport_(settings.self, {[this](PeerEnvelope envelope, bool stale) {
+                                   if (!stale) {
+                                     boost::asio::post(context_, [this, envelope = std::move(envelope)] {
+                                       onEnvelope(envelope);
+                                     });
+                                   }
+                                 },
+                                 [](const Endpoint&, const PeerEnvelope&) {}}),
       tick_(context) {
   membership_.setSeeds(settings.seeds);
 }
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -33,7 +33,8 @@
 };
 
 RequestGateway::RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
-                               Published<ServingView>& published, const Endpoint& self, QueryContext queryContext)
+                               Published<ServingView>& published, const Endpoint& self,
+                               QueryContext queryContext)
     : context_(context),
       names_(names),
       published_(published),
--- a/src/protocol/serving/hop_headers.cpp
+++ b/src/protocol/serving/hop_headers.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopHeaders = {
-    "Connection",       "Keep-Alive", "Proxy-Connection",   "Proxy-Authenticate", "TE", "Trailer",
-    "Transfer-Encoding", "Upgrade",    "Content-Length"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
 
 }  // namespace
 
--- a/src/transport/serving/source_client.cpp
+++ b/src/transport/serving/source_client.cpp
@@ -52,18 +52,19 @@
   }
   connection_ = std::make_shared<Connection>(context_);
   auto connection = connection_;
-  connection->socket.async_connect(toAsio(address_), [this, connection](const boost::system::error_code& error) {
-    if (connection != connection_) {
-      return;
-    }
-    if (error) {
-      finish(std::nullopt);
-      return;
-    }
-    configureConnection(connection->socket);
-    connection->open = true;
-    write(connection);
-  });
+  connection->socket.async_connect(toAsio(address_),
+                                   [this, connection](const boost::system::error_code& error) {
+                                     if (connection != connection_) {
+                                       return;
+                                     }
+                                     if (error) {
+                                       finish(std::nullopt);
+                                       return;
+                                     }
+                                     configureConnection(connection->socket);
+                                     connection->open = true;
+                                     write(connection);
+                                   });
 }
 
 void SourceClient::write(const std::shared_ptr<Connection>& connection) {
--- a/tests/platform_model/leaf_standin.cpp
+++ b/tests/platform_model/leaf_standin.cpp
@@ -39,14 +39,10 @@
       service_(context, *this) {}
 
 std::string LeafStandin::entry() const {
-  const nlohmann::json body = {{"service", settings_.service},
-                               {"address", settings_.address.text()},
-                               {"zone", settings_.zone},
-                               {"version", "v1"},
-                               {"capacity", settings_.slots},
-                               {"state", draining_ ? "draining" : "ready"},
-                               {"warmup_left_ms", 0},
-                               {"sequence", 1}};
+  const nlohmann::json body = {{"service", settings_.service}, {"address", settings_.address.text()},
+                               {"zone", settings_.zone},       {"version", "v1"},
+                               {"capacity", settings_.slots},  {"state", draining_ ? "draining" : "ready"},
+                               {"warmup_left_ms", 0},          {"sequence", 1}};
   return body.dump();
 }
 
@@ -111,8 +107,8 @@
   std::generate(reply.body.begin(), reply.body.end(),
                 [this] { return static_cast<char>('a' + drawBelow(26, random_)); });
   reply.headers.push_back({names().signature, signature});
-  reply.headers.push_back({names().load, std::to_string(running_) + "," + std::to_string(queue_.size()) + "," +
-                                             std::to_string(settings_.slots)});
+  reply.headers.push_back({names().load, std::to_string(running_) + "," + std::to_string(queue_.size()) +
+                                             "," + std::to_string(settings_.slots)});
   observations_.onSigned(signature, SignedPart{id, settings_.service, reply.body});
   work->writer.write(withId(std::move(reply), id));
   startNext();
--- a/tests/platform_model/main.cpp
+++ b/tests/platform_model/main.cpp
@@ -16,7 +16,9 @@
   double seconds = 6;
   bool hold = false;
   app.add_option("deployment", name, "tavua or fund-prices")->check(CLI::IsMember({"tavua", "fund-prices"}));
-  app.add_option("--gateway", settings.gatewayProgram, "the gateway program")->required()->check(CLI::ExistingFile);
+  app.add_option("--gateway", settings.gatewayProgram, "the gateway program")
+      ->required()
+      ->check(CLI::ExistingFile);
   app.add_option("--folder", settings.folder, "for settings files and logs");
   app.add_option("--seconds", seconds, "length of the traffic")->check(CLI::Range(1.0, 600.0));
   app.add_option("--seed", settings.seed, "of arrivals, work and answers");
--- a/tests/platform_model/observations.cpp
+++ b/tests/platform_model/observations.cpp
@@ -41,7 +41,8 @@
 
 }  // namespace
 
-void Observations::onArrival(const std::string& requestId, const std::string& leaf, bool leaving, Moment now) {
+void Observations::onArrival(const std::string& requestId, const std::string& leaf, bool leaving,
+                             Moment now) {
   ++arrivals_;
   ++runs_[requestId];
   const auto draining = drainingSince_.find(leaf);
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -247,12 +247,12 @@
   ++results_[classNumber].asked;
   ++waiting_;
   const auto client = clientOf(gateway);
-  client->connection.call(request, kClientPatience,
-                          [this, classNumber, id, client, &gateway, askedAt = steadyNow()](
-                              std::optional<HttpReply> reply) {
-                            gateway.idle.push_back(client);
-                            onReply(classNumber, id, askedAt, reply);
-                          });
+  client->connection.call(
+      request, kClientPatience,
+      [this, classNumber, id, client, &gateway, askedAt = steadyNow()](std::optional<HttpReply> reply) {
+        gateway.idle.push_back(client);
+        onReply(classNumber, id, askedAt, reply);
+      });
 }
 
 void PlatformDay::onReply(std::size_t classNumber, const std::string& id, Moment askedAt,
@@ -304,8 +304,8 @@
   for (std::size_t number = 0; number < results_.size(); ++number) {
     const ClassResult& result = results_[number];
     out << std::left << std::setw(16) << deployment_.classes[number].name << std::right;
-    for (const std::size_t figure : {result.asked, result.answered, result.inTarget, result.partial,
-                                     result.refused, result.failed}) {
+    for (const std::size_t figure :
+         {result.asked, result.answered, result.inTarget, result.partial, result.refused, result.failed}) {
       out << std::setw(11) << figure;
     }
     out << "\n";
@@ -322,8 +322,9 @@
     out << gateway->name << " in " << gateway->zone << ": http://" << gateway->callers.text() << "\n";
   }
   const HeaderNames names = platform::headerNames();
-  out << "try: curl -i -H 'Host: " << kHost << "' -H '" << names.requestId << ": try-1' -H '" << names.deadline
-      << ": 2000' http://" << gateways_.front()->callers.text() << pathOf(deployment_.classes.front()) << "x\n";
+  out << "try: curl -i -H 'Host: " << kHost << "' -H '" << names.requestId << ": try-1' -H '"
+      << names.deadline << ": 2000' http://" << gateways_.front()->callers.text()
+      << pathOf(deployment_.classes.front()) << "x\n";
 }
 
 }  // namespace oakpier::serving::model
--- a/tests/serving/coordination/record_merge_test.cpp
+++ b/tests/serving/coordination/record_merge_test.cpp
@@ -20,9 +20,8 @@
       }
     }
     std::sort(all.begin(), all.end(), [](const std::string& left, const std::string& right) {
-      return std::lexicographical_compare(
-          right.begin(), right.end(), left.begin(), left.end(),
-          [](unsigned char one, unsigned char other) { return one < other; });
+      return std::lexicographical_compare(right.begin(), right.end(), left.begin(), left.end(),
+                                          [](unsigned char one, unsigned char other) { return one < other; });
     });
     std::string expected;
     for (std::size_t place = 0; place < std::min(count, all.size()); ++place) {
--- a/tests/serving/coordination/source_follower_test.cpp
+++ b/tests/serving/coordination/source_follower_test.cpp
@@ -86,7 +86,8 @@
       members_.emplace_back(number + 1, 1);
       FollowerSettings settings;
       settings.knowledge.removalDelay = Duration(0);
-      daemons_.push_back(Daemon{SourceFollower(members_.back(), settings, interpret, RandomEngine(number)), {}, {}});
+      daemons_.push_back(
+          Daemon{SourceFollower(members_.back(), settings, interpret, RandomEngine(number)), {}, {}});
     }
   }
 
@@ -98,7 +99,8 @@
         changeSource();
         break;
       case 1:
-        daemons_[number].follower.setMembers(*rc::gen::arbitrary<bool>() ? members_ : std::vector<Endpoint>{});
+        daemons_[number].follower.setMembers(*rc::gen::arbitrary<bool>() ? members_
+                                                                         : std::vector<Endpoint>{});
         break;
       case 2:
         deliver(*rc::gen::inRange(0, 4) != 0);
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -166,7 +166,9 @@
     REQUIRE(receiver.onNews(one, whole.news, 3, at(5100)).accepted);
     REQUIRE(recordsOf(whole.news).size() == 1);
   }
-  SECTION("it is older than what is known") { REQUIRE_FALSE(receiver.onNews(one, news, 9, at(5000)).accepted); }
+  SECTION("it is older than what is known") {
+    REQUIRE_FALSE(receiver.onNews(one, news, 9, at(5000)).accepted);
+  }
 }
 
 TEST_CASE("news of one revision is forwarded once", "[serving]") {
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -94,8 +94,8 @@
   REQUIRE(page.more);
   REQUIRE(page.revision == 530);
   REQUIRE(page.records[0].value == "node-1");
-  const auto events = std::get<SourcePage>(dialect.decode(
-      changes, okReply(R"({"events":[{"tls_key":"k","revision":5,"gone":true}],"at":531})")));
+  const auto events = std::get<SourcePage>(
+      dialect.decode(changes, okReply(R"({"events":[{"tls_key":"k","revision":5,"gone":true}],"at":531})")));
   REQUIRE(events.records[0].gone);
   const auto failureOf = [&](unsigned status) {
     HttpReply reply;
--- a/tests/serving/protocol/messages_test.cpp
+++ b/tests/serving/protocol/messages_test.cpp
@@ -21,11 +21,14 @@
   return reply;
 }
 
-bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+bool contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
 
 }  // namespace
 
-TEST_CASE("a leaf gets method, target, body and headers unchanged, less those of one connection", "[serving]") {
+TEST_CASE("a leaf gets method, target, body and headers unchanged, less those of one connection",
+          "[serving]") {
   const HeaderNames names;
   const HttpRequest request = requestWith({{"Host", "shop.example"},
                                            {"X-Other", "1"},
@@ -68,7 +71,8 @@
 
 TEST_CASE("told load and idle time are read, and nothing is made of other texts", "[serving]") {
   const HeaderNames names;
-  const auto load = classifyReply(replyWith(200, {{names.signature, "s"}, {names.load, "3,1,8"}}), names).load;
+  const auto load =
+      classifyReply(replyWith(200, {{names.signature, "s"}, {names.load, "3,1,8"}}), names).load;
   REQUIRE(load->running == 3);
   REQUIRE(load->waiting == 1);
   REQUIRE(load->slots == 8);
--- a/tests/serving/support/loopback.h
+++ b/tests/serving/support/loopback.h
@@ -63,14 +63,15 @@
 
  private:
   void accept() {
-    acceptor_.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
-      if (error) {
-        return;
-      }
-      connections_.push_back(std::make_shared<Connection>(std::move(socket)));
-      read(connections_.back());
-      accept();
-    });
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+          if (error) {
+            return;
+          }
+          connections_.push_back(std::make_shared<Connection>(std::move(socket)));
+          read(connections_.back());
+          accept();
+        });
   }
 
   static void read(const std::shared_ptr<Connection>& connection) {
--- a/tests/serving/transport/http_service_test.cpp
+++ b/tests/serving/transport/http_service_test.cpp
@@ -25,7 +25,9 @@
 };
 
 struct ServiceWorld {
-  ServiceWorld() : service(context, held), address(freeEndpoint()) { REQUIRE(service.listen(address).empty()); }
+  ServiceWorld() : service(context, held), address(freeEndpoint()) {
+    REQUIRE(service.listen(address).empty());
+  }
 
   void awaitRequests(std::size_t count) {
     runUntil(context, [&] { return held.requests.size() >= count; });
@@ -47,7 +49,8 @@
 TEST_CASE("requests on one connection are served in order, early ones kept", "[serving]") {
   ServiceWorld world;
   RawClient client(world.context, world.address);
-  client.write(kGet + "POST /y HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  client.write(kGet +
+               "POST /y HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
   world.awaitRequests(1);
   world.held.writers[0].write(ownReply(200, "first"));
   world.awaitRequests(2);
