--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -30,6 +30,7 @@
     return services.front().service;
   }
   std::vector<double> weights;
+  weights.reserve(services.size());
   for (const WeightedService& part : services) {
     weights.push_back(part.weight);
   }
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -16,7 +16,7 @@
       relay_(self) {}
 
 std::optional<SourceCall> SourceFollower::takeCall(Moment now) {
-  const auto call = reader_.takeCall(now);
+  auto call = reader_.takeCall(now);
   counters_.calls += call ? 1 : 0;
   return call;
 }
@@ -75,6 +75,7 @@
     }
   }
   std::vector<SourceRecord> result;
+  result.reserve(newest.size());
   for (const auto& [key, record] : newest) {
     result.push_back(*record);
   }
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -49,7 +49,7 @@
 }
 
 std::string PeerLink::start() {
-  const std::string problem = transport_.start();
+  std::string problem = transport_.start();
   if (problem.empty()) {
     scheduleTick();
   }
--- a/src/state/serving/serving_configuration.cpp
+++ b/src/state/serving/serving_configuration.cpp
@@ -71,7 +71,9 @@
     std::set<std::string> seen;
     for (const std::string& shard : target.shards) {
       checkService(shard, label);
-      require(seen.insert(shard).second, label + "shard " + shard + " is named twice");
+      std::string twice = label;
+      twice.append("shard ").append(shard).append(" is named twice");
+      require(seen.insert(shard).second, twice);
     }
   }
 
--- a/src/transport/serving/http_session.cpp
+++ b/src/transport/serving/http_session.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t kReadBytes = 4096;
 /// Bytes kept of requests that come while another is served.
-constexpr std::size_t kEarlyBytes = 64 * 1024;
+constexpr std::size_t kEarlyBytes = std::size_t{64} * 1024;
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kTooLarge = 413;
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -84,7 +84,7 @@
   auto connection = std::make_shared<LeafConnection>(
       context_, channel->leaf.address,
       [this, weak](LeafConnection& source, LeafConnection::Event event,
-                   std::shared_ptr<const HttpReply> reply) { onEvent(weak, source, event, reply); });
+                   const std::shared_ptr<const HttpReply>& reply) { onEvent(weak, source, event, reply); });
   channel->connections.push_back(connection);
   ++channel->connecting;
   ++counters_.connectionsOpened;
--- a/src/transport/serving/source_client.cpp
+++ b/src/transport/serving/source_client.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 
 }  // namespace
 
--- a/tests/platform_model/observations.cpp
+++ b/tests/platform_model/observations.cpp
@@ -47,7 +47,9 @@
   ++runs_[requestId];
   const auto draining = drainingSince_.find(leaf);
   if (leaving && draining != drainingSince_.end() && now - draining->second > kDrainBound) {
-    violations_.push_back("request " + requestId + " reached leaf " + leaf + " long after it said it leaves");
+    std::string text = "request ";
+    text.append(requestId).append(" reached leaf ").append(leaf).append(" long after it said it leaves");
+    violations_.push_back(text);
   }
 }
 
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -56,7 +56,7 @@
   std::filesystem::create_directories(settings_.folder);
   const auto ports = freePorts(4);
   storeAddress_ = Endpoint(INADDR_LOOPBACK, ports[0]);
-  const std::string problem = store_.listen(storeAddress_);
+  std::string problem = store_.listen(storeAddress_);
   if (!problem.empty()) {
     return problem;
   }
@@ -128,10 +128,11 @@
     while (!ready && steadyNow() < giveUpAt) {
       SourceClient probe(context_, gateway->readiness);
       bool done = false;
-      probe.call({"GET", "/ready", {}, ""}, std::chrono::seconds(1), [&](std::optional<HttpReply> reply) {
-        ready = reply && reply->status == 200;
-        done = true;
-      });
+      probe.call({"GET", "/ready", {}, ""}, std::chrono::seconds(1),
+                 [&](const std::optional<HttpReply>& reply) {
+                   ready = reply && reply->status == 200;
+                   done = true;
+                 });
       while (!done) {
         context_.restart();
         context_.run_one();
@@ -247,12 +248,12 @@
   ++results_[classNumber].asked;
   ++waiting_;
   const auto client = clientOf(gateway);
-  client->connection.call(
-      request, kClientPatience,
-      [this, classNumber, id, client, &gateway, askedAt = steadyNow()](std::optional<HttpReply> reply) {
-        gateway.idle.push_back(client);
-        onReply(classNumber, id, askedAt, reply);
-      });
+  client->connection.call(request, kClientPatience,
+                          [this, classNumber, id, client, &gateway,
+                           askedAt = steadyNow()](const std::optional<HttpReply>& reply) {
+                            gateway.idle.push_back(client);
+                            onReply(classNumber, id, askedAt, reply);
+                          });
 }
 
 void PlatformDay::onReply(std::size_t classNumber, const std::string& id, Moment askedAt,
@@ -260,15 +261,14 @@
   --waiting_;
   ClassResult& result = results_[classNumber];
   const RequestClass& requestClass = deployment_.classes[classNumber];
-  if (!reply) {
-    ++result.failed;
-  } else if (reply->status == 200) {
+  const unsigned status = reply ? reply->status : 0;
+  if (status == 200) {
     ++result.answered;
     const std::string missing = textOf(*reply, platform::headerNames().missingParts);
     result.partial += missing.empty() || missing == "0" ? 0 : 1;
     result.inTarget += steadyNow() - askedAt <= requestClass.target ? 1 : 0;
     check(requestClass, id, *reply);
-  } else if (reply->status == 503) {
+  } else if (status == 503) {
     ++result.refused;
     if (!requestClass.repeatable) {
       observations_.checkRefusedOnce(id);
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -191,7 +191,7 @@
     const auto daemons = *rc::gen::inRange<std::uint32_t>(1, 200);
     const std::size_t maximum = *rc::gen::element<std::size_t>(26, 70, 110);
     // Enough leafs that every daemon can have two connections.
-    const std::size_t leafs = std::max<std::size_t>(2, daemons * 4 / maximum + 1);
+    const std::size_t leafs = std::max<std::size_t>(2, std::size_t{daemons} * 4 / maximum + 1);
     const LeafsByService directory = leafsOf({"s"}, leafs);
     const ConnectionShare share = shareOf(leafs, maximum, daemons);
     std::map<std::string, std::size_t> connections;
