Log the decisions of requests that ended badly; serve metrics

Cause: on-call engineers had one line a view and nothing of a request. Change: each query keeps its decisions; they are written when it ends other than its caller wished, ordinary ones sampled 1 in 50, at most 200 lines a second, what is left out counted; lines go to standard output through a bounded queue that drops and counts; metrics in Prometheus text at /metrics of the status address.

--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -19,21 +19,34 @@
 
 }  // namespace
 
-PartExchange::PartExchange(std::string service, const Route& route, QueryContext& context)
-    : service_(std::move(service)), route_(route), context_(context) {}
+PartExchange::PartExchange(std::string service, const Route& route, QueryContext& context,
+                           RequestTrace& trace)
+    : service_(std::move(service)), route_(route), context_(context), trace_(trace) {}
+
+void PartExchange::note(Decision decision, const std::shared_ptr<LeafStatus>& leaf, Moment now,
+                        std::optional<LeafOutcome::Kind> outcome) {
+  TraceEvent event{now, decision, service_, leaf, 0, 0, {}, outcome};
+  if (leaf) {
+    event.queueLength = leaf->queueLength(now);
+    event.slowness = leaf->slowness();
+    event.stalledFor = leaf->stalledFor(now);
+  }
+  trace_.add(std::move(event));
+}
 
 void PartExchange::start(Moment now, Moment hedgeBy, QueryActions& actions) {
   context_.budgets.earn(service_, now);
   hedgeBy_ = hedgeBy;
-  if (!send(now, actions)) {
+  if (!send(Decision::kSend, now, actions)) {
     state_ = State::kExhausted;
   }
 }
 
-bool PartExchange::send(Moment now, QueryActions& actions) {
+bool PartExchange::send(Decision decision, Moment now, QueryActions& actions) {
   RouteLatency& latency = context_.latencyOf(route_);
   const SelectionRequest request{triedLeafs_, latency.typical(), context_.ownZone};
   auto leaf = selectLeaf(context_.leafs.leafsOf(service_), request, context_.random, now);
+  note(leaf ? decision : Decision::kNoLeaf, leaf, now);
   if (!leaf) {
     return false;
   }
@@ -78,7 +91,7 @@
   return route_.repeatable || !mayHaveRun();
 }
 
-bool PartExchange::sendAgain(Moment now, QueryActions& actions) {
+bool PartExchange::sendAgain(Decision decision, Moment now, QueryActions& actions) {
   if (!mayTryAgain()) {
     return false;
   }
@@ -87,9 +100,10 @@
     return attempt.written || !attempt.finished;
   });
   if (mayArrive && !context_.budgets.spend(service_, now)) {
+    note(Decision::kBudgetEmpty, nullptr, now);
     return false;
   }
-  return send(now, actions);
+  return send(decision, now, actions);
 }
 
 PartExchange::Attempt* PartExchange::find(ExchangeId exchange) {
@@ -116,6 +130,7 @@
     return;
   }
   attempt->finished = true;
+  note(Decision::kOutcome, attempt->leaf, now, outcome.kind);
   if (state_ != State::kOpen) {
     return;
   }
@@ -142,7 +157,7 @@
   if (anyOut) {
     return;
   }
-  if (!sendAgain(now, actions)) {
+  if (!sendAgain(Decision::kRetry, now, actions)) {
     state_ = State::kExhausted;
   }
 }
@@ -153,7 +168,7 @@
   }
   hedgeAt_ = kNever;
   const bool worthIt = hedgeBy_ == kNever || now < hedgeBy_;
-  if (worthIt && mayTryAgain() && !sendAgain(now, actions)) {
+  if (worthIt && mayTryAgain() && !sendAgain(Decision::kHedge, now, actions)) {
     hedgeAt_ = now + kHedgeRetry;
   }
 }
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -12,6 +12,7 @@
 
 #include "coordination/serving/query_actions.h"
 #include "coordination/serving/query_policy.h"
+#include "coordination/serving/request_trace.h"
 
 namespace oakpier::serving {
 
@@ -19,7 +20,8 @@
  public:
   enum class State { kOpen, kAnswered, kExhausted };
 
-  PartExchange(std::string service, const Route& route, QueryContext& context);
+  /// `trace` outlives the part.
+  PartExchange(std::string service, const Route& route, QueryContext& context, RequestTrace& trace);
 
   /// `hedgeBy`: a hedge sent later would be of no use.
   void start(Moment now, Moment hedgeBy, QueryActions& actions);
@@ -51,19 +53,22 @@
     bool knownNotRun = false;
   };
 
-  bool send(Moment now, QueryActions& actions);
+  bool send(Decision decision, Moment now, QueryActions& actions);
   /// Early while the budget is full, later the less is left of it.
   Duration hedgeDelay(const RouteLatency& latency, Moment now);
   bool mayTryAgain() const;
   /// Sends again if that is allowed, and pays for it.
-  bool sendAgain(Moment now, QueryActions& actions);
+  bool sendAgain(Decision decision, Moment now, QueryActions& actions);
   void concludeIfExhausted(Moment now, QueryActions& actions);
   std::size_t countedAttempts() const;
   Attempt* find(ExchangeId exchange);
+  void note(Decision decision, const std::shared_ptr<LeafStatus>& leaf, Moment now,
+            std::optional<LeafOutcome::Kind> outcome = std::nullopt);
 
   std::string service_;
   const Route& route_;
   QueryContext& context_;
+  RequestTrace& trace_;
   State state_ = State::kOpen;
   std::vector<Attempt> attempts_;
   std::vector<std::string> triedLeafs_;
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -13,6 +13,7 @@
       route_(route),
       gather_(std::get_if<GatherTarget>(&route.target)),
       context_(context),
+      receivedAt_(receivedAt),
       deadline_(std::min(deadline - context.policy.deadlineMargin, receivedAt + route.timeout)) {
   const auto target = route.targetLatency.count();
   const auto share = Duration(static_cast<std::int64_t>(target * context.policy.answerMarginShare));
@@ -44,7 +45,7 @@
       isGather() ? gather_->shards : std::vector<std::string>{chooseService()};
   parts_.reserve(services.size());
   for (const std::string& service : services) {
-    parts_.emplace_back(service, route_, context_);
+    parts_.emplace_back(service, route_, context_, *trace_);
     parts_.back().start(now, answerBy_, actions);
   }
   decide(now, actions);
@@ -116,6 +117,16 @@
   }));
 }
 
+std::vector<std::string> Query::missingServices() const {
+  std::vector<std::string> missing;
+  for (const PartExchange& part : parts_) {
+    if (part.state() != PartExchange::State::kAnswered) {
+      missing.push_back(part.service());
+    }
+  }
+  return missing;
+}
+
 bool Query::allSettled() const {
   return std::all_of(parts_.begin(), parts_.end(),
                      [](const PartExchange& part) { return part.state() != PartExchange::State::kOpen; });
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -33,6 +33,11 @@
   Moment leafDeadline() const { return leafDeadline_; }
   bool finished() const { return finished_; }
   const Route& route() const { return route_; }
+  std::uint64_t configurationVersion() const { return view_->configuration->version; }
+  Moment receivedAt() const { return receivedAt_; }
+  const RequestTrace& trace() const { return *trace_; }
+  /// Shards without an answer.
+  std::vector<std::string> missingServices() const;
 
  private:
   bool isGather() const { return gather_ != nullptr; }
@@ -54,10 +59,13 @@
   const Route& route_;
   const GatherTarget* gather_;
   QueryContext& context_;
+  Moment receivedAt_;
   Moment deadline_;
   Moment leafDeadline_;
   /// From then on a gather query answers as soon as enough shards are in.
   Moment answerBy_;
+  /// Has its own place, as the parts refer to it.
+  std::unique_ptr<RequestTrace> trace_ = std::make_unique<RequestTrace>();
   std::vector<PartExchange> parts_;
   bool answerDue_ = false;
   bool finished_ = false;
--- a/src/programs/common/logging.cpp
+++ b/src/programs/common/logging.cpp
@@ -2,12 +2,18 @@
 
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <chrono>
 #include <iostream>
 
@@ -19,6 +25,25 @@
 
 std::string programName;
 
+constexpr std::size_t kMostQueuedLines = 4096;
+std::atomic<std::uint64_t> droppedLines{0};
+
+/// What the queue does with a line for which it has no room.
+struct DropAndCount {
+  template <typename Lock>
+  static bool on_overflow(const boost::log::record_view& /*line*/, Lock& /*lock*/) {
+    ++droppedLines;
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+using BoundedSink =
+    boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend,
+                                         boost::log::sinks::bounded_fifo_queue<kMostQueuedLines, DropAndCount>>;
+boost::shared_ptr<BoundedSink> boundedSink;
+
 trivial::severity_level severityOf(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -43,6 +68,28 @@
   boost::log::core::get()->set_filter(trivial::severity >= severityOf(level));
 }
 
+void startBoundedLogging(LogLevel level, const std::string& program) {
+  programName = program;
+  const auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  backend->auto_flush(true);
+  boundedSink = boost::make_shared<BoundedSink>(backend);
+  boundedSink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(boundedSink);
+  boost::log::core::get()->set_filter(trivial::severity >= severityOf(level));
+}
+
+std::uint64_t droppedLogLines() { return droppedLines; }
+
+void stopBoundedLogging() {
+  if (boundedSink) {
+    boost::log::core::get()->remove_sink(boundedSink);
+    boundedSink->stop();
+    boundedSink->flush();
+    boundedSink.reset();
+  }
+}
+
 void log(LogLevel level, const std::string& message, const std::vector<LogField>& fields) {
   static boost::log::sources::severity_logger_mt<trivial::severity_level> logger;
   const auto severity = severityOf(level);
--- a/src/programs/common/logging.h
+++ b/src/programs/common/logging.h
@@ -19,6 +19,14 @@
 /// Call once at the start. Lines below `level` are dropped. `program` is a key of every line.
 void startLogging(LogLevel level, const std::string& program);
 
+/// The same to standard output, written by a thread of its own from a bounded queue: when the reader of the
+/// output stalls, lines are dropped and counted, and nothing waits.
+void startBoundedLogging(LogLevel level, const std::string& program);
+/// Lines that were dropped since the start.
+std::uint64_t droppedLogLines();
+/// Writes what is queued and ends the thread. A stalled reader may make it wait; call it last.
+void stopBoundedLogging();
+
 void log(LogLevel level, const std::string& message, const std::vector<LogField>& fields = {});
 
 }  // namespace oakpier
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -20,6 +20,7 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
+constexpr std::string_view kMetricsPath = "/metrics";
 /// After a request to stop callers are still sent here until they have seen that this daemon is not ready.
 constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
 constexpr Duration kStopCheck = std::chrono::milliseconds(50);
@@ -33,18 +34,26 @@
 /// One in this many daemons may be added or come back at any time.
 constexpr std::size_t kSpareShare = 3;
 
-/// Answers any request with whether callers should be sent here.
-class ReadinessHandler : public RequestHandler {
+/// Tells whether callers should be sent here, and the figures at the path of metrics.
+class StatusHandler : public RequestHandler {
  public:
-  explicit ReadinessHandler(const std::atomic<bool>& ready) : ready_(ready) {}
-
-  std::function<void()> onRequest(HttpRequest, ResponseWriter writer) override {
-    writer.write(ready_ ? ownReply(kOk, "ready") : ownReply(kUnavailable, "not ready"));
+  StatusHandler(const std::atomic<bool>& ready, std::function<std::string()> metrics)
+      : ready_(ready), metrics_(std::move(metrics)) {}
+
+  std::function<void()> onRequest(HttpRequest request, ResponseWriter writer) override {
+    if (request.target == kMetricsPath) {
+      HttpReply reply = ownReply(kOk, "");
+      reply.body = metrics_();
+      writer.write(reply);
+    } else {
+      writer.write(ready_ ? ownReply(kOk, "ready") : ownReply(kUnavailable, "not ready"));
+    }
     return nullptr;
   }
 
  private:
   const std::atomic<bool>& ready_;
+  std::function<std::string()> metrics_;
 };
 
 ExtraSendBounds boundsFrom(const GatewaySettings& settings) {
@@ -65,9 +74,9 @@
         budgets_(boundsFrom(settings)),
         requests_(requestContext_, names, published_, settings.peerAddress,
                   QueryContext{leafs_, budgets_, random_, QueryPolicy{}, settings.zone, {}}),
-        readinessHandler_(ready_),
+        statusHandler_(ready_, [this] { return metrics(); }),
         callers_(requestContext_, requests_),
-        readiness_(requestContext_, readinessHandler_),
+        status_(requestContext_, statusHandler_),
         source_(controlContext_, settings.sourceAddress, dialect,
                 PeerLinkSettings{settings.peerAddress, settings.zone, settings.seeds}, published_,
                 {[this] { onView(); }, [this](std::size_t count) { onDaemonCount(count); }}),
@@ -76,7 +85,7 @@
 
   int run() {
     for (const std::string& problem : {callers_.listen(settings_.callerAddress),
-                                       readiness_.listen(settings_.readinessAddress), source_.start()}) {
+                                       status_.listen(settings_.readinessAddress), source_.start()}) {
       if (!problem.empty()) {
         log(LogLevel::kError, "not started", {{"problem", problem}});
         return EXIT_FAILURE;
@@ -105,7 +114,8 @@
   /// On the control thread.
   void onView() {
     const bool complete = source_.complete();
-    boost::asio::post(requestContext_, [this, complete] {
+    boost::asio::post(requestContext_, [this, complete, counters = source_.counters()] {
+      sourceCounters_ = counters;
       requests_.onView();
       const auto view = published_.read();
       if (view->configuration) {
@@ -121,7 +131,22 @@
   void onDaemonCount(std::size_t count) {
     const bool settled = steadyNow() - startedAt_ > kSettlingTime;
     const std::size_t planned = settled ? count + count / kSpareShare + 1 : std::max(count, kUsualDaemons);
-    boost::asio::post(requestContext_, [this, planned] { requests_.setDaemonCount(planned); });
+    boost::asio::post(requestContext_, [this, planned, count, counters = source_.counters()] {
+      sourceCounters_ = counters;
+      daemons_ = count;
+      requests_.setDaemonCount(planned);
+    });
+  }
+
+  std::string metrics() {
+    const auto view = published_.read();
+    std::size_t leafs = 0;
+    for (const auto& [service, entries] : *view->leafs) {
+      leafs += entries.size();
+    }
+    return metricsText(GatewayFigures{requests_.counters(), requests_.poolCounters(), sourceCounters_,
+                                      view->configuration ? view->configuration->version : 0, leafs, daemons_,
+                                      ready_, requests_.logLinesLeftOut(), droppedLogLines()});
   }
 
   void awaitSignal() {
@@ -191,12 +216,14 @@
   LeafRegistry leafs_;
   ExtraSendBudgets budgets_;
   RequestGateway requests_;
-  ReadinessHandler readinessHandler_;
+  StatusHandler statusHandler_;
   HttpService callers_;
-  HttpService readiness_;
+  HttpService status_;
   SourceLoop source_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer stopTimer_;
+  FollowerCounters sourceCounters_;
+  std::size_t daemons_ = 1;
   bool stopping_ = false;
   const Moment startedAt_ = steadyNow();
   Moment stopRequestedAt_{};
--- /dev/null
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -0,0 +1,113 @@
+#include "programs/gateway/gateway_metrics.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+#include <vector>
+
+namespace oakpier::serving {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+constexpr double kFirstBoundSeconds = 0.001;
+
+class FamilyList {
+ public:
+  void counter(const std::string& name, const std::string& help, std::uint64_t value) {
+    ClientMetric metric;
+    metric.counter.value = static_cast<double>(value);
+    families_.push_back({"oakpier_gateway_" + name, help, MetricType::Counter, {metric}});
+  }
+  void gauge(const std::string& name, const std::string& help, double value) {
+    ClientMetric metric;
+    metric.gauge.value = value;
+    families_.push_back({"oakpier_gateway_" + name, help, MetricType::Gauge, {metric}});
+  }
+  void histograms(const std::string& name, const std::string& help,
+                  const std::map<std::string, LatencyHistogram>& byRoute) {
+    MetricFamily family{"oakpier_gateway_" + name, help, MetricType::Histogram, {}};
+    for (const auto& [route, histogram] : byRoute) {
+      family.metric.push_back(metricOf(route, histogram));
+    }
+    families_.push_back(std::move(family));
+  }
+  const std::vector<MetricFamily>& families() const { return families_; }
+
+ private:
+  static ClientMetric metricOf(const std::string& route, const LatencyHistogram& histogram) {
+    ClientMetric metric;
+    metric.label.push_back({"route", route});
+    metric.histogram.sample_count = histogram.count();
+    metric.histogram.sample_sum = histogram.sumSeconds();
+    std::uint64_t cumulative = 0;
+    for (std::size_t bucket = 0; bucket < LatencyHistogram::kBuckets; ++bucket) {
+      cumulative += histogram.buckets().at(bucket);
+      metric.histogram.bucket.push_back({cumulative, LatencyHistogram::upperBoundSeconds(bucket)});
+    }
+    return metric;
+  }
+
+  std::vector<MetricFamily> families_;
+};
+
+}  // namespace
+
+double LatencyHistogram::upperBoundSeconds(std::size_t bucket) {
+  return bucket + 1 == kBuckets ? std::numeric_limits<double>::infinity()
+                                : kFirstBoundSeconds * static_cast<double>(1U << bucket);
+}
+
+void LatencyHistogram::record(Duration latency) {
+  const double seconds = std::chrono::duration<double>(latency).count();
+  std::size_t bucket = 0;
+  while (seconds > upperBoundSeconds(bucket)) {
+    ++bucket;
+  }
+  ++buckets_.at(bucket);
+  sumSeconds_ += seconds;
+  ++count_;
+}
+
+std::string metricsText(const GatewayFigures& figures) {
+  FamilyList list;
+  const RequestCounters& requests = figures.requests;
+  list.counter("requests_total", "Requests read from callers", requests.received);
+  list.counter("answers_total", "Answers with success", requests.answered);
+  list.counter("partial_answers_total", "Answers that lack shards", requests.partial);
+  list.counter("refusals_total", "Requests refused as not run", requests.refused);
+  list.counter("busy_refusals_total", "Of these, before any send, as leafs were too busy", requests.refusedBusy);
+  list.counter("failures_total", "Requests that ended without an answer", requests.failed);
+  list.counter("requests_without_route_total", "Requests for which no route was found", requests.noRoute);
+  list.counter("callers_gone_total", "Callers that left before their answer", requests.callersGone);
+  list.counter("leaf_sends_total", "First sends to leafs", requests.sends);
+  list.counter("hedges_total", "Second sends while the first was out", requests.hedges);
+  list.counter("retries_total", "Further sends after one had ended", requests.retries);
+  list.counter("extra_sends_denied_total", "Hedges and retries that the budget did not allow",
+               requests.budgetEmpty);
+  list.histograms("answer_seconds", "Time from a request to its answer", requests.answerTimes);
+  list.counter("leaf_connections_opened_total", "Connections opened to leafs", figures.pool.connectionsOpened);
+  list.counter("leaf_connections_failed_total", "Of these, never established", figures.pool.connectionsFailed);
+  list.counter("leaf_requests_cut_off_total", "Abandoned requests cut off at work", figures.pool.abandonedAtWork);
+  list.counter("source_calls_total", "Calls to the configuration source", figures.source.calls);
+  list.counter("source_failures_total", "Of these, without a usable answer", figures.source.failures);
+  list.counter("news_accepted_total", "News taken over from other daemons", figures.source.newsAccepted);
+  list.counter("news_asked_total", "Times that everything was asked of another daemon", figures.source.newsAsked);
+  list.counter("configurations_refused_total", "Configurations with a problem",
+               figures.source.configurationsRefused);
+  list.gauge("configuration_version", "Version in force", static_cast<double>(figures.configurationVersion));
+  list.gauge("leafs", "Leafs listed", static_cast<double>(figures.leafs));
+  list.gauge("daemons", "Serving daemons, this one included", static_cast<double>(figures.daemons));
+  list.gauge("ready", "1 when callers should be sent here", figures.ready ? 1 : 0);
+  list.counter("log_lines_left_out_total", "Log lines beyond the bound", figures.logLinesLeftOut);
+  list.counter("log_lines_dropped_total", "Log lines lost to a stalled reader", figures.logLinesDropped);
+  return prometheus::TextSerializer().Serialize(list.families());
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/programs/gateway/gateway_metrics.h
@@ -0,0 +1,64 @@
+#pragma once
+
+/// The gateway's figures in the text format of Prometheus.
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "coordination/serving/source_follower.h"
+#include "transport/serving/leaf_pool.h"
+
+namespace oakpier::serving {
+
+/// Counts durations by buckets whose bounds double from one millisecond on.
+class LatencyHistogram {
+ public:
+  static constexpr std::size_t kBuckets = 16;
+
+  void record(Duration latency);
+  const std::array<std::uint64_t, kBuckets>& buckets() const { return buckets_; }
+  static double upperBoundSeconds(std::size_t bucket);
+  double sumSeconds() const { return sumSeconds_; }
+  std::uint64_t count() const { return count_; }
+
+ private:
+  std::array<std::uint64_t, kBuckets> buckets_{};
+  double sumSeconds_ = 0;
+  std::uint64_t count_ = 0;
+};
+
+struct RequestCounters {
+  std::uint64_t received = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t partial = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t refusedBusy = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t noRoute = 0;
+  std::uint64_t callersGone = 0;
+  std::uint64_t sends = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t budgetEmpty = 0;
+  /// Time to the answer, by route.
+  std::map<std::string, LatencyHistogram> answerTimes;
+};
+
+/// What is told at one moment.
+struct GatewayFigures {
+  const RequestCounters& requests;
+  const LeafPoolCounters& pool;
+  FollowerCounters source;
+  std::uint64_t configurationVersion = 0;
+  std::size_t leafs = 0;
+  std::size_t daemons = 0;
+  bool ready = false;
+  std::uint64_t logLinesLeftOut = 0;
+  std::uint64_t logLinesDropped = 0;
+};
+
+std::string metricsText(const GatewayFigures& figures);
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -96,30 +96,35 @@
 std::function<void()> RequestGateway::onRequest(HttpRequest request, ResponseWriter writer) {
   const Moment now = steadyNow();
   ++counters_.received;
+  const std::string* told = findHeader(request.headers, names_.requestId);
+  const std::string requestId = told == nullptr ? "" : *told;
   const std::string* host = findHeader(request.headers, "Host");
   if (!view_->configuration) {
     ++counters_.refused;
-    writer.write(refusalReply(kStartingRetryAfter, "not run: no configuration is known yet"));
+    reject(writer, requestId, refusalReply(kStartingRetryAfter, "not run: no configuration is known yet"),
+           "refused: no configuration is known yet");
     return nullptr;
   }
-  if (host == nullptr) {
-    writer.write(ownReply(kBadRequest, "the request names no host"));
-    return nullptr;
-  }
-  const Route* route = view_->routes->find(*host, request.target);
+  const Route* route = host == nullptr ? nullptr : view_->routes->find(*host, request.target);
   if (route == nullptr) {
-    writer.write(ownReply(kNotFound, "no route for this host and path"));
+    ++counters_.noRoute;
+    reject(writer, requestId,
+           host == nullptr ? ownReply(kBadRequest, "the request names no host")
+                           : ownReply(kNotFound, "no route for this host and path"),
+           "no route");
     return nullptr;
   }
   if (const auto refusal = refuseWhenBusy(*route, queryContext_, now)) {
     ++counters_.refused;
-    writer.write(refusalReply(refusal->retryAfter, "not run: the leafs are too busy"));
+    ++counters_.refusedBusy;
+    reject(writer, requestId, refusalReply(refusal->retryAfter, "not run: the leafs are too busy"),
+           "refused: the leafs are too busy");
     return nullptr;
   }
   Moment deadline = now + route->timeout;
   std::uint64_t milliseconds = 0;
-  const std::string* told = findHeader(request.headers, names_.deadline);
-  if (told != nullptr && parseMilliseconds(*told, milliseconds)) {
+  const std::string* allowed = findHeader(request.headers, names_.deadline);
+  if (allowed != nullptr && parseMilliseconds(*allowed, milliseconds)) {
     deadline = std::min(deadline, now + fromMilliseconds(milliseconds));
   }
   auto active = std::make_shared<ActiveQuery>(context_, std::move(writer));
@@ -130,6 +135,8 @@
   return [this, weak] {
     if (const ActivePointer gone = weak.lock()) {
       ++counters_.callersGone;
+      log_.onCallerGone(gone->request->requestId(), *gone->query, steadyNow());
+      countDecisions(gone->query->trace());
       apply(gone, gone->query->onCallerGone());
     }
   };
@@ -189,7 +196,27 @@
       ++counters_.partial;
     }
   }
-  active->writer.write(replyFor(answer, active->request->requestId(), names_));
+  const Moment now = steadyNow();
+  const std::string& requestId = active->request->requestId();
+  counters_.answerTimes[active->query->route().name].record(now - active->query->receivedAt());
+  active->writer.write(replyFor(answer, requestId, names_));
+  log_.onAnswer(requestId, *active->query, answer, now);
+  countDecisions(active->query->trace());
+}
+
+void RequestGateway::countDecisions(const RequestTrace& trace) {
+  for (const TraceEvent& event : trace.events()) {
+    counters_.sends += event.decision == Decision::kSend ? 1 : 0;
+    counters_.hedges += event.decision == Decision::kHedge ? 1 : 0;
+    counters_.retries += event.decision == Decision::kRetry ? 1 : 0;
+    counters_.budgetEmpty += event.decision == Decision::kBudgetEmpty ? 1 : 0;
+  }
+}
+
+void RequestGateway::reject(const ResponseWriter& writer, const std::string& requestId, const HttpReply& reply,
+                            const std::string& reason) {
+  writer.write(reply);
+  log_.onRefused(requestId, reason, reply.status, steadyNow());
 }
 
 void RequestGateway::armTimer(const ActivePointer& active) {
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -10,6 +10,8 @@
 
 #include "coordination/serving/leaf_subset.h"
 #include "coordination/serving/query.h"
+#include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/request_log.h"
 #include "protocol/serving/header_names.h"
 #include "state/published.h"
 #include "transport/serving/http_service.h"
@@ -17,15 +19,6 @@
 
 namespace oakpier::serving {
 
-struct RequestCounters {
-  std::uint64_t received = 0;
-  std::uint64_t answered = 0;
-  std::uint64_t partial = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t callersGone = 0;
-};
-
 class RequestGateway : public RequestHandler {
  public:
   RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
@@ -39,6 +32,7 @@
   void setDaemonCount(std::size_t count);
   const RequestCounters& counters() const { return counters_; }
   const LeafPoolCounters& poolCounters() const { return pool_.counters(); }
+  std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut(); }
 
  private:
   struct ActiveQuery;
@@ -48,6 +42,10 @@
   void send(const ActivePointer& active, const SendAction& action);
   void onOutcome(const ActivePointer& active, const SendAction& action, const LeafOutcome& outcome);
   void answer(const ActivePointer& active, const FinalAnswer& answer);
+  void countDecisions(const RequestTrace& trace);
+  /// An answer of the gateway's own before any query.
+  void reject(const ResponseWriter& writer, const std::string& requestId, const HttpReply& reply,
+              const std::string& reason);
   void armTimer(const ActivePointer& active);
   std::size_t connectionsTo(const std::string& service) const;
   /// The leafs that this daemon uses, for each service.
@@ -64,6 +62,7 @@
   std::unordered_map<std::string, ConnectionShare> shares_;
   std::size_t daemonCount_ = 12;
   RequestCounters counters_;
+  RequestLog log_{RequestLogSettings{}};
 };
 
 }  // namespace oakpier::serving
--- /dev/null
+++ b/src/programs/gateway/request_log.cpp
@@ -0,0 +1,147 @@
+#include "programs/gateway/request_log.h"
+
+#include <algorithm>
+#include <set>
+
+#include "programs/common/logging.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+const char* textOf(Decision decision) {
+  switch (decision) {
+    case Decision::kSend:
+      return "send";
+    case Decision::kHedge:
+      return "hedge";
+    case Decision::kRetry:
+      return "retry";
+    case Decision::kNoLeaf:
+      return "no usable leaf";
+    case Decision::kBudgetEmpty:
+      return "no extra send left";
+    default:
+      return "outcome";
+  }
+}
+
+const char* textOf(LeafOutcome::Kind kind) {
+  switch (kind) {
+    case LeafOutcome::Kind::kAnswered:
+      return "answered";
+    case LeafOutcome::Kind::kLeafFailed:
+      return "failed at the leaf";
+    case LeafOutcome::Kind::kNotExecuted:
+      return "not executed";
+    case LeafOutcome::Kind::kWrongInstance:
+      return "another instance";
+    case LeafOutcome::Kind::kNoAnswer:
+      return "no usable answer";
+    case LeafOutcome::Kind::kNotSent:
+      return "not sent";
+    default:
+      return "withdrawn";
+  }
+}
+
+double inMilliseconds(Duration duration) { return static_cast<double>(duration.count() / 100) / 10.0; }
+
+std::vector<LogField> fieldsOf(const std::string& requestId, const TraceEvent& event, Moment receivedAt) {
+  std::vector<LogField> fields = {{"id", requestId},
+                                  {"at_ms", inMilliseconds(event.at - receivedAt)},
+                                  {"decision", textOf(event.decision)},
+                                  {"service", event.service}};
+  if (event.leaf) {
+    fields.push_back({"leaf", event.leaf->entry().id});
+    fields.push_back({"address", event.leaf->entry().address.text()});
+    fields.push_back({"queue", event.queueLength});
+    fields.push_back({"slowness", event.slowness});
+    fields.push_back({"overdue_ms", inMilliseconds(std::max(event.stalledFor, Duration(0)))});
+  }
+  if (event.outcome) {
+    fields.push_back({"result", textOf(*event.outcome)});
+  }
+  return fields;
+}
+
+}  // namespace
+
+bool RequestLog::takeRoom(Moment now) {
+  if (filledAt_ != Moment{}) {
+    const double seconds = std::chrono::duration<double>(now - filledAt_).count();
+    room_ = std::min(settings_.linesPerSecond, room_ + seconds * settings_.linesPerSecond);
+  }
+  filledAt_ = now;
+  if (room_ < 1) {
+    ++leftOut_;
+    return false;
+  }
+  room_ -= 1;
+  return true;
+}
+
+void RequestLog::onRefused(const std::string& requestId, const std::string& reason, unsigned status,
+                           Moment now) {
+  if (takeRoom(now)) {
+    log(LogLevel::kWarning, "request", {{"id", requestId}, {"outcome", reason}, {"status", status}});
+  }
+}
+
+void RequestLog::onAnswer(const std::string& requestId, const Query& query, const FinalAnswer& answer,
+                          Moment now) {
+  const bool late = now - query.receivedAt() > query.route().targetLatency;
+  if (std::holds_alternative<Refusal>(answer)) {
+    write(requestId, query, "refused: not run", false, now);
+  } else if (const auto* failure = std::get_if<Failure>(&answer)) {
+    write(requestId, query, failure->timedOut ? "failed: no answer in time" : "failed: no leaf answered", false,
+          now);
+  } else if (const auto* forwarded = std::get_if<ForwardedAnswer>(&answer)) {
+    const bool success = forwarded->reply->status < 400;
+    write(requestId, query, success ? "answered" : "failed: the leaf's own failure", success && !late, now);
+  } else {
+    const bool partial = std::get<MergedAnswer>(answer).missingShards > 0;
+    write(requestId, query, partial ? "answered in part" : "answered", !partial && !late, now);
+  }
+}
+
+void RequestLog::onCallerGone(const std::string& requestId, const Query& query, Moment now) {
+  write(requestId, query, "the caller left", false, now);
+}
+
+void RequestLog::write(const std::string& requestId, const Query& query, const std::string& outcome,
+                       bool ordinary, Moment now) {
+  if (ordinary && ++ordinary_ % settings_.sampleOneIn != 0) {
+    return;
+  }
+  if (!takeRoom(now)) {
+    return;
+  }
+  std::vector<LogField> fields = {{"id", requestId},
+                                  {"outcome", outcome},
+                                  {"route", query.route().name},
+                                  {"configuration_version", query.configurationVersion()},
+                                  {"elapsed_ms", inMilliseconds(now - query.receivedAt())},
+                                  {"target_ms", inMilliseconds(query.route().targetLatency)}};
+  const auto missing = query.missingServices();
+  if (!missing.empty()) {
+    fields.push_back({"missing", missing});
+  }
+  log(ordinary ? LogLevel::kInfo : LogLevel::kWarning, "request", fields);
+  if (!ordinary) {
+    writeDecisions(requestId, query, now);
+  }
+}
+
+void RequestLog::writeDecisions(const std::string& requestId, const Query& query, Moment now) {
+  // With some parts missing, only what was decided for those explains the outcome.
+  const auto missing = query.missingServices();
+  const std::set<std::string> explained(missing.begin(), missing.end());
+  for (const TraceEvent& event : query.trace().events()) {
+    if ((explained.empty() || explained.count(event.service) != 0) && takeRoom(now)) {
+      log(LogLevel::kWarning, "decision", fieldsOf(requestId, event, query.receivedAt()));
+    }
+  }
+}
+
+}  // namespace oakpier::serving
