Lose log lines, not requests, when nobody reads the output

Cause: a stalled reader must cost lines only, also at the end of the process, where flushing waited.

--- a/src/programs/common/logging.cpp
+++ b/src/programs/common/logging.cpp
@@ -15,7 +15,11 @@
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/make_shared.hpp>
 #include <chrono>
+#include <cstdlib>
+#include <future>
 #include <iostream>
+#include <memory>
+#include <thread>
 
 namespace oakpier {
 
@@ -26,6 +30,7 @@
 std::string programName;
 
 constexpr std::size_t kMostQueuedLines = 4096;
+constexpr std::chrono::milliseconds kLastLinesTime(200);
 std::atomic<std::uint64_t> droppedLines{0};
 
 /// What the queue does with a line for which it has no room.
@@ -81,13 +86,18 @@
 
 std::uint64_t droppedLogLines() { return droppedLines; }
 
-void stopBoundedLogging() {
+void exitAfterLogging(int code) {
   if (boundedSink) {
-    boost::log::core::get()->remove_sink(boundedSink);
-    boundedSink->stop();
-    boundedSink->flush();
-    boundedSink.reset();
+    auto written = std::make_shared<std::promise<void>>();
+    std::future<void> done = written->get_future();
+    std::thread([written] {
+      boundedSink->flush();
+      written->set_value();
+    }).detach();
+    done.wait_for(kLastLinesTime);
   }
+  // No destructors: the writing thread may still wait for the reader.
+  std::_Exit(code);
 }
 
 void log(LogLevel level, const std::string& message, const std::vector<LogField>& fields) {
--- a/src/programs/common/logging.h
+++ b/src/programs/common/logging.h
@@ -24,8 +24,9 @@
 void startBoundedLogging(LogLevel level, const std::string& program);
 /// Lines that were dropped since the start.
 std::uint64_t droppedLogLines();
-/// Writes what is queued and ends the thread. A stalled reader may make it wait; call it last.
-void stopBoundedLogging();
+/// Writes what is queued and ends the process with the code. What a stalled reader has not taken after a
+/// short time is lost.
+[[noreturn]] void exitAfterLogging(int code);
 
 void log(LogLevel level, const std::string& message, const std::vector<LogField>& fields = {});
 
--- a/tests/platform_model/main.cpp
+++ b/tests/platform_model/main.cpp
@@ -23,6 +23,7 @@
   app.add_option("--seconds", seconds, "length of the traffic")->check(CLI::Range(1.0, 600.0));
   app.add_option("--seed", settings.seed, "of arrivals, work and answers");
   app.add_flag("!--calm", settings.troubles, "leave out the troubles");
+  app.add_flag("--stalled-output", settings.stalledOutput, "nobody reads the gateways' output");
   app.add_flag("--hold", hold, "start, print addresses and serve without traffic until stopped");
   CLI11_PARSE(app, argumentCount, arguments);
   settings.length = oakpier::Duration(static_cast<std::int64_t>(seconds * 1e6));
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -1,5 +1,9 @@
 #include "platform_model/platform_day.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
@@ -50,7 +54,11 @@
       store_(context_),
       results_(deployment_.classes.size()) {}
 
-PlatformDay::~PlatformDay() = default;
+PlatformDay::~PlatformDay() {
+  for (const int pipe : pipes_) {
+    close(pipe);
+  }
+}
 
 std::string PlatformDay::start() {
   std::filesystem::create_directories(settings_.folder);
@@ -115,10 +123,32 @@
 }
 
 void PlatformDay::startGateway(Gateway& gateway) {
+  const std::string log = settings_.folder + "/" + gateway.name + ".log";
   constexpr int kReplace = 1;
   setenv("OAKPIER_BOOT", gateway.settingsFile.c_str(), kReplace);
   gateway.process = std::make_unique<Process>(settings_.gatewayProgram, std::vector<std::string>{},
-                                              settings_.folder + "/" + gateway.name + ".log");
+                                              settings_.stalledOutput ? stalledPipe(gateway) : log);
+}
+
+std::string PlatformDay::stalledPipe(const Gateway& gateway) {
+  const std::string path = settings_.folder + "/" + gateway.name + ".pipe";
+  constexpr int kOwnerOnly = 0600;
+  mkfifo(path.c_str(), kOwnerOnly);
+  const int pipe = open(path.c_str(), O_RDWR | O_NONBLOCK);
+  const char filler = '\n';
+  while (write(pipe, &filler, 1) == 1) {
+  }
+  pipes_.push_back(pipe);
+  return path;
+}
+
+void PlatformDay::fetchMetrics() {
+  const auto client = std::make_shared<Client>(context_, gateways_.front()->readiness);
+  const HttpRequest request{"GET", "/metrics", {}, ""};
+  client->connection.call(request, kClientPatience, [this, client](const std::optional<HttpReply>& reply) {
+    const bool told = reply && reply->body.find("oakpier_gateway_requests_total") != std::string::npos;
+    metricsFetched_ += told ? 1 : 0;
+  });
 }
 
 bool PlatformDay::allReady() {
@@ -158,6 +188,7 @@
   for (std::size_t number = 0; number < deployment_.classes.size(); ++number) {
     scheduleRequests(number);
   }
+  after(settings_.length / 2, [this] { fetchMetrics(); });
   if (settings_.troubles) {
     planTroubles();
   }
@@ -292,7 +323,7 @@
 bool PlatformDay::passed() const {
   const bool served = std::all_of(results_.begin(), results_.end(),
                                   [](const ClassResult& result) { return result.answered > 0; });
-  return served && observations_.violations().empty();
+  return served && metricsFetched_ > 0 && observations_.violations().empty();
 }
 
 void PlatformDay::report(std::ostream& out) const {
@@ -311,6 +342,7 @@
     out << "\n";
   }
   out << "leaf requests: " << observations_.arrivals() << ", calls to the store: " << store_.calls()
+      << ", metrics fetched: " << metricsFetched_
       << ", broken promises: " << observations_.violations().size() << "\n";
   for (const std::string& violation : observations_.violations()) {
     out << "  " << violation << "\n";
--- a/tests/platform_model/platform_day.h
+++ b/tests/platform_model/platform_day.h
@@ -26,6 +26,8 @@
   /// With a leaf that leaves, one that falls silent, a store that is down for a while and forgets its
   /// history, a new configuration, and a gateway that is stopped and started again.
   bool troubles = true;
+  /// Nobody reads the gateways' output, and its pipe is full from the start.
+  bool stalledOutput = false;
 };
 
 struct ClassResult {
@@ -61,6 +63,9 @@
   void addLeaf(const std::string& service, const std::string& zone);
   void publish(const LeafStandin& leaf);
   void startGateway(Gateway& gateway);
+  /// A full pipe that nobody reads; returns its path.
+  std::string stalledPipe(const Gateway& gateway);
+  void fetchMetrics();
   bool allReady();
   void runFor(Duration duration);
   void scheduleRequests(std::size_t classNumber);
@@ -87,6 +92,8 @@
   std::set<std::string> shards_;
   std::uint64_t nextRequest_ = 1;
   std::size_t waiting_ = 0;
+  std::size_t metricsFetched_ = 0;
+  std::vector<int> pipes_;
   bool playing_ = false;
 };
 
--- /dev/null
+++ b/tests/serving/programs/gateway_log_test.cpp
@@ -0,0 +1,52 @@
+#include <catch2/catch.hpp>
+
+#include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/request_log.h"
+#include "serving/support/serving_fixtures.h"
+
+namespace oakpier::serving {
+
+TEST_CASE("log lines are bounded and those left out are counted", "[serving]") {
+  RequestLog log(RequestLogSettings{1, 5});
+  for (int number = 0; number < 20; ++number) {
+    log.onRefused("id", "busy", 503, at(1000));
+  }
+  REQUIRE(log.linesLeftOut() == 15);
+  log.onRefused("id", "busy", 503, at(1400));
+  REQUIRE(log.linesLeftOut() == 15);
+}
+
+TEST_CASE("a query keeps the decisions that led to its end", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s0"}, 1.0)}, {"s0"}, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const auto started = query.start(at(0));
+  query.onWritten(started.sends[0].exchange);
+  const auto hedged = query.onTime(query.nextDecisionAt());
+  query.onWritten(hedged.sends[0].exchange);
+  query.onOutcome(hedged.sends[0].exchange, outcomeOf(LeafOutcome::Kind::kNoAnswer), at(120));
+  const auto& events = query.trace().events();
+  REQUIRE(events.size() == 3);
+  REQUIRE(events[0].decision == Decision::kSend);
+  REQUIRE(events[1].decision == Decision::kHedge);
+  REQUIRE(events[1].leaf == hedged.sends[0].leaf);
+  REQUIRE(*events[2].outcome == LeafOutcome::Kind::kNoAnswer);
+  REQUIRE(query.missingServices() == std::vector<std::string>{"s0"});
+}
+
+TEST_CASE("metrics tell every figure with its help", "[serving]") {
+  RequestCounters requests;
+  requests.received = 7;
+  requests.answerTimes["page"].record(std::chrono::milliseconds(3));
+  requests.answerTimes["page"].record(std::chrono::minutes(5));
+  LeafPoolCounters pool;
+  const std::string text = metricsText(GatewayFigures{requests, pool, {}, 12, 70, 8, true, 1, 2});
+  for (const char* line : {"oakpier_gateway_requests_total 7", "oakpier_gateway_configuration_version 12",
+                           "oakpier_gateway_log_lines_dropped_total 2", "oakpier_gateway_ready 1",
+                           "oakpier_gateway_answer_seconds_bucket{route=\"page\",le=\"0.004\"} 1",
+                           "oakpier_gateway_answer_seconds_bucket{route=\"page\",le=\"+Inf\"} 2"}) {
+    REQUIRE(text.find(line) != std::string::npos);
+  }
+}
+
+}  // namespace oakpier::serving
