Explain a request from gateways' log lines

Cause: a request's lines have to be found among many. Change: oakpierctl explain ID reads lines on standard input and prints the request's decisions after what its process had told by then.

--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -6,6 +6,7 @@
 #include "programs/common/exit_codes.h"
 #include "programs/common/flags.h"
 #include "programs/control/commands.h"
+#include "programs/control/explain.h"
 
 int main(int argumentCount, char** arguments) {
   CLI::App app("Reads and changes the configuration of a running oakpier, through any of its daemons.",
@@ -15,7 +16,6 @@
   std::string daemon;
   std::string output = "table";
   app.add_option("--daemon", daemon, "Operator address of any daemon")
-      ->required()
       ->check(oakpier::endpointValidator());
   app.add_option("--output", output, "table or json")
       ->check(CLI::IsMember({"table", "json"}))
@@ -35,11 +35,26 @@
   drain->add_option("leaf", leaf, "Name of the leaf")->required();
   CLI::App* undrain = app.add_subcommand("undrain", "Give a drained leaf work again");
   undrain->add_option("leaf", leaf, "Name of the leaf")->required();
+  CLI::App* explain = app.add_subcommand(
+      "explain", "Tell from gateways' log lines on standard input why a request ended as it did");
+  std::string id;
+  explain->add_option("id", id, "The request's id")->required();
   try {
     app.parse(argumentCount, arguments);
   } catch (const CLI::ParseError& problem) {
     return app.exit(problem) == 0 ? oakpier::kExitOk : oakpier::kExitUsage;
   }
+  if (explain->parsed()) {
+    if (!oakpier::explainRequest(id, std::cin, std::cout)) {
+      std::cerr << "no line names request " << id << "; ordinary requests are logged one in many\n";
+      return oakpier::kExitFailure;
+    }
+    return oakpier::kExitOk;
+  }
+  if (daemon.empty()) {
+    std::cerr << "--daemon is required\n";
+    return oakpier::kExitUsage;
+  }
   const oakpier::ControlOptions options{oakpier::endpointOf(daemon), output == "json"};
   if (get->parsed()) {
     return oakpier::showConfiguration(options);
