--- a/src/coordination/serving/extra_send_budget.h
+++ b/src/coordination/serving/extra_send_budget.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Bounds hedges and retries to a service as a share of its requests, so that the sum over all daemons stays
-/// within the operator's bound, also after restarts: a new process starts with nothing saved.
+/// within the operator's bound, also after restarts: what the process before may have spent lately is unknown,
+/// so a new one has nothing saved until the operator's window has passed once, and then all that may be saved.
 
 #include <algorithm>
 #include <string>
@@ -19,6 +20,8 @@
   double perSecond = 0.0;
   /// Extra sends that one daemon may save up for a service.
   double saved = 3.0;
+  /// The operator counts extra sends in spans of this length.
+  Duration window = std::chrono::seconds(10);
 };
 
 /// One service's budget at one daemon. Not thread-safe.
@@ -39,6 +42,13 @@
     tokens_ -= 1.0;
     return true;
   }
+  /// Gives all that may be saved, the first time that it is called.
+  void fillOnce(const ExtraSendBounds& bounds) {
+    if (!filled_) {
+      filled_ = true;
+      tokens_ = bounds.saved;
+    }
+  }
   double tokens() const { return tokens_; }
   /// How full the budget is, from 0 to 1.
   double fill(const ExtraSendBounds& bounds) const { return std::clamp(tokens_ / bounds.saved, 0.0, 1.0); }
@@ -53,21 +63,31 @@
   }
 
   double tokens_ = 0.0;
+  bool filled_ = false;
   Moment earnedAt_{};
 };
 
 /// The budgets of all services.
 class ExtraSendBudgets {
  public:
-  explicit ExtraSendBudgets(const ExtraSendBounds& bounds) : bounds_(bounds) {}
+  ExtraSendBudgets(const ExtraSendBounds& bounds, Moment startedAt) : bounds_(bounds), startedAt_(startedAt) {}
 
   void setBounds(const ExtraSendBounds& bounds) { bounds_ = bounds; }
-  void earn(const std::string& service, Moment now) { budgets_[service].earn(bounds_, now); }
-  bool spend(const std::string& service, Moment now) { return budgets_[service].spend(bounds_, now); }
-  double fill(const std::string& service) { return budgets_[service].fill(bounds_); }
+  void earn(const std::string& service, Moment now) { budgetOf(service, now).earn(bounds_, now); }
+  bool spend(const std::string& service, Moment now) { return budgetOf(service, now).spend(bounds_, now); }
+  double fill(const std::string& service, Moment now) { return budgetOf(service, now).fill(bounds_); }
 
  private:
+  ExtraSendBudget& budgetOf(const std::string& service, Moment now) {
+    ExtraSendBudget& budget = budgets_[service];
+    if (now - startedAt_ >= bounds_.window) {
+      budget.fillOnce(bounds_);
+    }
+    return budget;
+  }
+
   ExtraSendBounds bounds_;
+  Moment startedAt_;
   std::unordered_map<std::string, ExtraSendBudget> budgets_;
 };
 
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -74,7 +74,7 @@
   if (late <= early) {
     return std::max(latency.typical(), late);
   }
-  const double spent = 1.0 - context_.budgets.fill(service_);
+  const double spent = 1.0 - context_.budgets.fill(service_, now);
   return early + Duration(static_cast<std::int64_t>((late - early).count() * spent));
 }
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -60,6 +60,7 @@
   ExtraSendBounds bounds;
   bounds.ratio = settings.extraSendRatio * kExtraSendShare;
   bounds.saved = std::max(1.0, settings.extraSendSlack * kExtraSendShare / kUsualDaemons);
+  bounds.window = settings.extraSendWindow;
   return bounds;
 }
 
@@ -71,7 +72,7 @@
         reload_(std::move(reload)),
         published_(emptyView()),
         random_(std::random_device{}()),
-        budgets_(boundsFrom(settings)),
+        budgets_(boundsFrom(settings), steadyNow()),
         requests_(requestContext_, names, published_, settings.peerAddress,
                   QueryContext{leafs_, budgets_, random_, QueryPolicy{}, settings.zone, {}}),
         statusHandler_(ready_, [this] { return metrics(); }),
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -29,6 +29,8 @@
   double extraSendRatio = 0.2;
   /// Extra sends beyond that share, of all daemons together.
   double extraSendSlack = 50;
+  /// The span in which extra sends are counted.
+  Duration extraSendWindow = std::chrono::seconds(10);
 };
 
 }  // namespace oakpier::serving
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -96,7 +96,7 @@
         {"bind_addresses", {{"http", gateway->callers.text()}, {"readiness", gateway->readiness.text()}}},
         {"internal_port_range", {ports[3], ports[3]}},
         {"seeds", seeds},
-        {"bounds", {{"grace_s", 6}, {"retry_budget_ratio", 0.2}, {"budget_slack", 56}}},
+        {"bounds", {{"grace_s", 6}, {"retry_budget_ratio", 0.2}, {"budget_slack", 56}, {"budget_window_s", 10}}},
         {"platform", {{"address", storeAddress_.text()}}}};
     std::ofstream(gateway->settingsFile) << file.dump(2);
     startGateway(*gateway);
--- a/tests/serving/support/serving_fixtures.h
+++ b/tests/serving/support/serving_fixtures.h
@@ -90,7 +90,7 @@
 class QueryWorld {
  public:
   explicit QueryWorld(const std::shared_ptr<const ServingView>& view, double savedSends = 100)
-      : budgets(ExtraSendBounds{savedSends, 0, savedSends}), random(7) {
+      : budgets(ExtraSendBounds{savedSends, 0, savedSends, std::chrono::hours(1)}, at(0)), random(7) {
     registry.reconcile(*view->leafs, at(0));
     context = std::make_unique<QueryContext>(QueryContext{registry, budgets, random, QueryPolicy{}, "a", {}});
   }
