Bound the high latency by the median, so that pauses do not empty the budget

Ruled out: slow leafs (smoothed slowness 0.5 to 0.7 at most of them). Change: the high latency is at most 2.5 medians; the fallback is 1.5 medians.

--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -72,7 +72,7 @@
   // The latest moment from which the other leaf can still be expected to answer in time.
   const Duration late = hedgeBy_ - now - latency.high() - kHedgeMargin;
   if (late <= early) {
-    return std::max(latency.typical(), late);
+    return std::max(latency.typical() * 3 / 2, late);
   }
   const double spent = 1.0 - context_.budgets.fill(service_, now);
   return early + Duration(static_cast<std::int64_t>((late - early).count() * spent));
--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -2,6 +2,7 @@
 
 /// How long queries wait before they hedge, answer with what there is, or give up; and what they share.
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -36,8 +37,11 @@
     high_.record(latency, now);
   }
   Duration typical() const { return typical_.estimate().value_or(targetLatency_ / 5); }
-  /// Most answers are in by then.
-  Duration high() const { return high_.estimate().value_or(targetLatency_ / 3); }
+  /// Most answers of healthy leafs are in by then. The high quantile alone is not enough: when more than its
+  /// rest of the leafs pause or are slow, it tells of those.
+  Duration high() const {
+    return std::min(high_.estimate().value_or(targetLatency_ / 3), typical() * 5 / 2);
+  }
 
  private:
   Duration targetLatency_;
