--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -23,6 +23,7 @@
 constexpr std::string_view kMetricsPath = "/metrics";
 /// After a request to stop callers are still sent here until they have seen that this daemon is not ready.
 constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
+constexpr Duration kReloadPeriod = std::chrono::seconds(5);
 constexpr Duration kStopCheck = std::chrono::milliseconds(50);
 /// Kept free before the process would be killed.
 constexpr Duration kStopReserve = std::chrono::milliseconds(300);
@@ -82,7 +83,8 @@
                 PeerLinkSettings{settings.peerAddress, settings.zone, settings.seeds}, published_,
                 {[this] { onView(); }, [this](std::size_t count) { onDaemonCount(count); }}),
         signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
-        stopTimer_(requestContext_) {}
+        stopTimer_(requestContext_),
+        reloadTimer_(requestContext_) {}
 
   int run() {
     for (const std::string& problem : {callers_.listen(settings_.callerAddress),
@@ -95,6 +97,7 @@
     log(LogLevel::kInfo, "started",
         {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
     awaitSignal();
+    scheduleReload();
     const auto keepRunning = boost::asio::make_work_guard(controlContext_);
     std::thread control([this] { controlContext_.run(); });
     requestContext_.run();
@@ -164,9 +167,20 @@
     });
   }
 
+  /// The settings may also change without a signal.
+  void scheduleReload() {
+    reloadTimer_.expires_after(kReloadPeriod);
+    reloadTimer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        reload();
+        scheduleReload();
+      }
+    });
+  }
+
   void reload() {
     const auto fresh = reload_();
-    if (!fresh) {
+    if (!fresh || describe(*fresh) == describe(settings_)) {
       return;
     }
     settings_ = *fresh;
@@ -223,6 +237,7 @@
   SourceLoop source_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer stopTimer_;
+  boost::asio::steady_timer reloadTimer_;
   FollowerCounters sourceCounters_;
   std::size_t daemons_ = 1;
   bool stopping_ = false;
--- /dev/null
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -0,0 +1,51 @@
+#include "programs/gateway/gateway_settings.h"
+
+#include <sstream>
+
+namespace oakpier::serving {
+
+namespace {
+
+constexpr Duration kShortestGrace = std::chrono::seconds(1);
+constexpr Duration kLongestGrace = std::chrono::minutes(10);
+constexpr Duration kShortestWindow = std::chrono::seconds(1);
+
+}  // namespace
+
+std::string describe(const GatewaySettings& settings) {
+  std::ostringstream text;
+  text << "name = " << settings.name << "\nzone = " << settings.zone
+       << "\ncaller_address = " << settings.callerAddress.text()
+       << "\nstatus_address = " << settings.readinessAddress.text()
+       << "\npeer_address = " << settings.peerAddress.text() << "\nseeds =";
+  for (const Endpoint& seed : settings.seeds) {
+    text << " " << seed.text();
+  }
+  text << "\nsource_address = " << settings.sourceAddress.text()
+       << "\nstop_grace_ms = " << toMilliseconds(settings.stopGrace)
+       << "\nextra_send_ratio = " << settings.extraSendRatio
+       << "\nextra_send_slack = " << settings.extraSendSlack
+       << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSendWindow) << "\n";
+  return text.str();
+}
+
+std::vector<std::string> problemsOf(const GatewaySettings& settings) {
+  std::vector<std::string> problems;
+  const auto require = [&](bool holds, const std::string& problem) {
+    if (!holds) {
+      problems.push_back(problem);
+    }
+  };
+  require(!settings.name.empty(), "the name is empty");
+  require(!settings.zone.empty(), "the zone is empty");
+  require(settings.callerAddress != settings.readinessAddress, "callers' and status address are the same");
+  require(settings.stopGrace >= kShortestGrace && settings.stopGrace <= kLongestGrace,
+          "the grace of a stop is not within 1 and 600 seconds");
+  require(settings.extraSendRatio >= 0 && settings.extraSendRatio <= 1,
+          "the ratio of extra sends is not within 0 and 1");
+  require(settings.extraSendSlack >= 0, "the slack of extra sends is negative");
+  require(settings.extraSendWindow >= kShortestWindow, "the window of extra sends is below 1 second");
+  return problems;
+}
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -33,4 +33,9 @@
   Duration extraSendWindow = std::chrono::seconds(10);
 };
 
+/// One line a setting, with its unit.
+std::string describe(const GatewaySettings& settings);
+/// Every reason, in plain words, why the settings cannot be used; empty when they can.
+std::vector<std::string> problemsOf(const GatewaySettings& settings);
+
 }  // namespace oakpier::serving
--- a/tests/platform_model/observations.h
+++ b/tests/platform_model/observations.h
@@ -34,6 +34,8 @@
   /// After the day: requests that may run only once.
   void checkOnce(const std::set<std::string>& requestIds);
 
+  /// Something else that must not happen.
+  void addViolation(const std::string& text) { violations_.push_back(text); }
   const std::vector<std::string>& violations() const { return violations_; }
   std::size_t arrivals() const { return arrivals_; }
 
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -234,6 +234,15 @@
     store_.remove("servers/" + leafs_[3]->settings().id);
     store_.forgetHistory();
   });
+  after(part * 7, [this] {
+    std::ofstream(gateways_[2]->settingsFile) << "{ not settings";
+    gateways_[2]->process->signal(SIGHUP);
+  });
+  after(part * 9, [this] {
+    if (!gateways_[2]->process->running()) {
+      observations_.addViolation("a gateway ended when its settings could not be used");
+    }
+  });
   after(part * 5, [this] { gateways_[1]->process->signal(SIGTERM); });
   after(part * 8, [this] {
     if (!gateways_[1]->process->running()) {
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -53,6 +53,15 @@
   REQUIRE(std::get<SettingsError>(parseSettings(wrong)).text.find("store.example:1") != std::string::npos);
 }
 
+TEST_CASE("settings out of bounds are refused, and used ones are told with their units", "[platform]") {
+  std::string wrong = kSettings;
+  wrong.replace(wrong.find("\"retry_budget_ratio\": 0.2"), 25, "\"retry_budget_ratio\": 7.0");
+  REQUIRE(std::get<SettingsError>(parseSettings(wrong)).text ==
+          "the ratio of extra sends is not within 0 and 1");
+  const std::string told = describe(std::get<GatewaySettings>(parseSettings(kSettings)));
+  REQUIRE(told.find("stop_grace_ms = 6000\n") != std::string::npos);
+}
+
 TEST_CASE("configurations and leaf entries are understood", "[platform]") {
   const StoreDialect dialect;
   const auto configuration =
