Answer what is given up at a stop, and end within the grace

Change: 15% of the grace, at most 0.8 s, is kept free, and what is still in progress then gets its final answer.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -20,13 +20,15 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
 constexpr std::string_view kMetricsPath = "/metrics";
 /// After a request to stop callers are still sent here until they have seen that this daemon is not ready.
 constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
 constexpr Duration kReloadPeriod = std::chrono::seconds(5);
 constexpr Duration kStopCheck = std::chrono::milliseconds(50);
-/// Kept free before the process would be killed.
-constexpr Duration kStopReserve = std::chrono::milliseconds(300);
+/// Kept free before the process would be killed: this share of the grace, and at most this long.
+constexpr double kStopReserveShare = 0.15;
+constexpr Duration kLongestStopReserve = std::chrono::milliseconds(800);
 /// Share of the bound on extra sends that is really used.
 constexpr double kExtraSendShare = 0.9;
 /// Until the others had time to be found, this many daemons are assumed.
@@ -203,15 +205,26 @@
     checkStop();
   }
 
+  Duration stopReserve() const {
+    const auto share = static_cast<std::int64_t>(settings_.stopGrace.count() * kStopReserveShare);
+    return std::min(kLongestStopReserve, Duration(share));
+  }
+
   void checkStop() {
     const Duration passed = steadyNow() - stopRequestedAt_;
     if (passed >= kAcceptAfterStop) {
       callers_.stopAccepting();
       const bool idle = callers_.inProgress() == 0 && callers_.connections() == 0;
-      if (idle || passed >= settings_.stopGrace - kStopReserve) {
+      if (idle || gaveUp_) {
         requestContext_.stop();
         return;
       }
+      if (passed >= settings_.stopGrace - stopReserve()) {
+        log(LogLevel::kWarning, "requests given up at the end of the grace",
+            {{"in_progress", callers_.inProgress()}});
+        callers_.answerAll(ownReply(kGatewayTimeout, "no answer before this daemon had to stop"));
+        gaveUp_ = true;
+      }
     }
     stopTimer_.expires_after(kStopCheck);
     stopTimer_.async_wait([this](const boost::system::error_code& error) {
@@ -241,6 +254,8 @@
   FollowerCounters sourceCounters_;
   std::size_t daemons_ = 1;
   bool stopping_ = false;
+  /// Requests in progress were answered as given up; the process ends at the next check.
+  bool gaveUp_ = false;
   const Moment startedAt_ = steadyNow();
   Moment stopRequestedAt_{};
 };
--- a/src/transport/serving/http_service.cpp
+++ b/src/transport/serving/http_service.cpp
@@ -69,6 +69,13 @@
   });
 }
 
+void HttpService::answerAll(const HttpReply& reply) {
+  const std::vector<HttpSession*> sessions(sessions_.begin(), sessions_.end());
+  for (HttpSession* session : sessions) {
+    session->respondIfServing(reply);
+  }
+}
+
 void HttpService::stopAccepting() {
   boost::system::error_code ignored;
   acceptRetry_.cancel();
--- a/src/transport/serving/http_service.h
+++ b/src/transport/serving/http_service.h
@@ -56,6 +56,8 @@
   bool closing() const { return closing_; }
   /// Accepts no more connections and ends the idle ones.
   void stopAccepting();
+  /// Answers every request in progress with this.
+  void answerAll(const HttpReply& reply);
   /// Requests in progress.
   std::size_t inProgress() const { return inProgress_; }
   std::size_t connections() const { return sessions_.size(); }
--- a/src/transport/serving/http_session.cpp
+++ b/src/transport/serving/http_session.cpp
@@ -216,6 +216,12 @@
       [self](const boost::system::error_code& error, std::size_t) { self->onWritten(error); });
 }
 
+void HttpSession::respondIfServing(const HttpReply& reply) {
+  if (state_ == State::kServing) {
+    respond(reply);
+  }
+}
+
 void HttpSession::onWritten(const boost::system::error_code& error) {
   if (service_ == nullptr || state_ != State::kWriting) {
     return;
--- a/src/transport/serving/http_session.h
+++ b/src/transport/serving/http_session.h
@@ -25,6 +25,7 @@
 
   void start();
   void respond(const HttpReply& reply);
+  void respondIfServing(const HttpReply& reply);
   /// Ends the connection if no request is being read or served.
   void closeIfIdle();
   /// The service is going away.
--- a/tests/serving/transport/http_service_test.cpp
+++ b/tests/serving/transport/http_service_test.cpp
@@ -122,6 +122,22 @@
   REQUIRE(busy.received().find("done") != std::string::npos);
 }
 
+TEST_CASE("requests that are given up get their answer, idle connections none", "[serving]") {
+  ServiceWorld world;
+  RawClient busy(world.context, world.address);
+  busy.write(kGet);
+  world.awaitRequests(1);
+  RawClient idle(world.context, world.address);
+  runUntil(world.context, [&] { return world.service.connections() == 2; });
+  world.service.startClosing();
+  world.service.answerAll(ownReply(504, "given up"));
+  runUntil(world.context, [&] { return busy.ended(); });
+  REQUIRE(busy.received().find("HTTP/1.1 504") == 0);
+  REQUIRE(busy.received().find("given up") != std::string::npos);
+  REQUIRE(idle.received().empty());
+  REQUIRE(world.service.inProgress() == 0);
+}
+
 TEST_CASE("a caller that asks whether to send its body is told to", "[serving]") {
   ServiceWorld world;
   RawClient client(world.context, world.address);
