Compare member tables for a shorter time; open connections ahead once daemons are known

Tables are compared at every probe for 60 s after a start, and before the others are known a daemon takes them for 12 and connects to all leafs. Change: 5 s; more than 150 connections are opened ahead only after the others had 4 s to be found.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -86,7 +86,8 @@
                 {[this] { onView(); }, [this](std::size_t count) { onDaemonCount(count); }}),
         signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
         stopTimer_(requestContext_),
-        reloadTimer_(requestContext_) {}
+        reloadTimer_(requestContext_),
+        settledTimer_(controlContext_) {}
 
   int run() {
     for (const std::string& problem : {callers_.listen(settings_.callerAddress),
@@ -100,6 +101,7 @@
         {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
     awaitSignal();
     scheduleReload();
+    scheduleSettled();
     const auto keepRunning = boost::asio::make_work_guard(controlContext_);
     std::thread control([this] { controlContext_.run(); });
     requestContext_.run();
@@ -135,12 +137,23 @@
 
   /// On the control thread. Until the others are known, a usual number is taken.
   void onDaemonCount(std::size_t count) {
-    const bool settled = steadyNow() - startedAt_ > kSettlingTime;
+    lastDaemonCount_ = count;
+    const bool settled = steadyNow() - startedAt_ >= kSettlingTime;
     const std::size_t planned = settled ? count + count / kSpareShare + 1 : std::max(count, kUsualDaemons);
-    boost::asio::post(requestContext_, [this, planned, count, counters = source_.counters()] {
+    boost::asio::post(requestContext_, [this, planned, settled, count, counters = source_.counters()] {
       sourceCounters_ = counters;
       daemons_ = count;
-      requests_.setDaemonCount(planned);
+      requests_.setDaemonCount(planned, settled);
+    });
+  }
+
+  /// The others have had time to be found.
+  void scheduleSettled() {
+    settledTimer_.expires_after(kSettlingTime);
+    settledTimer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        onDaemonCount(lastDaemonCount_);
+      }
     });
   }
 
@@ -251,8 +264,11 @@
   boost::asio::signal_set signals_;
   boost::asio::steady_timer stopTimer_;
   boost::asio::steady_timer reloadTimer_;
+  boost::asio::steady_timer settledTimer_;
   FollowerCounters sourceCounters_;
   std::size_t daemons_ = 1;
+  /// Used on the control thread.
+  std::size_t lastDaemonCount_ = 1;
   bool stopping_ = false;
   /// Requests in progress were answered as given up; the process ends at the next check.
   bool gaveUp_ = false;
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -17,9 +17,14 @@
 /// Frames that were on the way for longer are not believed.
 constexpr std::uint32_t kTimeToLiveMilliseconds = 1000;
 
+/// Whole tables are compared at every probe for this long after the start; at some hundred daemons they are
+/// most of what daemons say to each other.
+constexpr Duration kMembershipSettling = std::chrono::seconds(5);
+
 MembershipSettings membershipSettings() {
   MembershipSettings settings;
   settings.adoptHigherIncarnation = true;
+  settings.settlingTime = kMembershipSettling;
   return settings;
 }
 
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned kBadRequest = 400;
 /// For callers that come before the first configuration is known.
 constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(300);
+/// Connections that are opened ahead before it is known how many daemons share the leafs.
+constexpr std::size_t kMostEarlyConnections = 150;
 
 }  // namespace
 
@@ -44,9 +46,10 @@
       view_(published.read()),
       self_(self) {}
 
-void RequestGateway::setDaemonCount(std::size_t count) {
-  if (count != daemonCount_) {
+void RequestGateway::setDaemonCount(std::size_t count, bool settled) {
+  if (count != daemonCount_ || settled != settled_) {
     daemonCount_ = count;
+    settled_ = settled;
     onView();
   }
 }
@@ -56,10 +59,15 @@
   const LeafsByService leafs = ownLeafs();
   leafs_.reconcile(leafs, steadyNow());
   std::unordered_set<std::string> used;
+  std::size_t count = 0;
+  for (const auto& [service, entries] : leafs) {
+    count += entries.size();
+  }
+  const bool warms = settled_ || count <= kMostEarlyConnections;
   for (const auto& [service, entries] : leafs) {
     for (const LeafEntry& leaf : entries) {
       used.insert(leaf.id);
-      if (shares_.count(service) != 0) {
+      if (shares_.count(service) != 0 && warms) {
         pool_.warm(leaf, connectionsTo(service));
       }
     }
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -29,7 +29,8 @@
   /// A new view was published.
   void onView();
   /// How many daemons share each leaf's connections.
-  void setDaemonCount(std::size_t count);
+  /// `settled`: the number can be relied on.
+  void setDaemonCount(std::size_t count, bool settled);
   const RequestCounters& counters() const { return counters_; }
   const LeafPoolCounters& poolCounters() const { return pool_.counters(); }
   std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut(); }
@@ -61,6 +62,7 @@
   Endpoint self_;
   std::unordered_map<std::string, ConnectionShare> shares_;
   std::size_t daemonCount_ = 12;
+  bool settled_ = false;
   RequestCounters counters_;
   RequestLog log_{RequestLogSettings{}};
 };
