Use a new connection once the leaf has not reset it

Ruled out: leafs that were down (they answered others). Change: nothing is written for 2.5 ms after a connection is up; one reset by then leaves its request unsent, so another leaf is free to take. The test failed first. A test of early answers answered before the request had begun and now waits for its first bytes.

--- a/src/transport/serving/leaf_connection.cpp
+++ b/src/transport/serving/leaf_connection.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
+/// A leaf that has too many connections accepts a further one and resets it at once. Nothing is written before
+/// that would have been seen, so that a request is not lost to it.
+constexpr Duration kAcceptanceTime = std::chrono::microseconds(2500);
 
 }  // namespace
 
@@ -34,9 +37,20 @@
       return;
     }
     configureConnection(self->socket_);
+    self->read();
+    self->awaitAcceptance();
+  });
+}
+
+void LeafConnection::awaitAcceptance() {
+  auto self = shared_from_this();
+  connectTimer_.expires_after(kAcceptanceTime);
+  connectTimer_.async_wait([self](const boost::system::error_code& error) {
+    if (error || self->state_ != State::kConnecting) {
+      return;
+    }
     self->state_ = State::kIdle;
     self->wasOpen_ = true;
-    self->read();
     self->listener_(*self, Event::kReady, nullptr);
   });
 }
--- a/src/transport/serving/leaf_connection.h
+++ b/src/transport/serving/leaf_connection.h
@@ -46,6 +46,7 @@
 
  private:
   enum class State { kConnecting, kIdle, kBusy, kClosed };
+  void awaitAcceptance();
   void read();
   void onRead(const boost::system::error_code& error, std::size_t count);
   void onReply();
--- a/tests/serving/support/loopback.h
+++ b/tests/serving/support/loopback.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
@@ -48,6 +49,8 @@
     accept();
   }
 
+  /// From now on connections are accepted and reset at once.
+  void resetNewConnections() { resets_ = true; }
   Endpoint address() const { return Endpoint(0x7f000001, acceptor_.local_endpoint().port()); }
   std::vector<std::shared_ptr<Connection>>& connections() { return connections_; }
   std::size_t requests() const {
@@ -69,7 +72,13 @@
             return;
           }
           connections_.push_back(std::make_shared<Connection>(std::move(socket)));
-          read(connections_.back());
+          if (resets_) {
+            // After the peer has seen that it is connected.
+            boost::asio::post(acceptor_.get_executor(),
+                              [connection = connections_.back()] { connection->reset(); });
+          } else {
+            read(connections_.back());
+          }
           accept();
         });
   }
@@ -88,6 +97,7 @@
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  bool resets_ = false;
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
--- a/tests/serving/transport/leaf_pool_test.cpp
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -161,6 +161,15 @@
   REQUIRE(world.written == 0);
 }
 
+TEST_CASE("a leaf that accepts a connection and resets it at once leaves the request unsent", "[serving]") {
+  PoolWorld world;
+  world.server.resetNewConnections();
+  world.send(1, "one");
+  world.awaitOutcomes(1);
+  REQUIRE(world.outcomes[0].kind == Kind::kNotSent);
+  REQUIRE(world.written == 0);
+}
+
 TEST_CASE("a waiting request that is abandoned is never sent", "[serving]") {
   PoolWorld world;
   world.send(1, "one");
@@ -187,7 +196,9 @@
   PoolWorld world;
   // Larger than the buffers of the connection, and the server does not read it to its end at first.
   world.send(1, "one", std::string(32U << 20U, 'x'));
-  runUntil(world.context, [&] { return !world.server.connections().empty(); });
+  runUntil(world.context, [&] {
+    return !world.server.connections().empty() && !world.connection(0).received.empty();
+  });
   world.connection(0).write(world.reply("one", "early"));
   world.awaitOutcomes(1);
   REQUIRE(world.outcomes[0].reply->body == "early");
