Leave reading to the first daemon from the start

Change: after each own answer, a daemon that is not the first in order waits until news is overdue; a test holds both.

--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -47,6 +47,7 @@
       actions.news = relay_.onRead(call.afterRevision, page.revision, newest, now).news;
     }
     reader_.onPage(page, now);
+    leaveReadingToOthers(now);
     return;
   }
   if (call.afterKey.empty()) {
@@ -64,6 +65,13 @@
     relay_.setFreshAt(now);
   }
   listing_.clear();
+  leaveReadingToOthers(now);
+}
+
+void SourceFollower::leaveReadingToOthers(Moment now) {
+  if (relay_.place() > 0) {
+    reader_.onNews(reader_.knownRevision(), now, stagger());
+  }
 }
 
 std::vector<SourceRecord> SourceFollower::newestOf(const std::vector<SourceRecord>& records) {
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -85,6 +85,8 @@
   /// Returns the id when the record lists a leaf.
   std::optional<std::string> takeOver(const SourceRecord& record, Moment now, FollowerActions& actions);
   void takeOverConfiguration(ServingConfiguration configuration, FollowerActions& actions);
+  /// Unless this daemon is the one that reads first, its next call waits for overdue news.
+  void leaveReadingToOthers(Moment now);
   Duration stagger() const;
 
   FollowerSettings settings_;
--- a/tests/serving/coordination/source_follower_test.cpp
+++ b/tests/serving/coordination/source_follower_test.cpp
@@ -215,4 +215,25 @@
   });
 }
 
+TEST_CASE("only the first daemon in order goes on reading at its pace", "[serving]") {
+  const FollowerSettings settings;
+  const std::vector<Endpoint> members{Endpoint(1, 1), Endpoint(2, 1)};
+  for (const Endpoint& self : members) {
+    SourceFollower follower(self, settings, interpret, RandomEngine(1));
+    follower.setMembers(members);
+    SourceModel source;
+    const auto listing = follower.takeCall(at(1));
+    follower.onAnswer(*listing, source.answer(*listing), at(1));
+    const Moment next = follower.nextDueAt();
+    if (self == members[0]) {
+      REQUIRE(next == at(1) + settings.reader.pace);
+    } else {
+      REQUIRE(next > at(1) + settings.reader.pace + settings.reader.wait);
+    }
+    const auto changes = follower.takeCall(next);
+    follower.onAnswer(*changes, source.answer(*changes), next);
+    REQUIRE((follower.nextDueAt() == next + settings.reader.pace) == (self == members[0]));
+  }
+}
+
 }  // namespace oakpier::serving
