--- a/src/coordination/serving/extra_send_budget.h
+++ b/src/coordination/serving/extra_send_budget.h
@@ -1,8 +1,9 @@
 #pragma once
 
 /// Bounds hedges and retries to a service as a share of its requests, so that the sum over all daemons stays
-/// within the operator's bound, also after restarts: what the process before may have spent lately is unknown,
-/// so a new one has nothing saved until the operator's window has passed once, and then all that may be saved.
+/// within the operator's bound, also after restarts: what the process before may have spent lately is
+/// unknown, so a new one has nothing saved until the operator's window has passed once, and then all that may
+/// be saved.
 
 #include <algorithm>
 #include <string>
@@ -70,7 +71,8 @@
 /// The budgets of all services.
 class ExtraSendBudgets {
  public:
-  ExtraSendBudgets(const ExtraSendBounds& bounds, Moment startedAt) : bounds_(bounds), startedAt_(startedAt) {}
+  ExtraSendBudgets(const ExtraSendBounds& bounds, Moment startedAt)
+      : bounds_(bounds), startedAt_(startedAt) {}
 
   void setBounds(const ExtraSendBounds& bounds) { bounds_ = bounds; }
   void earn(const std::string& service, Moment now) { budgetOf(service, now).earn(bounds_, now); }
--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -39,9 +39,7 @@
   Duration typical() const { return typical_.estimate().value_or(targetLatency_ / 5); }
   /// Most answers of healthy leafs are in by then. The high quantile alone is not enough: when more than its
   /// rest of the leafs pause or are slow, it tells of those.
-  Duration high() const {
-    return std::min(high_.estimate().value_or(targetLatency_ / 3), typical() * 5 / 2);
-  }
+  Duration high() const { return std::min(high_.estimate().value_or(targetLatency_ / 3), typical() * 5 / 2); }
 
  private:
   Duration targetLatency_;
--- a/src/programs/common/logging.cpp
+++ b/src/programs/common/logging.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
@@ -11,7 +12,6 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/make_shared.hpp>
 #include <chrono>
@@ -44,9 +44,9 @@
   static void interrupt() {}
 };
 
-using BoundedSink =
-    boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend,
-                                         boost::log::sinks::bounded_fifo_queue<kMostQueuedLines, DropAndCount>>;
+using BoundedSink = boost::log::sinks::asynchronous_sink<
+    boost::log::sinks::text_ostream_backend,
+    boost::log::sinks::bounded_fifo_queue<kMostQueuedLines, DropAndCount>>;
 boost::shared_ptr<BoundedSink> boundedSink;
 
 trivial::severity_level severityOf(LogLevel level) {
--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -15,8 +15,7 @@
   app.require_subcommand(1);
   std::string daemon;
   std::string output = "table";
-  app.add_option("--daemon", daemon, "Operator address of any daemon")
-      ->check(oakpier::endpointValidator());
+  app.add_option("--daemon", daemon, "Operator address of any daemon")->check(oakpier::endpointValidator());
   app.add_option("--output", output, "table or json")
       ->check(CLI::IsMember({"table", "json"}))
       ->capture_default_str();
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -82,7 +82,8 @@
   list.counter("answers_total", "Answers with success", requests.answered);
   list.counter("partial_answers_total", "Answers that lack shards", requests.partial);
   list.counter("refusals_total", "Requests refused as not run", requests.refused);
-  list.counter("busy_refusals_total", "Of these, before any send, as leafs were too busy", requests.refusedBusy);
+  list.counter("busy_refusals_total", "Of these, before any send, as leafs were too busy",
+               requests.refusedBusy);
   list.counter("failures_total", "Requests that ended without an answer", requests.failed);
   list.counter("requests_without_route_total", "Requests for which no route was found", requests.noRoute);
   list.counter("callers_gone_total", "Callers that left before their answer", requests.callersGone);
@@ -92,13 +93,17 @@
   list.counter("extra_sends_denied_total", "Hedges and retries that the budget did not allow",
                requests.budgetEmpty);
   list.histograms("answer_seconds", "Time from a request to its answer", requests.answerTimes);
-  list.counter("leaf_connections_opened_total", "Connections opened to leafs", figures.pool.connectionsOpened);
-  list.counter("leaf_connections_failed_total", "Of these, never established", figures.pool.connectionsFailed);
-  list.counter("leaf_requests_cut_off_total", "Abandoned requests cut off at work", figures.pool.abandonedAtWork);
+  list.counter("leaf_connections_opened_total", "Connections opened to leafs",
+               figures.pool.connectionsOpened);
+  list.counter("leaf_connections_failed_total", "Of these, never established",
+               figures.pool.connectionsFailed);
+  list.counter("leaf_requests_cut_off_total", "Abandoned requests cut off at work",
+               figures.pool.abandonedAtWork);
   list.counter("source_calls_total", "Calls to the configuration source", figures.source.calls);
   list.counter("source_failures_total", "Of these, without a usable answer", figures.source.failures);
   list.counter("news_accepted_total", "News taken over from other daemons", figures.source.newsAccepted);
-  list.counter("news_asked_total", "Times that everything was asked of another daemon", figures.source.newsAsked);
+  list.counter("news_asked_total", "Times that everything was asked of another daemon",
+               figures.source.newsAsked);
   list.counter("configurations_refused_total", "Configurations with a problem",
                figures.source.configurationsRefused);
   list.gauge("configuration_version", "Version in force", static_cast<double>(figures.configurationVersion));
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -221,8 +221,8 @@
   }
 }
 
-void RequestGateway::reject(const ResponseWriter& writer, const std::string& requestId, const HttpReply& reply,
-                            const std::string& reason) {
+void RequestGateway::reject(const ResponseWriter& writer, const std::string& requestId,
+                            const HttpReply& reply, const std::string& reason) {
   writer.write(reply);
   log_.onRefused(requestId, reason, reply.status, steadyNow());
 }
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -45,7 +45,11 @@
   }
 }
 
-double inMilliseconds(Duration duration) { return static_cast<double>(duration.count() / 100) / 10.0; }
+/// To a tenth.
+double inMilliseconds(Duration duration) {
+  const std::int64_t tenths = duration.count() / 100;
+  return static_cast<double>(tenths) / 10.0;
+}
 
 std::vector<LogField> fieldsOf(const std::string& requestId, const TraceEvent& event, Moment receivedAt) {
   std::vector<LogField> fields = {{"id", requestId},
@@ -94,8 +98,8 @@
   if (std::holds_alternative<Refusal>(answer)) {
     write(requestId, query, "refused: not run", false, now);
   } else if (const auto* failure = std::get_if<Failure>(&answer)) {
-    write(requestId, query, failure->timedOut ? "failed: no answer in time" : "failed: no leaf answered", false,
-          now);
+    write(requestId, query, failure->timedOut ? "failed: no answer in time" : "failed: no leaf answered",
+          false, now);
   } else if (const auto* forwarded = std::get_if<ForwardedAnswer>(&answer)) {
     const bool success = forwarded->reply->status < 400;
     write(requestId, query, success ? "answered" : "failed: the leaf's own failure", success && !late, now);
--- a/src/programs/gateway/request_log.h
+++ b/src/programs/gateway/request_log.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Structured log lines of requests: every request that did not end as its caller wished, with the decisions
-/// that led there; of the others a sample. Bounded by a number of lines a second; what is left out is counted.
+/// that led there; of the others a sample. Bounded by a number of lines a second; what is left out is
+/// counted.
 
 #include <cstdint>
 #include <string>
@@ -20,7 +21,8 @@
 /// Not thread-safe.
 class RequestLog {
  public:
-  explicit RequestLog(const RequestLogSettings& settings) : settings_(settings), room_(settings.linesPerSecond) {}
+  explicit RequestLog(const RequestLogSettings& settings)
+      : settings_(settings), room_(settings.linesPerSecond) {}
 
   /// A request that ended without a query: refused, or without a route.
   void onRefused(const std::string& requestId, const std::string& reason, unsigned status, Moment now);
--- a/src/transport/serving/leaf_connection.cpp
+++ b/src/transport/serving/leaf_connection.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
-/// A leaf that has too many connections accepts a further one and resets it at once. Nothing is written before
-/// that would have been seen, so that a request is not lost to it.
+/// A leaf that has too many connections accepts a further one and resets it at once. Nothing is written
+/// before that would have been seen, so that a request is not lost to it.
 constexpr Duration kAcceptanceTime = std::chrono::microseconds(2500);
 
 }  // namespace
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -96,7 +96,8 @@
         {"bind_addresses", {{"http", gateway->callers.text()}, {"readiness", gateway->readiness.text()}}},
         {"internal_port_range", {ports[3], ports[3]}},
         {"seeds", seeds},
-        {"bounds", {{"grace_s", 6}, {"retry_budget_ratio", 0.2}, {"budget_slack", 56}, {"budget_window_s", 10}}},
+        {"bounds",
+         {{"grace_s", 6}, {"retry_budget_ratio", 0.2}, {"budget_slack", 56}, {"budget_window_s", 10}}},
         {"platform", {{"address", storeAddress_.text()}}}};
     std::ofstream(gateway->settingsFile) << file.dump(2);
     startGateway(*gateway);
@@ -131,7 +132,7 @@
 }
 
 std::string PlatformDay::stalledPipe(const Gateway& gateway) {
-  const std::string path = settings_.folder + "/" + gateway.name + ".pipe";
+  std::string path = settings_.folder + "/" + gateway.name + ".pipe";
   constexpr int kOwnerOnly = 0600;
   mkfifo(path.c_str(), kOwnerOnly);
   const int pipe = open(path.c_str(), O_RDWR | O_NONBLOCK);
--- a/tests/serving/transport/leaf_pool_test.cpp
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -196,9 +196,8 @@
   PoolWorld world;
   // Larger than the buffers of the connection, and the server does not read it to its end at first.
   world.send(1, "one", std::string(32U << 20U, 'x'));
-  runUntil(world.context, [&] {
-    return !world.server.connections().empty() && !world.connection(0).received.empty();
-  });
+  runUntil(world.context,
+           [&] { return !world.server.connections().empty() && !world.connection(0).received.empty(); });
   world.connection(0).write(world.reply("one", "early"));
   world.awaitOutcomes(1);
   REQUIRE(world.outcomes[0].reply->body == "early");
