--- a/tests/platform_model/observations.cpp
+++ b/tests/platform_model/observations.cpp
@@ -61,7 +61,9 @@
   for (const std::string& signature : splitAtCommas(signatures)) {
     const auto part = signed_.find(signature);
     if (part == signed_.end() || part->second.requestId != requestId) {
-      violations_.push_back("answer to " + requestId + " names a part of another request: " + signature);
+      std::string text = "answer to ";
+      text.append(requestId).append(" names a part of another request: ").append(signature);
+      violations_.push_back(text);
       return;
     }
     if (shards.count(part->second.service) == 0 || !services.insert(part->second.service).second) {
