Test directly that what must not be repeated is not sent again

Cause: with the guard in part_exchange switched off, the generated test of queries still passed at its 60 runs: it seldom draws the case. Ruled out: a fault of the program, whose guard stands. Change: a direct test over the ends that may have run; it fails three times with the guard off and passes with it.

--- a/tests/serving/coordination/query_test.cpp
+++ b/tests/serving/coordination/query_test.cpp
@@ -94,6 +94,21 @@
   REQUIRE(std::get<Refusal>(*actions.answer).retryAfter.count() > 0);
 }
 
+TEST_CASE("a request that must not be repeated is not sent again once it may have run", "[serving]") {
+  const Kind kind = GENERATE(Kind::kNoAnswer, Kind::kLeafFailed, Kind::kWithdrawn);
+  const auto view = viewOf({singleRoute("s", false, 3)}, {"s"}, 4);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  REQUIRE(started.sends.size() == 1);
+  query.onWritten(started.sends[0].exchange);
+  REQUIRE(query.onTime(at(1000)).sends.empty());
+  const QueryActions last = query.onOutcome(started.sends[0].exchange, outcomeOf(kind), at(1001));
+  REQUIRE(last.sends.empty());
+  REQUIRE(last.answer);
+  REQUIRE_FALSE(std::holds_alternative<Refusal>(*last.answer));
+}
+
 TEST_CASE("a leaf's own failure is passed on when nothing else is left", "[serving]") {
   const auto view = viewOf({singleRoute("s", true, 1)}, {"s"}, 2);
   QueryWorld world(view);
