Share out the budget of extra sends by the daemons known, not by a fixed twelve

Cause: each daemon could save up slack * 0.9 / 12 extra sends, whatever the number of daemons; 64 of them could save 806 where the operator allows 168. Ruled out: earning by requests, which is a share of what comes. Change: a daemon's share follows the largest number of daemons it has known, so that one that is cut off does not take the others' share; with too many daemons for a whole saved send each, sends are left to chance with odds that keep the mean within the bound. Test seen failing with the count ignored: the sum over 1 to 1,500 daemons, and the daemon that is cut off.

--- a/src/coordination/serving/extra_send_budget.h
+++ b/src/coordination/serving/extra_send_budget.h
@@ -6,43 +6,82 @@
 /// be saved.
 
 #include <algorithm>
+#include <cstddef>
 #include <string>
 #include <unordered_map>
 
+#include "state/random.h"
 #include "state/time.h"
 
 namespace oakpier::serving {
 
+/// What the operator allows all daemons together for one service.
+struct OperatorExtraSends {
+  /// Extra sends in a window as a share of the requests in it.
+  double ratio = 0.2;
+  /// Extra sends in a window beyond that share.
+  double slack = 50;
+  Duration window = std::chrono::seconds(10);
+};
+
+/// What one daemon may use of that.
 struct ExtraSendBounds {
   /// Extra sends earned by one request.
   double ratio = 0.15;
-  /// Extra sends earned a second, whatever the requests; the daemons share what the operator allows beyond
-  /// the ratio.
-  double perSecond = 0.0;
-  /// Extra sends that one daemon may save up for a service.
+  /// Extra sends that one daemon may save up for a service. Below 1 an extra send is left to chance.
   double saved = 3.0;
   /// The operator counts extra sends in spans of this length.
   Duration window = std::chrono::seconds(10);
 };
 
+/// One daemon's share of the operator's bound, from the largest number of daemons that it has known: one that
+/// is cut off from the others must not take their shares.
+class ExtraSendShare {
+ public:
+  /// `assumedDaemons`: how many there are at least, until more are known.
+  ExtraSendShare(const OperatorExtraSends& total, std::size_t assumedDaemons)
+      : total_(total), mostDaemons_(std::max<std::size_t>(1, assumedDaemons)) {}
+
+  void setTotal(const OperatorExtraSends& total) { total_ = total; }
+  void onDaemonCount(std::size_t daemons) { mostDaemons_ = std::max(mostDaemons_, daemons); }
+
+  ExtraSendBounds bounds() const {
+    const double each = total_.slack / static_cast<double>(mostDaemons_);
+    // Chance adds its own spread to the sum, so that less of the bound may be planned.
+    const double used = each * kUsedShare < 1.0 ? kUsedShareByChance : kUsedShare;
+    return ExtraSendBounds{total_.ratio * used, each * used, total_.window};
+  }
+
+ private:
+  /// Share of the operator's bound that is planned.
+  static constexpr double kUsedShare = 0.9;
+  static constexpr double kUsedShareByChance = 0.75;
+
+  OperatorExtraSends total_;
+  std::size_t mostDaemons_;
+};
+
 /// One service's budget at one daemon. Not thread-safe.
 class ExtraSendBudget {
  public:
   /// One request came.
-  void earn(const ExtraSendBounds& bounds, Moment now) {
-    earnTime(bounds, now);
-    tokens_ = std::min(bounds.saved, tokens_ + bounds.ratio);
-  }
+  void earn(const ExtraSendBounds& bounds) { tokens_ = std::min(bounds.saved, tokens_ + bounds.ratio); }
 
-  /// Takes one extra send; false when none is left.
-  bool spend(const ExtraSendBounds& bounds, Moment now) {
-    earnTime(bounds, now);
-    if (tokens_ < 1.0) {
+  /// Takes one extra send; false when none is left. A daemon that cannot save up a whole one draws with the
+  /// odds of what it has, which is used up either way: then the mean of all draws is what was saved.
+  bool spend(const ExtraSendBounds& bounds, RandomEngine& random) {
+    if (tokens_ >= 1.0) {
+      tokens_ -= 1.0;
+      return true;
+    }
+    if (bounds.saved >= 1.0) {
       return false;
     }
-    tokens_ -= 1.0;
-    return true;
+    const double odds = tokens_;
+    tokens_ = 0.0;
+    return std::bernoulli_distribution(odds)(random);
   }
+
   /// Gives all that may be saved, the first time that it is called.
   void fillOnce(const ExtraSendBounds& bounds) {
     if (!filled_) {
@@ -55,28 +94,22 @@
   double fill(const ExtraSendBounds& bounds) const { return std::clamp(tokens_ / bounds.saved, 0.0, 1.0); }
 
  private:
-  void earnTime(const ExtraSendBounds& bounds, Moment now) {
-    if (earnedAt_ != Moment{} && now > earnedAt_) {
-      const double seconds = std::chrono::duration<double>(now - earnedAt_).count();
-      tokens_ = std::min(bounds.saved, tokens_ + seconds * bounds.perSecond);
-    }
-    earnedAt_ = now;
-  }
-
   double tokens_ = 0.0;
   bool filled_ = false;
-  Moment earnedAt_{};
 };
 
 /// The budgets of all services.
 class ExtraSendBudgets {
  public:
-  ExtraSendBudgets(const ExtraSendBounds& bounds, Moment startedAt)
-      : bounds_(bounds), startedAt_(startedAt) {}
+  /// `random` outlives the budgets.
+  ExtraSendBudgets(const ExtraSendBounds& bounds, Moment startedAt, RandomEngine& random)
+      : bounds_(bounds), startedAt_(startedAt), random_(random) {}
 
   void setBounds(const ExtraSendBounds& bounds) { bounds_ = bounds; }
-  void earn(const std::string& service, Moment now) { budgetOf(service, now).earn(bounds_, now); }
-  bool spend(const std::string& service, Moment now) { return budgetOf(service, now).spend(bounds_, now); }
+  void earn(const std::string& service, Moment now) { budgetOf(service, now).earn(bounds_); }
+  bool spend(const std::string& service, Moment now) {
+    return budgetOf(service, now).spend(bounds_, random_);
+  }
   double fill(const std::string& service, Moment now) { return budgetOf(service, now).fill(bounds_); }
 
  private:
@@ -90,6 +123,7 @@
 
   ExtraSendBounds bounds_;
   Moment startedAt_;
+  RandomEngine& random_;
   std::unordered_map<std::string, ExtraSendBudget> budgets_;
 };
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -29,8 +29,6 @@
 /// Kept free before the process would be killed: this share of the grace, and at most this long.
 constexpr double kStopReserveShare = 0.15;
 constexpr Duration kLongestStopReserve = std::chrono::milliseconds(800);
-/// Share of the bound on extra sends that is really used.
-constexpr double kExtraSendShare = 0.9;
 /// Until the others had time to be found, this many daemons are assumed.
 constexpr std::size_t kUsualDaemons = 12;
 constexpr Duration kSettlingTime = std::chrono::seconds(4);
@@ -59,14 +57,6 @@
   std::function<std::string()> metrics_;
 };
 
-ExtraSendBounds boundsFrom(const GatewaySettings& settings) {
-  ExtraSendBounds bounds;
-  bounds.ratio = settings.extraSendRatio * kExtraSendShare;
-  bounds.saved = std::max(1.0, settings.extraSendSlack * kExtraSendShare / kUsualDaemons);
-  bounds.window = settings.extraSendWindow;
-  return bounds;
-}
-
 class Gateway {
  public:
   Gateway(const GatewaySettings& settings, const HeaderNames& names, const SourceDialect& dialect,
@@ -75,7 +65,8 @@
         reload_(std::move(reload)),
         published_(emptyView()),
         random_(std::random_device{}()),
-        budgets_(boundsFrom(settings), steadyNow()),
+        extraSendShare_(settings.extraSends, kUsualDaemons),
+        budgets_(extraSendShare_.bounds(), steadyNow(), random_),
         requests_(requestContext_, names, published_, settings.peerAddress,
                   QueryContext{leafs_, budgets_, random_, QueryPolicy{}, settings.zone, {}}),
         statusHandler_(ready_, [this] { return metrics(); }),
@@ -144,6 +135,8 @@
       sourceCounters_ = counters;
       daemons_ = count;
       requests_.setDaemonCount(planned, settled);
+      extraSendShare_.onDaemonCount(planned);
+      budgets_.setBounds(extraSendShare_.bounds());
     });
   }
 
@@ -199,7 +192,8 @@
       return;
     }
     settings_ = *fresh;
-    budgets_.setBounds(boundsFrom(settings_));
+    extraSendShare_.setTotal(settings_.extraSends);
+    budgets_.setBounds(extraSendShare_.bounds());
     boost::asio::post(controlContext_,
                       [this, fresh = settings_] { source_.reload(fresh.sourceAddress, fresh.seeds); });
     log(LogLevel::kInfo, "settings reloaded", {{"name", settings_.name}});
@@ -255,6 +249,7 @@
   std::atomic<bool> ready_{false};
   RandomEngine random_;
   LeafRegistry leafs_;
+  ExtraSendShare extraSendShare_;
   ExtraSendBudgets budgets_;
   RequestGateway requests_;
   StatusHandler statusHandler_;
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -23,9 +23,9 @@
   }
   text << "\nsource_address = " << settings.sourceAddress.text()
        << "\nstop_grace_ms = " << toMilliseconds(settings.stopGrace)
-       << "\nextra_send_ratio = " << settings.extraSendRatio
-       << "\nextra_send_slack = " << settings.extraSendSlack
-       << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSendWindow) << "\n";
+       << "\nextra_send_ratio = " << settings.extraSends.ratio
+       << "\nextra_send_slack = " << settings.extraSends.slack
+       << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSends.window) << "\n";
   return text.str();
 }
 
@@ -41,10 +41,10 @@
   require(settings.callerAddress != settings.readinessAddress, "callers' and status address are the same");
   require(settings.stopGrace >= kShortestGrace && settings.stopGrace <= kLongestGrace,
           "the grace of a stop is not within 1 and 600 seconds");
-  require(settings.extraSendRatio >= 0 && settings.extraSendRatio <= 1,
+  require(settings.extraSends.ratio >= 0 && settings.extraSends.ratio <= 1,
           "the ratio of extra sends is not within 0 and 1");
-  require(settings.extraSendSlack >= 0, "the slack of extra sends is negative");
-  require(settings.extraSendWindow >= kShortestWindow, "the window of extra sends is below 1 second");
+  require(settings.extraSends.slack >= 0, "the slack of extra sends is negative");
+  require(settings.extraSends.window >= kShortestWindow, "the window of extra sends is below 1 second");
   return problems;
 }
 
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/serving/extra_send_budget.h"
 #include "state/endpoint.h"
 #include "state/time.h"
 
@@ -25,12 +26,8 @@
   Endpoint sourceAddress;
   /// From a request to stop until the process is killed.
   Duration stopGrace = std::chrono::seconds(6);
-  /// Extra sends that all daemons together may make to a service, as a share of its requests.
-  double extraSendRatio = 0.2;
-  /// Extra sends beyond that share, of all daemons together.
-  double extraSendSlack = 50;
-  /// The span in which extra sends are counted.
-  Duration extraSendWindow = std::chrono::seconds(10);
+  /// Extra sends that all daemons together may make to a service.
+  OperatorExtraSends extraSends;
 };
 
 /// One line a setting, with its unit.
--- /dev/null
+++ b/tests/serving/coordination/extra_send_budget_test.cpp
@@ -0,0 +1,102 @@
+/// The budget of extra sends: one daemon's, and the sum over all daemons of a service.
+
+#include "coordination/serving/extra_send_budget.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+constexpr Duration kWindow = std::chrono::seconds(10);
+
+/// Extra sends of `daemons` daemons that all had time to save up and spend as fast as they can while
+/// `requests` requests come to each.
+double spentByAll(std::size_t daemons, std::size_t requests, const OperatorExtraSends& total,
+                  RandomEngine& random) {
+  double spent = 0;
+  for (std::size_t number = 0; number < daemons; ++number) {
+    ExtraSendShare share(total, 12);
+    share.onDaemonCount(daemons);
+    ExtraSendBudgets budgets(share.bounds(), at(0), random);
+    const auto spendAll = [&] {
+      while (budgets.spend("s", at(20'000))) {
+        spent += 1;
+      }
+    };
+    spendAll();
+    for (std::size_t request = 0; request < requests; ++request) {
+      budgets.earn("s", at(20'000));
+      spendAll();
+    }
+  }
+  return spent;
+}
+
+}  // namespace
+
+TEST_CASE("extra sends never exceed the share of requests and what may be saved", "[serving]") {
+  OAKPIER_PROPERTY("budget", [] {
+    const ExtraSendBounds bounds{*rc::gen::element(0.05, 0.2, 0.5), *rc::gen::element(1.0, 3.0), kWindow};
+    const auto requests = *rc::gen::container<std::vector<bool>>(300, rc::gen::arbitrary<bool>());
+    RandomEngine random(5);
+    ExtraSendBudget budget;
+    double earned = 0;
+    double spent = 0;
+    for (const bool isRequest : requests) {
+      if (isRequest) {
+        budget.earn(bounds);
+        earned += bounds.ratio;
+      } else if (budget.spend(bounds, random)) {
+        spent += 1;
+      }
+      RC_ASSERT(spent <= earned + 1e-9);
+      RC_ASSERT(budget.tokens() <= bounds.saved);
+    }
+  });
+}
+
+TEST_CASE("a new process saves nothing until the operator's window has passed once", "[serving]") {
+  const ExtraSendBounds bounds{0.1, 3.0, kWindow};
+  RandomEngine random(5);
+  ExtraSendBudgets budgets(bounds, at(0), random);
+  REQUIRE_FALSE(budgets.spend("s", at(9'999)));
+  int spent = 0;
+  while (budgets.spend("s", at(10'000))) {
+    ++spent;
+  }
+  REQUIRE(spent == 3);
+  REQUIRE_FALSE(budgets.spend("s", at(20'000)));
+}
+
+TEST_CASE("daemons together stay within the operator's bound, however many they are", "[serving]") {
+  OAKPIER_PROPERTY("sum", [] {
+    const auto daemons = *rc::gen::inRange<std::size_t>(1, 1500);
+    const auto requests = *rc::gen::inRange<std::size_t>(0, 12);
+    const OperatorExtraSends total{0.2, *rc::gen::element(20.0, 56.0, 168.0), kWindow};
+    RandomEngine random(*rc::gen::inRange<std::uint64_t>(0, 1000));
+    const double allowed = total.slack + total.ratio * static_cast<double>(daemons * requests);
+    RC_ASSERT(spentByAll(daemons, requests, total, random) <= allowed);
+  });
+}
+
+TEST_CASE("a daemon that is cut off does not take the others' share", "[serving]") {
+  ExtraSendShare share(OperatorExtraSends{0.2, 168, kWindow}, 12);
+  share.onDaemonCount(86);
+  const double saved = share.bounds().saved;
+  share.onDaemonCount(1);
+  REQUIRE(share.bounds().saved == saved);
+  REQUIRE(saved * 86 <= 168);
+}
+
+TEST_CASE("a daemon too small for a whole extra send still makes its share of them", "[serving]") {
+  RandomEngine random(5);
+  const OperatorExtraSends total{0.2, 56, kWindow};
+  REQUIRE(spentByAll(300, 2, total, random) > 80);
+}
+
+}  // namespace oakpier::serving
--- a/tests/serving/coordination/leaf_knowledge_test.cpp
+++ b/tests/serving/coordination/leaf_knowledge_test.cpp
@@ -71,42 +71,4 @@
   REQUIRE(leaf->inProgress() == 1);
 }
 
-TEST_CASE("extra sends never exceed the share of requests and what may be saved", "[serving]") {
-  OAKPIER_PROPERTY("budget", [] {
-    const ExtraSendBounds bounds{*rc::gen::element(0.05, 0.2, 0.5), *rc::gen::element(0.0, 0.3),
-                                 *rc::gen::element(1.0, 3.0), std::chrono::seconds(10)};
-    const auto steps = *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 40));
-    ExtraSendBudget budget;
-    double earned = 0;
-    double spent = 0;
-    Moment now = at(1);
-    budget.earn(bounds, now);
-    earned += bounds.ratio;
-    for (const int step : steps) {
-      now += std::chrono::milliseconds(step);
-      earned += bounds.perSecond * step / 1000.0;
-      if (step % 2 == 0) {
-        budget.earn(bounds, now);
-        earned += bounds.ratio;
-      } else if (budget.spend(bounds, now)) {
-        spent += 1;
-      }
-      RC_ASSERT(spent <= earned + 1e-9);
-      RC_ASSERT(budget.tokens() <= bounds.saved);
-    }
-  });
-}
-
-TEST_CASE("a new process saves nothing until the operator's window has passed once", "[serving]") {
-  const ExtraSendBounds bounds{0.1, 0.0, 3.0, std::chrono::seconds(10)};
-  ExtraSendBudgets budgets(bounds, at(0));
-  REQUIRE_FALSE(budgets.spend("s", at(9'999)));
-  int spent = 0;
-  while (budgets.spend("s", at(10'000))) {
-    ++spent;
-  }
-  REQUIRE(spent == 3);
-  REQUIRE_FALSE(budgets.spend("s", at(20'000)));
-}
-
 }  // namespace oakpier::serving
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -42,7 +42,7 @@
   REQUIRE(settings.peerAddress.text() == "10.1.0.9:7380");
   REQUIRE(settings.seeds[1].text() == "10.2.0.21:7380");
   REQUIRE(settings.stopGrace == std::chrono::seconds(6));
-  REQUIRE(settings.extraSendSlack == 56);
+  REQUIRE(settings.extraSends.slack == 56);
 }
 
 TEST_CASE("settings that cannot be used say why", "[platform]") {
--- a/tests/serving/support/serving_fixtures.h
+++ b/tests/serving/support/serving_fixtures.h
@@ -90,14 +90,14 @@
 class QueryWorld {
  public:
   explicit QueryWorld(const std::shared_ptr<const ServingView>& view, double savedSends = 100)
-      : budgets(ExtraSendBounds{savedSends, 0, savedSends, std::chrono::hours(1)}, at(0)), random(7) {
+      : random(7), budgets(ExtraSendBounds{savedSends, savedSends, std::chrono::hours(1)}, at(0), random) {
     registry.reconcile(*view->leafs, at(0));
     context = std::make_unique<QueryContext>(QueryContext{registry, budgets, random, QueryPolicy{}, "a", {}});
   }
 
   LeafRegistry registry;
-  ExtraSendBudgets budgets;
   RandomEngine random;
+  ExtraSendBudgets budgets;
   std::unique_ptr<QueryContext> context;
 };
 
