--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -99,6 +99,16 @@
                figures.pool.connectionsFailed);
   list.counter("leaf_requests_cut_off_total", "Abandoned requests cut off at work",
                figures.pool.abandonedAtWork);
+  list.counter("leaf_connections_expired_total", "Idle connections closed before the leaf does so",
+               figures.pool.expiredIdle);
+  list.counter("leaf_connections_surplus_total", "Idle connections closed as more than this daemon may hold",
+               figures.pool.surplus);
+  list.counter("leaf_connections_closed_idle_total", "Idle connections that the leaf ended",
+               figures.pool.closedIdleByLeaf);
+  list.counter("leaf_connections_closed_with_reply_total", "Connections that ended with a reply",
+               figures.pool.closedWithReply);
+  list.counter("leaf_connections_broken_total", "Connections that ended under a request",
+               figures.pool.brokenUnderRequest);
   list.counter("source_calls_total", "Calls to the configuration source", figures.source.calls);
   list.counter("source_failures_total", "Of these, without a usable answer", figures.source.failures);
   list.counter("news_accepted_total", "News taken over from other daemons", figures.source.newsAccepted);
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -41,6 +41,14 @@
   std::size_t connecting = 0;
   std::vector<Running> running;
   std::list<Order> waiting;
+
+  std::shared_ptr<LeafConnection> idleConnection(Moment now) const {
+    const auto found = std::find_if(connections.begin(), connections.end(),
+                                    [&](const std::shared_ptr<LeafConnection>& candidate) {
+                                      return candidate->idle() && candidate->usableUntil(now);
+                                    });
+    return found == connections.end() ? nullptr : *found;
+  }
 };
 
 LeafPool::LeafPool(boost::asio::io_context& context, const HeaderNames& names)
@@ -94,13 +102,7 @@
 void LeafPool::dispatch(const ChannelPointer& channel) {
   const Moment now = steadyNow();
   while (!channel->waiting.empty()) {
-    std::shared_ptr<LeafConnection> free;
-    for (auto& connection : channel->connections) {
-      if (connection->idle() && connection->usableUntil(now)) {
-        free = connection;
-        break;
-      }
-    }
+    const std::shared_ptr<LeafConnection> free = channel->idleConnection(now);
     if (!free) {
       break;
     }
@@ -110,16 +112,17 @@
   }
   auto& connections = channel->connections;
   std::size_t surplus = connections.size() > channel->maximum ? connections.size() - channel->maximum : 0;
-  const auto stale = [&](const std::shared_ptr<LeafConnection>& connection) {
-    const bool unwanted = channel->retired || !connection->usableUntil(now) || surplus > 0;
-    const bool expired = connection->idle() && unwanted;
-    surplus -= expired && surplus > 0 ? 1 : 0;
-    if (expired) {
-      connection->close();
+  const auto closeUnwanted = [&](const std::shared_ptr<LeafConnection>& connection) {
+    const bool expired = !connection->usableUntil(now);
+    if (!connection->idle() || !(channel->retired || expired || surplus > 0)) {
+      return false;
     }
-    return expired;
+    surplus -= surplus > 0 ? 1 : 0;
+    ++(expired ? counters_.expiredIdle : counters_.surplus);
+    connection->close();
+    return true;
   };
-  connections.erase(std::remove_if(connections.begin(), connections.end(), stale), connections.end());
+  connections.erase(std::remove_if(connections.begin(), connections.end(), closeUnwanted), connections.end());
   while (channel->connecting < channel->waiting.size() && connections.size() < channel->maximum) {
     open(channel);
   }
@@ -178,6 +181,7 @@
     const auto told = idleTimeoutOf(*reply);
     kept->keepIdleFor(told ? std::max(*told - kIdleReserve, Duration(0)) : kDefaultIdle, steadyNow());
   } else {
+    ++counters_.closedWithReply;
     auto& connections = channel->connections;
     connections.erase(std::remove(connections.begin(), connections.end(), kept), connections.end());
   }
@@ -202,10 +206,13 @@
     Order order = std::move(found->order);
     running.erase(found);
     exchanges_.erase(order.exchange);
+    ++counters_.brokenUnderRequest;
     order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kNoAnswer));
     return;
   }
-  if (!kept->wasOpen()) {
+  if (kept->wasOpen()) {
+    ++counters_.closedIdleByLeaf;
+  } else {
     --channel->connecting;
     ++counters_.connectionsFailed;
     // Nothing waits for a leaf that cannot be reached, unless another connection serves it.
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -22,6 +22,12 @@
   std::uint64_t connectionsOpened = 0;
   std::uint64_t connectionsFailed = 0;
   std::uint64_t abandonedAtWork = 0;
+  /// Why connections ended, beside those of abandoned requests.
+  std::uint64_t expiredIdle = 0;
+  std::uint64_t surplus = 0;
+  std::uint64_t closedIdleByLeaf = 0;
+  std::uint64_t closedWithReply = 0;
+  std::uint64_t brokenUnderRequest = 0;
 };
 
 class LeafPool {
