--- a/src/coordination/serving/extra_send_budget.h
+++ b/src/coordination/serving/extra_send_budget.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -32,15 +33,22 @@
   double saved = 3.0;
   /// The operator counts extra sends in spans of this length.
   Duration window = std::chrono::seconds(10);
+  /// Set where services move between daemons: what a daemon may use of `saved` in its first window with a
+  /// service, as the daemon before it may have used the rest.
+  std::optional<double> savedWhenNew;
 };
 
 /// One daemon's share of the operator's bound, from the largest number of daemons that it has known: one that
 /// is cut off from the others must not take their shares.
 class ExtraSendShare {
  public:
-  /// `assumedDaemons`: how many there are at least, until more are known.
-  ExtraSendShare(const OperatorExtraSends& total, std::size_t assumedDaemons)
-      : total_(total), mostDaemons_(std::max<std::size_t>(1, assumedDaemons)) {}
+  /// Who has a service's budget: every daemon, or the owner of the moment.
+  enum class Holder { kEveryDaemon, kOwner };
+
+  /// `assumedDaemons`: how many share the bound at least, until more are known.
+  ExtraSendShare(const OperatorExtraSends& total, std::size_t assumedDaemons,
+                 Holder holder = Holder::kEveryDaemon)
+      : total_(total), mostDaemons_(std::max<std::size_t>(1, assumedDaemons)), holder_(holder) {}
 
   void setTotal(const OperatorExtraSends& total) { total_ = total; }
   void onDaemonCount(std::size_t daemons) { mostDaemons_ = std::max(mostDaemons_, daemons); }
@@ -49,16 +57,22 @@
     const double each = total_.slack / static_cast<double>(mostDaemons_);
     // Chance adds its own spread to the sum, so that less of the bound may be planned.
     const double used = each * kUsedShare < 1.0 ? kUsedShareByChance : kUsedShare;
-    return ExtraSendBounds{total_.ratio * used, each * used, total_.window};
+    ExtraSendBounds bounds{total_.ratio * used, each * used, total_.window, std::nullopt};
+    if (holder_ == Holder::kOwner) {
+      bounds.savedWhenNew = bounds.saved * kShareWhenNew;
+    }
+    return bounds;
   }
 
  private:
   /// Share of the operator's bound that is planned.
   static constexpr double kUsedShare = 0.9;
   static constexpr double kUsedShareByChance = 0.75;
+  static constexpr double kShareWhenNew = 0.2;
 
   OperatorExtraSends total_;
   std::size_t mostDaemons_;
+  Holder holder_;
 };
 
 /// One service's budget at one daemon. Not thread-safe.
@@ -82,9 +96,17 @@
     return std::bernoulli_distribution(odds)(random);
   }
 
-  /// Gives all that may be saved, the first time that it is called.
-  void fillOnce(const ExtraSendBounds& bounds) {
-    if (!filled_) {
+  /// Called before each use. `processStartedAt`: what an earlier process used is unknown.
+  void refresh(const ExtraSendBounds& bounds, Moment processStartedAt, Moment now) {
+    const bool windowPassed = now - processStartedAt >= bounds.window;
+    if (bounds.savedWhenNew && (takenAt_ == Moment{} || now - usedAt_ >= bounds.window)) {
+      takenAt_ = now;
+      filled_ = false;
+      tokens_ = windowPassed ? *bounds.savedWhenNew : 0.0;
+    }
+    usedAt_ = now;
+    const bool ownWindowPassed = !bounds.savedWhenNew || now - takenAt_ >= bounds.window;
+    if (windowPassed && ownWindowPassed && !filled_) {
       filled_ = true;
       tokens_ = bounds.saved;
     }
@@ -96,6 +118,9 @@
  private:
   double tokens_ = 0.0;
   bool filled_ = false;
+  /// When this daemon began to serve the service, as far as it was not idle for a window since.
+  Moment takenAt_{};
+  Moment usedAt_{};
 };
 
 /// The budgets of all services.
@@ -115,9 +140,7 @@
  private:
   ExtraSendBudget& budgetOf(const std::string& service, Moment now) {
     ExtraSendBudget& budget = budgets_[service];
-    if (now - startedAt_ >= bounds_.window) {
-      budget.fillOnce(bounds_);
-    }
+    budget.refresh(bounds_, startedAt_, now);
     return budget;
   }
 
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -21,7 +21,7 @@
 
 PartExchange::PartExchange(std::string service, const Route& route, QueryContext& context,
                            RequestTrace& trace)
-    : service_(std::move(service)), route_(route), context_(context), trace_(trace) {}
+    : QueryPart(std::move(service)), route_(route), context_(context), trace_(trace) {}
 
 void PartExchange::note(Decision decision, const std::shared_ptr<LeafStatus>& leaf, Moment now,
                         std::optional<LeafOutcome::Kind> outcome) {
@@ -34,9 +34,9 @@
   trace_.add(std::move(event));
 }
 
-void PartExchange::start(Moment now, Moment hedgeBy, QueryActions& actions) {
+void PartExchange::start(Moment now, Moment usefulUntil, QueryActions& actions) {
   context_.budgets.earn(service_, now);
-  hedgeBy_ = hedgeBy;
+  hedgeBy_ = usefulUntil;
   if (!send(Decision::kSend, now, actions)) {
     state_ = State::kExhausted;
   }
@@ -51,7 +51,7 @@
     return false;
   }
   Attempt attempt;
-  attempt.exchange = context_.nextExchange++;
+  attempt.exchange = context_.exchanges.next++;
   attempt.leaf = leaf;
   attempt.startedAt = now;
   leaf->onStarted(attempt.exchange, latency.high(), now);
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/serving/part_exchange.h"
 #include "coordination/serving/record_merge.h"
+#include "coordination/serving/relayed_part.h"
+#include "coordination/serving/shard_owners.h"
 
 namespace oakpier::serving {
 
@@ -45,28 +48,35 @@
       isGather() ? gather_->shards : std::vector<std::string>{chooseService()};
   parts_.reserve(services.size());
   for (const std::string& service : services) {
-    parts_.emplace_back(service, route_, context_, *trace_);
-    parts_.back().start(now, answerBy_, actions);
+    parts_.push_back(newPart(service));
+    parts_.back()->start(now, answerBy_, actions);
   }
   decide(now, actions);
   return actions;
 }
 
-PartExchange* Query::partOf(ExchangeId exchange) {
-  const auto found = std::find_if(parts_.begin(), parts_.end(),
-                                  [&](const PartExchange& part) { return part.owns(exchange); });
-  return found == parts_.end() ? nullptr : &*found;
+std::unique_ptr<QueryPart> Query::newPart(const std::string& service) {
+  if (isGather() && context_.owners != nullptr && context_.owners->owned(service)) {
+    return std::make_unique<RelayedPart>(service, route_, context_);
+  }
+  return std::make_unique<PartExchange>(service, route_, context_, *trace_);
+}
+
+QueryPart* Query::partOf(ExchangeId exchange) {
+  const auto found =
+      std::find_if(parts_.begin(), parts_.end(), [&](const auto& part) { return part->owns(exchange); });
+  return found == parts_.end() ? nullptr : found->get();
 }
 
 void Query::onWritten(ExchangeId exchange) {
-  if (PartExchange* part = partOf(exchange)) {
+  if (QueryPart* part = partOf(exchange)) {
     part->onWritten(exchange);
   }
 }
 
 QueryActions Query::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now) {
   QueryActions actions;
-  PartExchange* part = partOf(exchange);
+  QueryPart* part = partOf(exchange);
   if (part == nullptr || finished_) {
     return actions;
   }
@@ -81,8 +91,8 @@
     return actions;
   }
   answerDue_ = answerDue_ || now >= answerBy_;
-  for (PartExchange& part : parts_) {
-    part.onTime(now, actions);
+  for (const auto& part : parts_) {
+    part->onTime(now, actions);
   }
   decide(now, actions);
   return actions;
@@ -91,8 +101,8 @@
 QueryActions Query::onCallerGone() {
   QueryActions actions;
   finished_ = true;
-  for (PartExchange& part : parts_) {
-    part.close(actions);
+  for (const auto& part : parts_) {
+    part->close(actions);
   }
   return actions;
 }
@@ -105,23 +115,23 @@
   if (isGather() && !answerDue_) {
     next = std::min(next, answerBy_);
   }
-  for (const PartExchange& part : parts_) {
-    next = std::min(next, part.nextDecisionAt());
+  for (const auto& part : parts_) {
+    next = std::min(next, part->nextDecisionAt());
   }
   return next;
 }
 
 std::size_t Query::answeredParts() const {
-  return static_cast<std::size_t>(std::count_if(parts_.begin(), parts_.end(), [](const PartExchange& part) {
-    return part.state() == PartExchange::State::kAnswered;
+  return static_cast<std::size_t>(std::count_if(parts_.begin(), parts_.end(), [](const auto& part) {
+    return part->state() == QueryPart::State::kAnswered;
   }));
 }
 
 std::vector<std::string> Query::missingServices() const {
   std::vector<std::string> missing;
-  for (const PartExchange& part : parts_) {
-    if (part.state() != PartExchange::State::kAnswered) {
-      missing.push_back(part.service());
+  for (const auto& part : parts_) {
+    if (part->state() != QueryPart::State::kAnswered) {
+      missing.push_back(part->service());
     }
   }
   return missing;
@@ -129,12 +139,11 @@
 
 bool Query::allSettled() const {
   return std::all_of(parts_.begin(), parts_.end(),
-                     [](const PartExchange& part) { return part.state() != PartExchange::State::kOpen; });
+                     [](const auto& part) { return part->state() != QueryPart::State::kOpen; });
 }
 
 bool Query::mayHaveRun() const {
-  return std::any_of(parts_.begin(), parts_.end(),
-                     [](const PartExchange& part) { return part.mayHaveRun(); });
+  return std::any_of(parts_.begin(), parts_.end(), [](const auto& part) { return part->mayHaveRun(); });
 }
 
 bool Query::enoughParts() const {
@@ -169,12 +178,12 @@
 }
 
 void Query::decideSingle(Moment now, QueryActions& actions) {
-  const PartExchange& part = parts_.front();
-  if (part.state() == PartExchange::State::kAnswered) {
+  const QueryPart& part = *parts_.front();
+  if (part.state() == QueryPart::State::kAnswered) {
     finish(ForwardedAnswer{part.outcome().reply}, actions);
     return;
   }
-  if (part.state() == PartExchange::State::kExhausted) {
+  if (part.state() == QueryPart::State::kExhausted) {
     if (part.outcome().reply) {
       finish(ForwardedAnswer{part.outcome().reply}, actions);
     } else {
@@ -197,8 +206,8 @@
 
 void Query::finish(FinalAnswer answer, QueryActions& actions) {
   finished_ = true;
-  for (PartExchange& part : parts_) {
-    part.close(actions);
+  for (const auto& part : parts_) {
+    part->close(actions);
   }
   actions.answer = std::move(answer);
 }
@@ -206,10 +215,10 @@
 MergedAnswer Query::merge() const {
   MergedAnswer answer;
   std::vector<std::string_view> bodies;
-  for (const PartExchange& part : parts_) {
-    if (part.state() == PartExchange::State::kAnswered) {
-      answer.signatures.push_back(part.outcome().signature);
-      bodies.emplace_back(part.outcome().reply->body);
+  for (const auto& part : parts_) {
+    if (part->state() == QueryPart::State::kAnswered) {
+      answer.signatures.push_back(part->outcome().signature);
+      bodies.emplace_back(part->outcome().reply->body);
     }
   }
   answer.missingShards = parts_.size() - bodies.size();
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -8,7 +8,9 @@
 #include <memory>
 #include <vector>
 
-#include "coordination/serving/part_exchange.h"
+#include "coordination/serving/query_part.h"
+#include "coordination/serving/query_policy.h"
+#include "coordination/serving/request_trace.h"
 #include "state/serving/leaf_directory.h"
 
 namespace oakpier::serving {
@@ -31,6 +33,8 @@
   /// Leafs may work on their requests until then. Later answers of shards would be of little worth to the
   /// caller, and the work would keep the leafs from newer requests.
   Moment leafDeadline() const { return leafDeadline_; }
+  /// A gather query answers with what is in from then on.
+  Moment answerBy() const { return answerBy_; }
   bool finished() const { return finished_; }
   const Route& route() const { return route_; }
   std::uint64_t configurationVersion() const { return view_->configuration->version; }
@@ -42,7 +46,8 @@
  private:
   bool isGather() const { return gather_ != nullptr; }
   std::string chooseService() const;
-  PartExchange* partOf(ExchangeId exchange);
+  std::unique_ptr<QueryPart> newPart(const std::string& service);
+  QueryPart* partOf(ExchangeId exchange);
   std::size_t answeredParts() const;
   bool allSettled() const;
   bool mayHaveRun() const;
@@ -66,7 +71,7 @@
   Moment answerBy_;
   /// Has its own place, as the parts refer to it.
   std::unique_ptr<RequestTrace> trace_ = std::make_unique<RequestTrace>();
-  std::vector<PartExchange> parts_;
+  std::vector<std::unique_ptr<QueryPart>> parts_;
   bool answerDue_ = false;
   bool finished_ = false;
 };
--- a/src/coordination/serving/query_actions.h
+++ b/src/coordination/serving/query_actions.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "coordination/serving/leaf_status.h"
+#include "state/endpoint.h"
 #include "state/serving/http_message.h"
 #include "state/time.h"
 
@@ -24,6 +25,15 @@
   std::shared_ptr<LeafStatus> leaf;
 };
 
+/// Leave one shard to its owner.
+struct RelayAction {
+  ExchangeId exchange = 0;
+  Endpoint owner;
+  std::string service;
+  /// The most leafs that the owner may send to.
+  unsigned attempts = 1;
+};
+
 /// The leaf's answer, passed on unchanged.
 struct ForwardedAnswer {
   std::shared_ptr<const HttpReply> reply;
@@ -50,6 +60,7 @@
 
 struct QueryActions {
   std::vector<SendAction> sends;
+  std::vector<RelayAction> relays;
   /// Exchanges whose outcome no longer matters to the query.
   std::vector<ExchangeId> abandons;
   /// Set once, with the last actions of the query.
--- /dev/null
+++ b/src/coordination/serving/query_part.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// One part of a query: the same request to one service, until an answer is in or nothing is left to try.
+/// A part is either sent to leafs by this daemon or left to the daemon that owns the shard.
+
+#include <string>
+#include <utility>
+
+#include "coordination/serving/query_actions.h"
+
+namespace oakpier::serving {
+
+class QueryPart {
+ public:
+  enum class State { kOpen, kAnswered, kExhausted };
+
+  explicit QueryPart(std::string service) : service_(std::move(service)) {}
+  virtual ~QueryPart() = default;
+
+  /// `usefulUntil`: an answer that could only come later is not worth an extra send.
+  virtual void start(Moment now, Moment usefulUntil, QueryActions& actions) = 0;
+  virtual bool owns(ExchangeId exchange) const = 0;
+  /// The first byte of the request is about to go to a leaf.
+  virtual void onWritten(ExchangeId exchange) = 0;
+  virtual void onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now,
+                         QueryActions& actions) = 0;
+  virtual void onTime(Moment now, QueryActions& actions) = 0;
+  /// Abandons what is still out.
+  virtual void close(QueryActions& actions) = 0;
+  /// When `onTime` has something to decide; `kNever` when nothing is due.
+  virtual Moment nextDecisionAt() const = 0;
+  /// A leaf may have begun to work on the request.
+  virtual bool mayHaveRun() const = 0;
+
+  State state() const { return state_; }
+  /// The answer, or when exhausted the leaf's own failure if there was one.
+  const LeafOutcome& outcome() const { return outcome_; }
+  const std::string& service() const { return service_; }
+
+ protected:
+  std::string service_;
+  State state_ = State::kOpen;
+  LeafOutcome outcome_;
+};
+
+}  // namespace oakpier::serving
--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -47,6 +47,13 @@
   LatencyTracker high_{0.95};
 };
 
+class ShardOwners;
+
+/// Numbers exchanges, so that no two of a process are alike.
+struct ExchangeNumbers {
+  std::uint64_t next = 1;
+};
+
 /// What the queries of one request thread share. Not thread-safe.
 struct QueryContext {
   LeafRegistry& leafs;
@@ -54,8 +61,10 @@
   RandomEngine& random;
   QueryPolicy policy;
   std::string ownZone;
+  ExchangeNumbers& exchanges;
+  /// Null when every daemon sends to all leafs itself.
+  ShardOwners* owners = nullptr;
   std::unordered_map<std::string, RouteLatency> latencies;
-  std::uint64_t nextExchange = 1;
 
   RouteLatency& latencyOf(const Route& route) {
     return latencies.try_emplace(route.name, route.targetLatency).first->second;
--- /dev/null
+++ b/src/coordination/serving/relayed_part.cpp
@@ -0,0 +1,68 @@
+#include "coordination/serving/relayed_part.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/serving/shard_owners.h"
+
+namespace oakpier::serving {
+
+RelayedPart::RelayedPart(std::string service, const Route& route, QueryContext& context)
+    : QueryPart(std::move(service)), route_(route), context_(context) {}
+
+void RelayedPart::start(Moment now, Moment, QueryActions& actions) {
+  owners_ = context_.owners->ownersOf(service_, now);
+  if (!delegate(actions)) {
+    state_ = State::kExhausted;
+  }
+}
+
+bool RelayedPart::delegate(QueryActions& actions) {
+  if (delegations_.size() >= owners_.size()) {
+    return false;
+  }
+  Delegation delegation;
+  delegation.exchange = context_.exchanges.next++;
+  const Endpoint& owner = owners_[delegations_.size()];
+  actions.relays.push_back(RelayAction{delegation.exchange, owner, service_, route_.attempts});
+  delegations_.push_back(delegation);
+  return true;
+}
+
+bool RelayedPart::owns(ExchangeId exchange) const {
+  return std::any_of(delegations_.begin(), delegations_.end(),
+                     [&](const Delegation& delegation) { return delegation.exchange == exchange; });
+}
+
+void RelayedPart::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment, QueryActions& actions) {
+  Delegation& last = delegations_.back();
+  if (last.exchange != exchange || last.finished || state_ != State::kOpen) {
+    return;
+  }
+  last.finished = true;
+  if (outcome.kind == LeafOutcome::Kind::kAnswered) {
+    outcome_ = outcome;
+    state_ = State::kAnswered;
+    return;
+  }
+  last.knownNotRun =
+      outcome.kind == LeafOutcome::Kind::kNotSent || outcome.kind == LeafOutcome::Kind::kNotExecuted;
+  if (!last.knownNotRun || !delegate(actions)) {
+    state_ = State::kExhausted;
+  }
+}
+
+void RelayedPart::close(QueryActions& actions) {
+  for (const Delegation& delegation : delegations_) {
+    if (!delegation.finished) {
+      actions.abandons.push_back(delegation.exchange);
+    }
+  }
+}
+
+bool RelayedPart::mayHaveRun() const {
+  return std::any_of(delegations_.begin(), delegations_.end(),
+                     [](const Delegation& delegation) { return !delegation.knownNotRun; });
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/coordination/serving/relayed_part.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/// A shard of a query that is left to the shard's owner, another daemon or this one. The owner hedges and
+/// retries among the leafs.
+///
+/// Invariant: a second owner is asked only when the first is known to have sent nothing to any leaf, so that
+/// the owners together never use more attempts than the route allows. An owner that falls silent with the
+/// part costs the query that part; `ShardOwners` keeps later queries away from it.
+
+#include <string>
+#include <vector>
+
+#include "coordination/serving/query_part.h"
+#include "coordination/serving/query_policy.h"
+
+namespace oakpier::serving {
+
+class RelayedPart : public QueryPart {
+ public:
+  /// `context.owners` is set.
+  RelayedPart(std::string service, const Route& route, QueryContext& context);
+
+  void start(Moment now, Moment usefulUntil, QueryActions& actions) override;
+  bool owns(ExchangeId exchange) const override;
+  void onWritten(ExchangeId) override {}
+  void onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now, QueryActions& actions) override;
+  void onTime(Moment, QueryActions&) override {}
+  void close(QueryActions& actions) override;
+  Moment nextDecisionAt() const override { return kNever; }
+  bool mayHaveRun() const override;
+
+ private:
+  struct Delegation {
+    ExchangeId exchange = 0;
+    bool finished = false;
+    bool knownNotRun = false;
+  };
+
+  /// False when no owner is left.
+  bool delegate(QueryActions& actions);
+
+  const Route& route_;
+  QueryContext& context_;
+  std::vector<Endpoint> owners_;
+  std::vector<Delegation> delegations_;
+};
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/coordination/serving/shard_owners.cpp
@@ -0,0 +1,99 @@
+#include "coordination/serving/shard_owners.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "state/hashing.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+/// Owners of one zone that may hold connections to a leaf at once: the first, its stand-in.
+constexpr std::size_t kOwnersAtOnce = 2;
+constexpr std::size_t kMostOwnerConnections = 6;
+/// A living owner answers sooner, if only to say that it lives.
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(120);
+constexpr Duration kProbePeriod = std::chrono::milliseconds(250);
+
+}  // namespace
+
+bool needsOwners(std::size_t maximumConnections, std::size_t daemons) {
+  return maximumConnections < std::max<std::size_t>(1, daemons);
+}
+
+std::size_t ownerConnections(std::size_t maximumConnections, std::size_t zones) {
+  const std::size_t owners = std::max<std::size_t>(1, zones) * kOwnersAtOnce;
+  return std::clamp<std::size_t>(maximumConnections / owners, 1, kMostOwnerConnections);
+}
+
+void ShardOwners::setDaemons(std::vector<Endpoint> ownZone) {
+  daemons_ = std::move(ownZone);
+  ranked_.clear();
+  for (auto entry = silences_.begin(); entry != silences_.end();) {
+    const bool known = std::find(daemons_.begin(), daemons_.end(), entry->first) != daemons_.end();
+    entry = known ? std::next(entry) : silences_.erase(entry);
+  }
+}
+
+const std::vector<Endpoint>& ShardOwners::ranked(const std::string& service) {
+  const auto [place, isNew] = ranked_.try_emplace(service);
+  if (!isNew) {
+    return place->second;
+  }
+  const std::uint64_t hash = hashText(service);
+  std::vector<std::pair<std::uint64_t, Endpoint>> weighted;
+  weighted.reserve(daemons_.size());
+  for (const Endpoint& daemon : daemons_) {
+    weighted.emplace_back(hashPair(hash, daemon.packed()), daemon);
+  }
+  const std::size_t kept = std::min(kOwnersPerShard, weighted.size());
+  std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept), weighted.end(),
+                    [](const auto& left, const auto& right) { return left.first > right.first; });
+  for (std::size_t number = 0; number < kept; ++number) {
+    place->second.push_back(weighted[number].second);
+  }
+  return place->second;
+}
+
+std::vector<Endpoint> ShardOwners::ownersOf(const std::string& service, Moment now) {
+  std::vector<Endpoint> owners = ranked(service);
+  if (owners.size() > 1 && silent(owners.front(), now) && !silent(owners[1], now)) {
+    std::rotate(owners.begin(), owners.begin() + 1, owners.end());
+  }
+  return owners;
+}
+
+bool ShardOwners::isOwner(const std::string& service) {
+  const auto& owners = ranked(service);
+  return std::find(owners.begin(), owners.end(), self_) != owners.end();
+}
+
+bool ShardOwners::isFirstOwner(const std::string& service) {
+  const auto& owners = ranked(service);
+  return !owners.empty() && owners.front() == self_;
+}
+
+void ShardOwners::onSent(const Endpoint& owner, Moment now) {
+  silences_.try_emplace(owner, Silence{now, now});
+}
+
+void ShardOwners::onHeard(const Endpoint& owner) { silences_.erase(owner); }
+
+bool ShardOwners::silent(const Endpoint& owner, Moment now) const {
+  const auto found = silences_.find(owner);
+  return found != silences_.end() && now - found->second.since > kSilenceLimit;
+}
+
+std::vector<Endpoint> ShardOwners::takeProbes(Moment now) {
+  std::vector<Endpoint> due;
+  for (auto& [owner, silence] : silences_) {
+    if (silent(owner, now) && now - silence.probedAt >= kProbePeriod) {
+      silence.probedAt = now;
+      due.push_back(owner);
+    }
+  }
+  return due;
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/coordination/serving/shard_owners.h
@@ -0,0 +1,76 @@
+#pragma once
+
+/// Decides which daemon holds the connections to a shard's leafs for the callers of a zone: rendezvous
+/// hashing over the zone's daemons. So a shard's connections stay few and in use, however many daemons there
+/// are.
+///
+/// Invariants: equal member tables give equal owners; a change of one daemon moves only the shards that it
+/// gains or loses; a daemon that leaves frames unanswered comes second until it is heard again.
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "state/endpoint.h"
+#include "state/time.h"
+
+namespace oakpier::serving {
+
+/// The serving daemons, this one included.
+struct DaemonGroup {
+  std::vector<Endpoint> all;
+  std::vector<Endpoint> ownZone;
+  std::size_t zones = 1;
+};
+
+/// The first owner and the one that steps in for it.
+inline constexpr std::size_t kOwnersPerShard = 2;
+
+/// True when a leaf accepts too few connections for every daemon to have its own.
+bool needsOwners(std::size_t maximumConnections, std::size_t daemons);
+
+/// Connections that one owner may hold to a leaf: those of two owners a zone, while views differ, fit.
+std::size_t ownerConnections(std::size_t maximumConnections, std::size_t zones);
+
+/// Not thread-safe.
+class ShardOwners {
+ public:
+  explicit ShardOwners(const Endpoint& self) : self_(self), daemons_{self} {}
+
+  void setDaemons(std::vector<Endpoint> ownZone);
+  /// The services that are left to owners; all others are sent to by every daemon.
+  void setServices(std::unordered_set<std::string> services) { services_ = std::move(services); }
+
+  bool owned(const std::string& service) const { return services_.count(service) != 0; }
+  /// In the order in which they are to be tried.
+  std::vector<Endpoint> ownersOf(const std::string& service, Moment now);
+  /// This daemon is one of the shard's owners.
+  bool isOwner(const std::string& service);
+  /// This daemon is the shard's first owner.
+  bool isFirstOwner(const std::string& service);
+
+  void onSent(const Endpoint& owner, Moment now);
+  void onHeard(const Endpoint& owner);
+  /// Daemons that are silent and should be asked for a sign of life now.
+  std::vector<Endpoint> takeProbes(Moment now);
+
+ private:
+  struct Silence {
+    Moment since{};
+    Moment probedAt{};
+  };
+
+  bool silent(const Endpoint& owner, Moment now) const;
+  const std::vector<Endpoint>& ranked(const std::string& service);
+
+  Endpoint self_;
+  std::vector<Endpoint> daemons_;
+  std::unordered_set<std::string> services_;
+  std::unordered_map<std::string, std::vector<Endpoint>> ranked_;
+  /// Daemons with a frame unanswered.
+  std::unordered_map<Endpoint, Silence> silences_;
+};
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/coordination/serving/shard_server.cpp
@@ -0,0 +1,184 @@
+#include "coordination/serving/shard_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/serving/record_merge.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+Duration microseconds(std::uint64_t count) { return Duration(static_cast<std::int64_t>(count)); }
+
+HttpRequest requestOf(const OwnerWork& work) {
+  HttpRequest request{work.method(), work.target(), {}, work.body()};
+  for (const HeaderField& field : work.headers()) {
+    request.headers.push_back(Header{field.name(), field.value()});
+  }
+  return request;
+}
+
+/// What of the route a part needs.
+Route routeOf(const OwnerWork& work) {
+  Route route;
+  route.name = work.route();
+  route.repeatable = true;
+  route.targetLatency = microseconds(work.target_latency_us());
+  route.attempts = work.attempts();
+  route.rank = work.rank();
+  return route;
+}
+
+OwnerStatus statusOf(const PartExchange& part) {
+  if (part.state() == QueryPart::State::kAnswered) {
+    return OWNER_ANSWERED;
+  }
+  return part.mayHaveRun() ? OWNER_NO_ANSWER : OWNER_NOT_RUN;
+}
+
+OwnerResult& addResult(const ServedWork& work, ShardServerActions& out) {
+  if (out.results.empty() || !(out.results.back().to == work.asker)) {
+    out.results.push_back(OutgoingResults{work.asker, {}});
+    out.results.back().results.set_receiver_run(work.askerRun);
+  }
+  return *out.results.back().results.add_results();
+}
+
+}  // namespace
+
+ShardServerActions ShardServer::onWork(const Endpoint& asker, const OwnerWork& work, Moment now) {
+  ShardServerActions out;
+  auto served = std::make_shared<ServedWork>();
+  served->asker = asker;
+  served->askerRun = work.sender_run();
+  served->route = routeOf(work);
+  served->topRecords = work.top_records();
+  served->deadline = now + microseconds(work.remaining_us());
+  served->request = requestOf(work);
+  works_.push_back(served);
+  const Moment usefulUntil = now + microseconds(work.useful_us());
+  for (const OwnerPart& asked : work.parts()) {
+    auto exchange = std::make_unique<PartExchange>(asked.service(), served->route, context_, served->trace);
+    served->parts.push_back(ServedWork::Part{asked.exchange(), std::move(exchange)});
+    PartExchange& part = *served->parts.back().exchange;
+    QueryActions actions;
+    part.start(now, usefulUntil, actions);
+    settle(served, served->parts.size() - 1, std::move(actions), out);
+  }
+  forgetFinished();
+  return out;
+}
+
+void ShardServer::settle(const WorkPointer& work, std::size_t number, QueryActions actions,
+                         ShardServerActions& out) {
+  ServedWork::Part& part = work->parts[number];
+  for (SendAction& send : actions.sends) {
+    places_.emplace(send.exchange, Place{work, number});
+    out.sends.push_back(ServedSend{work, std::move(send)});
+  }
+  const PartExchange& exchange = *part.exchange;
+  if (exchange.state() == QueryPart::State::kOpen) {
+    return;
+  }
+  OwnerResult& result = addResult(*work, out);
+  result.set_exchange(part.askedAs);
+  result.set_status(statusOf(exchange));
+  if (exchange.state() == QueryPart::State::kAnswered) {
+    result.set_signature(exchange.outcome().signature);
+    result.set_records(greatestRecords({exchange.outcome().reply->body}, work->topRecords));
+  }
+  finish(part, out);
+}
+
+void ShardServer::finish(ServedWork::Part& part, ShardServerActions& out) {
+  part.finished = true;
+  QueryActions closing;
+  part.exchange->close(closing);
+  out.abandons.insert(out.abandons.end(), closing.abandons.begin(), closing.abandons.end());
+}
+
+void ShardServer::forgetFinished() {
+  works_.remove_if([](const WorkPointer& work) {
+    return std::all_of(work->parts.begin(), work->parts.end(),
+                       [](const ServedWork::Part& part) { return part.finished; });
+  });
+}
+
+void ShardServer::onWritten(ExchangeId exchange) {
+  const auto place = places_.find(exchange);
+  if (place != places_.end()) {
+    place->second.work->parts[place->second.part].exchange->onWritten(exchange);
+  }
+}
+
+ShardServerActions ShardServer::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now) {
+  ShardServerActions out;
+  const auto found = places_.find(exchange);
+  if (found == places_.end()) {
+    return out;
+  }
+  const Place place = found->second;
+  places_.erase(found);
+  ServedWork::Part& part = place.work->parts[place.part];
+  if (part.finished) {
+    return out;
+  }
+  QueryActions actions;
+  part.exchange->onOutcome(exchange, outcome, now, actions);
+  settle(place.work, place.part, std::move(actions), out);
+  forgetFinished();
+  return out;
+}
+
+ShardServerActions ShardServer::onCancel(const Endpoint& asker, const OwnerCancel& cancel) {
+  ShardServerActions out;
+  for (const WorkPointer& work : works_) {
+    if (!(work->asker == asker) || work->askerRun != cancel.sender_run()) {
+      continue;
+    }
+    for (ServedWork::Part& part : work->parts) {
+      const auto& exchanges = cancel.exchanges();
+      const bool named = std::find(exchanges.begin(), exchanges.end(), part.askedAs) != exchanges.end();
+      if (named && !part.finished) {
+        finish(part, out);
+      }
+    }
+  }
+  forgetFinished();
+  return out;
+}
+
+ShardServerActions ShardServer::onTime(Moment now) {
+  ShardServerActions out;
+  for (const WorkPointer& work : works_) {
+    for (std::size_t number = 0; number < work->parts.size(); ++number) {
+      ServedWork::Part& part = work->parts[number];
+      if (part.finished) {
+        continue;
+      }
+      if (now >= work->deadline) {
+        finish(part, out);
+        continue;
+      }
+      QueryActions actions;
+      part.exchange->onTime(now, actions);
+      settle(work, number, std::move(actions), out);
+    }
+  }
+  forgetFinished();
+  return out;
+}
+
+Moment ShardServer::nextDecisionAt() const {
+  Moment next = kNever;
+  for (const WorkPointer& work : works_) {
+    next = std::min(next, work->deadline);
+    for (const ServedWork::Part& part : work->parts) {
+      next = part.finished ? next : std::min(next, part.exchange->nextDecisionAt());
+    }
+  }
+  return next;
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/coordination/serving/shard_server.h
@@ -0,0 +1,89 @@
+#pragma once
+
+/// The owner's side of a shard: runs other daemons' parts of queries on the shard's leafs and tells them what
+/// came of it. Sends, hedges and retries are those of `PartExchange`.
+///
+/// Invariants: each part gets one final result unless it was cancelled or its time has passed; a result goes
+/// to the process that asked, not to a later one at its address.
+
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/serving/part_exchange.h"
+#include "oakpier/peer.pb.h"
+
+namespace oakpier::serving {
+
+/// Parts of one request for one asking daemon.
+struct ServedWork {
+  struct Part {
+    /// The asking daemon's number.
+    ExchangeId askedAs = 0;
+    std::unique_ptr<PartExchange> exchange;
+    bool finished = false;
+  };
+
+  Endpoint asker;
+  std::uint64_t askerRun = 0;
+  /// With what of the route concerns leafs.
+  Route route;
+  std::size_t topRecords = 0;
+  Moment deadline{};
+  HttpRequest request;
+  RequestTrace trace;
+  std::vector<Part> parts;
+};
+
+/// Send the work's request to this leaf.
+struct ServedSend {
+  std::shared_ptr<ServedWork> work;
+  SendAction action;
+};
+
+struct OutgoingResults {
+  Endpoint to;
+  OwnerResults results;
+};
+
+struct ShardServerActions {
+  std::vector<ServedSend> sends;
+  std::vector<ExchangeId> abandons;
+  std::vector<OutgoingResults> results;
+};
+
+/// Not thread-safe.
+class ShardServer {
+ public:
+  explicit ShardServer(QueryContext& context) : context_(context) {}
+
+  ShardServerActions onWork(const Endpoint& asker, const OwnerWork& work, Moment now);
+  void onWritten(ExchangeId exchange);
+  ShardServerActions onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now);
+  ShardServerActions onCancel(const Endpoint& asker, const OwnerCancel& cancel);
+  ShardServerActions onTime(Moment now);
+
+  /// When `onTime` is due.
+  Moment nextDecisionAt() const;
+  std::size_t inProgress() const { return works_.size(); }
+
+ private:
+  using WorkPointer = std::shared_ptr<ServedWork>;
+  struct Place {
+    WorkPointer work;
+    std::size_t part = 0;
+  };
+
+  /// Carries out what the part decided and reports what became of it.
+  void settle(const WorkPointer& work, std::size_t part, QueryActions actions, ShardServerActions& out);
+  void finish(ServedWork::Part& part, ShardServerActions& out);
+  void forgetFinished();
+
+  QueryContext& context_;
+  std::list<WorkPointer> works_;
+  std::unordered_map<ExchangeId, Place> places_;
+};
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -31,6 +31,9 @@
 constexpr Duration kLongestStopReserve = std::chrono::milliseconds(800);
 /// Until the others had time to be found, this many daemons are assumed.
 constexpr std::size_t kUsualDaemons = 12;
+/// Owners of a shard, one a zone, that are assumed at least; as many more may follow one another in a window.
+constexpr std::size_t kUsualOwners = 4;
+constexpr std::size_t kOwnersInChange = 2;
 constexpr Duration kSettlingTime = std::chrono::seconds(4);
 /// One in this many daemons may be added or come back at any time.
 constexpr std::size_t kSpareShare = 3;
@@ -67,14 +70,31 @@
         random_(std::random_device{}()),
         extraSendShare_(settings.extraSends, kUsualDaemons),
         budgets_(extraSendShare_.bounds(), steadyNow(), random_),
-        requests_(requestContext_, names, published_, settings.peerAddress,
-                  QueryContext{leafs_, budgets_, random_, QueryPolicy{}, settings.zone, {}}),
+        ownerShare_(settings.extraSends, kUsualOwners + kOwnersInChange, ExtraSendShare::Holder::kOwner),
+        ownerBudgets_(ownerShare_.bounds(), steadyNow(), random_),
+        requests_(
+            requestContext_, names, published_, settings.peerAddress,
+            QueryContext{leafs_, budgets_, random_, QueryPolicy{}, settings.zone, exchanges_, nullptr, {}},
+            ownerBudgets_,
+            [this](const Endpoint& to, PeerEnvelope envelope) {
+              source_.sendShardFrame(to, std::move(envelope));
+            }),
         statusHandler_(ready_, [this] { return metrics(); }),
         callers_(requestContext_, requests_),
         status_(requestContext_, statusHandler_),
         source_(controlContext_, settings.sourceAddress, dialect,
                 PeerLinkSettings{settings.peerAddress, settings.zone, settings.seeds}, published_,
-                {[this] { onView(); }, [this](std::size_t count) { onDaemonCount(count); }}),
+                {[this] { onView(); }, [this](const DaemonGroup& daemons) { onDaemons(daemons); },
+                 [this](const Endpoint& sender, PeerEnvelope envelope) {
+                   boost::asio::post(requestContext_, [this, sender, envelope = std::move(envelope)] {
+                     requests_.onFrame(sender, envelope);
+                   });
+                 },
+                 [this](const Endpoint& to, PeerEnvelope envelope) {
+                   boost::asio::post(requestContext_, [this, to, envelope = std::move(envelope)] {
+                     requests_.onUndeliverable(to, envelope);
+                   });
+                 }}),
         signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
         stopTimer_(requestContext_),
         reloadTimer_(requestContext_),
@@ -127,16 +147,19 @@
   }
 
   /// On the control thread. Until the others are known, a usual number is taken.
-  void onDaemonCount(std::size_t count) {
-    lastDaemonCount_ = count;
+  void onDaemons(const DaemonGroup& daemons) {
+    lastDaemons_ = daemons;
     const bool settled = steadyNow() - startedAt_ >= kSettlingTime;
+    const std::size_t count = daemons.all.size();
     const std::size_t planned = settled ? count + count / kSpareShare + 1 : std::max(count, kUsualDaemons);
-    boost::asio::post(requestContext_, [this, planned, settled, count, counters = source_.counters()] {
+    boost::asio::post(requestContext_, [this, daemons, planned, settled, counters = source_.counters()] {
       sourceCounters_ = counters;
-      daemons_ = count;
-      requests_.setDaemonCount(planned, settled);
+      daemons_ = daemons.all.size();
+      requests_.setDaemons(daemons, planned, settled);
       extraSendShare_.onDaemonCount(planned);
       budgets_.setBounds(extraSendShare_.bounds());
+      ownerShare_.onDaemonCount(daemons.zones + kOwnersInChange);
+      ownerBudgets_.setBounds(ownerShare_.bounds());
     });
   }
 
@@ -145,7 +168,7 @@
     settledTimer_.expires_after(kSettlingTime);
     settledTimer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
-        onDaemonCount(lastDaemonCount_);
+        onDaemons(lastDaemons_);
       }
     });
   }
@@ -156,7 +179,8 @@
     for (const auto& [service, entries] : *view->leafs) {
       leafs += entries.size();
     }
-    return metricsText(GatewayFigures{requests_.counters(), requests_.poolCounters(), sourceCounters_,
+    return metricsText(GatewayFigures{requests_.counters(), requests_.poolCounters(),
+                                      requests_.ownerCounters(), requests_.partsServed(), sourceCounters_,
                                       view->configuration ? view->configuration->version : 0, leafs, daemons_,
                                       ready_, requests_.logLinesLeftOut(), droppedLogLines()});
   }
@@ -194,6 +218,8 @@
     settings_ = *fresh;
     extraSendShare_.setTotal(settings_.extraSends);
     budgets_.setBounds(extraSendShare_.bounds());
+    ownerShare_.setTotal(settings_.extraSends);
+    ownerBudgets_.setBounds(ownerShare_.bounds());
     boost::asio::post(controlContext_,
                       [this, fresh = settings_] { source_.reload(fresh.sourceAddress, fresh.seeds); });
     log(LogLevel::kInfo, "settings reloaded", {{"name", settings_.name}});
@@ -221,7 +247,8 @@
     const Duration passed = steadyNow() - stopRequestedAt_;
     if (passed >= kAcceptAfterStop) {
       callers_.stopAccepting();
-      const bool idle = callers_.inProgress() == 0 && callers_.connections() == 0;
+      const bool idle =
+          callers_.inProgress() == 0 && callers_.connections() == 0 && requests_.servedForOthers() == 0;
       if (idle || gaveUp_) {
         requestContext_.stop();
         return;
@@ -251,6 +278,9 @@
   LeafRegistry leafs_;
   ExtraSendShare extraSendShare_;
   ExtraSendBudgets budgets_;
+  ExtraSendShare ownerShare_;
+  ExtraSendBudgets ownerBudgets_;
+  ExchangeNumbers exchanges_;
   RequestGateway requests_;
   StatusHandler statusHandler_;
   HttpService callers_;
@@ -263,7 +293,7 @@
   FollowerCounters sourceCounters_;
   std::size_t daemons_ = 1;
   /// Used on the control thread.
-  std::size_t lastDaemonCount_ = 1;
+  DaemonGroup lastDaemons_;
   bool stopping_ = false;
   /// Requests in progress were answered as given up; the process ends at the next check.
   bool gaveUp_ = false;
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -93,6 +93,11 @@
   list.counter("extra_sends_denied_total", "Hedges and retries that the budget did not allow",
                requests.budgetEmpty);
   list.histograms("answer_seconds", "Time from a request to its answer", requests.answerTimes);
+  list.counter("parts_left_to_owners_total", "Shards of requests sent to their owners", figures.owners.parts);
+  list.counter("owner_probes_total", "Signs of life asked of silent owners", figures.owners.probes);
+  list.counter("owner_frames_undeliverable_total", "Frames to owners that could not be sent",
+               figures.owners.undeliverable);
+  list.counter("parts_served_total", "Shards served as their owner", figures.partsServed);
   list.counter("leaf_connections_opened_total", "Connections opened to leafs",
                figures.pool.connectionsOpened);
   list.counter("leaf_connections_failed_total", "Of these, never established",
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "coordination/serving/source_follower.h"
+#include "programs/gateway/owner_client.h"
 #include "transport/serving/leaf_pool.h"
 
 namespace oakpier::serving {
@@ -50,6 +51,9 @@
 struct GatewayFigures {
   const RequestCounters& requests;
   const LeafPoolCounters& pool;
+  const OwnerClientCounters& owners;
+  /// Shards served for other daemons.
+  std::uint64_t partsServed = 0;
   FollowerCounters source;
   std::uint64_t configurationVersion = 0;
   std::size_t leafs = 0;
--- /dev/null
+++ b/src/programs/gateway/leaf_sender.cpp
@@ -0,0 +1,37 @@
+#include "programs/gateway/leaf_sender.h"
+
+#include <utility>
+
+#include "transport/steady_clock.h"
+
+namespace oakpier::serving {
+
+std::size_t LeafSender::connectionsTo(const std::string& service) const {
+  const auto found = shares_.find(service);
+  return found == shares_.end() ? 1 : found->second.connections;
+}
+
+void LeafSender::send(const LeafSend& send, QueryContext& context, LeafPool::Listener listener) {
+  const LeafEntry& leaf = send.action.leaf->entry();
+  LeafPool::Order order;
+  order.exchange = send.action.exchange;
+  order.request = send.request;
+  order.rank = send.route->rank;
+  order.deadline = send.deadline;
+  order.listener.onWritten = std::move(listener.onWritten);
+  order.listener.onOutcome = [&context, action = send.action, route = send.route, started = steadyNow(),
+                              notify = std::move(listener.onOutcome)](const LeafOutcome& outcome) {
+    const Moment now = steadyNow();
+    action.leaf->onFinished(action.exchange, outcome.kind, now);
+    if (outcome.load) {
+      action.leaf->onLoad(*outcome.load, now);
+    }
+    if (outcome.kind == LeafOutcome::Kind::kAnswered) {
+      context.latencyOf(*route).record(now - started, now);
+    }
+    notify(outcome);
+  };
+  pool_.send(leaf, connectionsTo(leaf.service), std::move(order));
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/programs/gateway/owner_client.cpp
@@ -0,0 +1,160 @@
+#include "programs/gateway/owner_client.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "transport/steady_clock.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+/// Kept free for the way back from the owner.
+constexpr Duration kReturnMargin = std::chrono::milliseconds(3);
+/// Work that was on the way for longer is not begun: a leaf's time is counted from the owner's receipt.
+constexpr std::uint32_t kWorkLifetimeMilliseconds = 250;
+constexpr std::uint32_t kCancelLifetimeMilliseconds = 2000;
+
+std::uint64_t microsecondsUntil(Moment moment, Moment now) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (moment - now).count()));
+}
+
+OwnerWork workFor(const OwnerClient::Order& order, unsigned attempts, Moment now) {
+  OwnerWork work;
+  work.set_method(order.request->method);
+  work.set_target(order.request->target);
+  for (const Header& header : order.request->headers) {
+    HeaderField* field = work.add_headers();
+    field->set_name(header.name);
+    field->set_value(header.value);
+  }
+  work.set_body(order.request->body);
+  work.set_route(order.route->name);
+  work.set_rank(order.route->rank);
+  work.set_target_latency_us(static_cast<std::uint64_t>(order.route->targetLatency.count()));
+  work.set_remaining_us(microsecondsUntil(order.leafDeadline, now));
+  work.set_useful_us(microsecondsUntil(order.usefulUntil - kReturnMargin, now));
+  work.set_top_records(static_cast<std::uint32_t>(std::get<GatherTarget>(order.route->target).topRecords));
+  work.set_attempts(attempts);
+  return work;
+}
+
+LeafOutcome outcomeOf(const OwnerResult& result) {
+  LeafOutcome outcome;
+  switch (result.status()) {
+    case OWNER_ANSWERED: {
+      auto reply = std::make_shared<HttpReply>();
+      reply->body = result.records();
+      outcome.kind = LeafOutcome::Kind::kAnswered;
+      outcome.reply = std::move(reply);
+      outcome.signature = result.signature();
+      break;
+    }
+    case OWNER_NOT_RUN:
+      outcome.kind = LeafOutcome::Kind::kNotExecuted;
+      break;
+    default:
+      outcome.kind = LeafOutcome::Kind::kNoAnswer;
+      break;
+  }
+  return outcome;
+}
+
+}  // namespace
+
+OwnerClient::OwnerClient(QueryContext& context, ShardOwners& owners, FrameSender sendFrame)
+    : context_(context), owners_(owners), sendFrame_(std::move(sendFrame)), run_(context.random()) {}
+
+void OwnerClient::send(const std::vector<RelayAction>& relays, const Order& order) {
+  const Moment now = steadyNow();
+  std::map<Endpoint, PeerEnvelope> frames;
+  for (const RelayAction& relay : relays) {
+    const auto [frame, isNew] = frames.try_emplace(relay.owner);
+    if (isNew) {
+      *frame->second.mutable_owner_work() = workFor(order, relay.attempts, now);
+      frame->second.mutable_owner_work()->set_sender_run(run_);
+      frame->second.set_time_to_live_ms(kWorkLifetimeMilliseconds);
+    }
+    OwnerPart* part = frame->second.mutable_owner_work()->add_parts();
+    part->set_exchange(relay.exchange);
+    part->set_service(relay.service);
+    pending_[relay.exchange] = Pending{relay.owner, now, order.route, order.listener};
+    ++counters_.parts;
+  }
+  for (auto& [owner, frame] : frames) {
+    owners_.onSent(owner, now);
+    sendFrame_(owner, std::move(frame));
+  }
+  probeSilentOwners(now);
+}
+
+void OwnerClient::probeSilentOwners(Moment now) {
+  for (const Endpoint& owner : owners_.takeProbes(now)) {
+    PeerEnvelope frame;
+    frame.mutable_owner_work()->set_sender_run(run_);
+    frame.set_time_to_live_ms(kWorkLifetimeMilliseconds);
+    ++counters_.probes;
+    sendFrame_(owner, std::move(frame));
+  }
+}
+
+void OwnerClient::cancel(const std::vector<ExchangeId>& exchanges) {
+  std::map<Endpoint, PeerEnvelope> frames;
+  for (const ExchangeId exchange : exchanges) {
+    const auto pending = pending_.find(exchange);
+    if (pending == pending_.end()) {
+      continue;
+    }
+    PeerEnvelope& frame = frames[pending->second.owner];
+    frame.mutable_owner_cancel()->set_sender_run(run_);
+    frame.mutable_owner_cancel()->add_exchanges(exchange);
+    frame.set_time_to_live_ms(kCancelLifetimeMilliseconds);
+    pending_.erase(pending);
+  }
+  for (auto& [owner, frame] : frames) {
+    sendFrame_(owner, std::move(frame));
+  }
+}
+
+void OwnerClient::onResults(const Endpoint& owner, const OwnerResults& results) {
+  if (results.receiver_run() != run_) {
+    return;
+  }
+  const Moment now = steadyNow();
+  owners_.onHeard(owner);
+  for (const OwnerResult& result : results.results()) {
+    onResult(result, now);
+  }
+}
+
+void OwnerClient::onResult(const OwnerResult& result, Moment now) {
+  const auto found = pending_.find(result.exchange());
+  if (found == pending_.end()) {
+    return;
+  }
+  const Pending pending = found->second;
+  pending_.erase(found);
+  const LeafOutcome outcome = outcomeOf(result);
+  if (outcome.kind == LeafOutcome::Kind::kAnswered) {
+    context_.latencyOf(*pending.route).record(now - pending.startedAt, now);
+  }
+  (*pending.listener)(result.exchange(), outcome);
+}
+
+void OwnerClient::onUndeliverable(const Endpoint&, const OwnerWork& work) {
+  ++counters_.undeliverable;
+  LeafOutcome outcome;
+  outcome.kind = LeafOutcome::Kind::kNotSent;
+  for (const OwnerPart& part : work.parts()) {
+    const auto found = pending_.find(part.exchange());
+    if (found == pending_.end()) {
+      continue;
+    }
+    const auto listener = found->second.listener;
+    pending_.erase(found);
+    (*listener)(part.exchange(), outcome);
+  }
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/programs/gateway/owner_client.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/// The asking side of the hop between daemons: sends shards of callers' requests to their owners and gives
+/// their results to the queries. Runs on the request thread.
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/serving/query_actions.h"
+#include "coordination/serving/query_policy.h"
+#include "coordination/serving/shard_owners.h"
+#include "oakpier/peer.pb.h"
+
+namespace oakpier::serving {
+
+/// Sends a frame to another daemon, or to this one. Thread-safe.
+using FrameSender = std::function<void(const Endpoint& to, PeerEnvelope envelope)>;
+
+struct OwnerClientCounters {
+  /// Shards left to owners.
+  std::uint64_t parts = 0;
+  /// Signs of life asked of silent owners.
+  std::uint64_t probes = 0;
+  /// Frames that could not be handed to the network.
+  std::uint64_t undeliverable = 0;
+};
+
+class OwnerClient {
+ public:
+  using Listener = std::function<void(ExchangeId, const LeafOutcome&)>;
+  /// What the owners are told of a query.
+  struct Order {
+    std::shared_ptr<const HttpRequest> request;
+    /// Kept until the last result.
+    std::shared_ptr<const Route> route;
+    Moment leafDeadline{};
+    Moment usefulUntil{};
+    std::shared_ptr<const Listener> listener;
+  };
+
+  OwnerClient(QueryContext& context, ShardOwners& owners, FrameSender sendFrame);
+
+  void send(const std::vector<RelayAction>& relays, const Order& order);
+  /// Withdraws those of the exchanges that were left to owners.
+  void cancel(const std::vector<ExchangeId>& exchanges);
+  void onResults(const Endpoint& owner, const OwnerResults& results);
+  void onUndeliverable(const Endpoint& owner, const OwnerWork& work);
+  const OwnerClientCounters& counters() const { return counters_; }
+
+ private:
+  struct Pending {
+    Endpoint owner;
+    Moment startedAt{};
+    std::shared_ptr<const Route> route;
+    std::shared_ptr<const Listener> listener;
+  };
+
+  void probeSilentOwners(Moment now);
+  void onResult(const OwnerResult& result, Moment now);
+
+  QueryContext& context_;
+  ShardOwners& owners_;
+  FrameSender sendFrame_;
+  /// Tells this process from earlier ones at its address.
+  std::uint64_t run_;
+  std::unordered_map<ExchangeId, Pending> pending_;
+  OwnerClientCounters counters_;
+};
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/src/programs/gateway/owner_service.h
@@ -0,0 +1,58 @@
+#pragma once
+
+/// The owner's side of the hop between daemons: sends other daemons' shards to leafs and the results back.
+/// Runs on the request thread.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "coordination/serving/shard_server.h"
+#include "programs/gateway/leaf_sender.h"
+#include "programs/gateway/owner_client.h"
+#include "protocol/serving/header_names.h"
+
+namespace oakpier::serving {
+
+class OwnerService {
+ public:
+  /// `context` has the budgets of an owner.
+  OwnerService(boost::asio::io_context& io, const HeaderNames& names, LeafPool& pool, LeafSender& sender,
+               QueryContext context, FrameSender sendFrame);
+
+  void onWork(const Endpoint& asker, const OwnerWork& work);
+  void onCancel(const Endpoint& asker, const OwnerCancel& cancel);
+  std::size_t inProgress() const { return server_.inProgress(); }
+  std::uint64_t partsServed() const { return partsServed_; }
+
+ private:
+  using AskerProcess = std::pair<Endpoint, std::uint64_t>;
+
+  void apply(ShardServerActions actions);
+  void send(const ServedSend& served, std::shared_ptr<const LeafRequestTemplate> request);
+  /// Results that come in the same turn travel in one frame.
+  void flushResults();
+  /// Tells those who wait for longer that their work has come.
+  void acknowledgeLater(const AskerProcess& asker);
+  void acknowledge();
+  void armTimer();
+
+  boost::asio::io_context& io_;
+  const HeaderNames& names_;
+  LeafPool& pool_;
+  LeafSender& sender_;
+  QueryContext context_;
+  FrameSender sendFrame_;
+  ShardServer server_;
+  boost::asio::steady_timer timer_;
+  Moment armedFor_ = kNever;
+  std::map<AskerProcess, OwnerResults> results_;
+  /// Those who were told nothing since their work came.
+  std::set<AskerProcess> unacknowledged_;
+  boost::asio::steady_timer acknowledgeTimer_;
+  std::uint64_t partsServed_ = 0;
+};
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -1,8 +1,10 @@
 #include "programs/gateway/peer_link.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "transport/steady_clock.h"
@@ -28,6 +30,14 @@
   return settings;
 }
 
+bool isAboutShards(const PeerEnvelope& envelope) {
+  return envelope.has_owner_work() || envelope.has_owner_results() || envelope.has_owner_cancel();
+}
+
+void insertInOrder(const Endpoint& address, std::vector<Endpoint>& addresses) {
+  addresses.insert(std::lower_bound(addresses.begin(), addresses.end(), address), address);
+}
+
 std::uint64_t newIncarnation() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
@@ -43,14 +53,27 @@
                   RandomEngine(std::random_device{}())),
       transport_(settings.self, {[this](PeerEnvelope envelope, bool stale) {
                                    if (!stale) {
-                                     boost::asio::post(context_, [this, envelope = std::move(envelope)] {
-                                       onEnvelope(envelope);
-                                     });
+                                     receive(std::move(envelope));
                                    }
                                  },
-                                 [](const Endpoint&, const PeerEnvelope&) {}}),
+                                 [this](const Endpoint& to, PeerEnvelope envelope) {
+                                   if (isAboutShards(envelope)) {
+                                     handlers_.onShardFrameUndeliverable(to, std::move(envelope));
+                                   }
+                                 }}),
       tick_(context) {
   membership_.setSeeds(settings.seeds);
+  incarnation_ = membership_.incarnation();
+}
+
+void PeerLink::receive(PeerEnvelope envelope) {
+  if (!isAboutShards(envelope)) {
+    boost::asio::post(context_, [this, envelope = std::move(envelope)] { onEnvelope(envelope); });
+    return;
+  }
+  if (const auto sender = Endpoint::parse(envelope.sender())) {
+    handlers_.onShardFrame(*sender, std::move(envelope));
+  }
 }
 
 std::string PeerLink::start() {
@@ -112,9 +135,16 @@
 }
 
 void PeerLink::send(const Endpoint& to, PeerEnvelope envelope) {
+  incarnation_ = membership_.incarnation();
+  sendShardFrame(to, std::move(envelope));
+}
+
+void PeerLink::sendShardFrame(const Endpoint& to, PeerEnvelope envelope) {
   envelope.set_sender(settings_.self.text());
-  envelope.set_incarnation(membership_.incarnation());
-  envelope.set_time_to_live_ms(kTimeToLiveMilliseconds);
+  envelope.set_incarnation(incarnation_);
+  if (envelope.time_to_live_ms() == 0) {
+    envelope.set_time_to_live_ms(kTimeToLiveMilliseconds);
+  }
   transport_.send(to, std::move(envelope));
 }
 
@@ -137,21 +167,22 @@
     return;
   }
   publishedVersion_ = membership_.version();
-  std::vector<Endpoint> members;
-  bool selfListed = false;
+  DaemonGroup daemons;
+  std::set<ZoneNumber> zones;
   for (const MemberRecord& record : membership_.members().records()) {
-    if (!selfListed && settings_.self < record.address) {
-      members.push_back(settings_.self);
-      selfListed = true;
-    }
-    if (record.serving() && record.address != settings_.self) {
-      members.push_back(record.address);
+    if (record.serving() && !(record.address == settings_.self)) {
+      daemons.all.push_back(record.address);
+      zones.insert(record.zone);
+      if (membership_.members().zoneName(record.zone) == settings_.zone) {
+        daemons.ownZone.push_back(record.address);
+      }
     }
   }
-  if (!selfListed) {
-    members.push_back(settings_.self);
-  }
-  handlers_.onMembers(members);
+  insertInOrder(settings_.self, daemons.all);
+  const bool aloneInZone = daemons.ownZone.empty();
+  insertInOrder(settings_.self, daemons.ownZone);
+  daemons.zones = zones.size() + (aloneInZone ? 1 : 0);
+  handlers_.onMembers(daemons);
 }
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -3,6 +3,7 @@
 /// The gateway's link to the other daemons: membership by probing, and frames between them. Runs on the
 /// control thread.
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "coordination/membership.h"
+#include "coordination/serving/shard_owners.h"
 #include "transport/peer_transport.h"
 
 namespace oakpier::serving {
@@ -26,8 +28,12 @@
   struct Handlers {
     std::function<void(const Endpoint& sender, const SourceNews& news)> onNews;
     std::function<void(const Endpoint& sender)> onNewsRequest;
-    /// The serving daemons, this one included, in rising order.
-    std::function<void(const std::vector<Endpoint>& members)> onMembers;
+    /// The addresses of `daemons` are in rising order.
+    std::function<void(const DaemonGroup& daemons)> onMembers;
+    /// A frame about shards. Called on the transport's thread.
+    std::function<void(const Endpoint& sender, PeerEnvelope envelope)> onShardFrame;
+    /// A frame about shards was not handed to the network. Called on the transport's thread.
+    std::function<void(const Endpoint& to, PeerEnvelope envelope)> onShardFrameUndeliverable;
   };
 
   PeerLink(boost::asio::io_context& context, const PeerLinkSettings& settings, Handlers handlers);
@@ -38,10 +44,13 @@
   void setSeeds(const std::vector<Endpoint>& seeds) { membership_.setSeeds(seeds); }
   void sendNews(const Endpoint& to, const SourceNews& news);
   void askForNews(const Endpoint& from);
+  /// Thread-safe.
+  void sendShardFrame(const Endpoint& to, PeerEnvelope envelope);
   /// Tells others that this daemon leaves.
   void leave();
 
  private:
+  void receive(PeerEnvelope envelope);
   void onEnvelope(const PeerEnvelope& envelope);
   void carryOut(const MembershipActions& actions);
   void send(const Endpoint& to, PeerEnvelope envelope);
@@ -52,6 +61,8 @@
   PeerLinkSettings settings_;
   Handlers handlers_;
   Membership membership_;
+  /// The incarnation of `membership_`, for other threads.
+  std::atomic<std::uint64_t> incarnation_{0};
   PeerTransport transport_;
   boost::asio::steady_timer tick_;
   Moment lastTickAt_{};
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -32,11 +32,15 @@
   Moment armedFor = kNever;
   ResponseWriter writer;
   std::shared_ptr<const LeafRequestTemplate> request;
+  /// For other daemons.
+  std::shared_ptr<const HttpRequest> original;
+  std::shared_ptr<const OwnerClient::Listener> ownerListener;
 };
 
 RequestGateway::RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
                                Published<ServingView>& published, const Endpoint& self,
-                               QueryContext queryContext)
+                               QueryContext queryContext, ExtraSendBudgets& ownerBudgets,
+                               const FrameSender& sendFrame)
     : context_(context),
       names_(names),
       published_(published),
@@ -44,35 +48,99 @@
       leafs_(queryContext_.leafs),
       pool_(context, names),
       view_(published.read()),
-      self_(self) {}
+      self_(self),
+      sender_(pool_),
+      owners_(self),
+      ownerClient_(queryContext_, owners_, sendFrame),
+      ownerService_(context, names, pool_, sender_,
+                    QueryContext{queryContext_.leafs,
+                                 ownerBudgets,
+                                 queryContext_.random,
+                                 queryContext_.policy,
+                                 queryContext_.ownZone,
+                                 queryContext_.exchanges,
+                                 nullptr,
+                                 {}},
+                    sendFrame) {
+  queryContext_.owners = &owners_;
+}
+
+void RequestGateway::setDaemons(const DaemonGroup& daemons, std::size_t planned, bool settled) {
+  owners_.setDaemons(daemons.ownZone);
+  zones_ = daemons.zones;
+  daemonCount_ = planned;
+  settled_ = settled;
+  onView();
+}
+
+void RequestGateway::onFrame(const Endpoint& sender, const PeerEnvelope& envelope) {
+  if (envelope.has_owner_work()) {
+    ownerService_.onWork(sender, envelope.owner_work());
+  } else if (envelope.has_owner_results()) {
+    ownerClient_.onResults(sender, envelope.owner_results());
+  } else if (envelope.has_owner_cancel()) {
+    ownerService_.onCancel(sender, envelope.owner_cancel());
+  }
+}
 
-void RequestGateway::setDaemonCount(std::size_t count, bool settled) {
-  if (count != daemonCount_ || settled != settled_) {
-    daemonCount_ = count;
-    settled_ = settled;
-    onView();
+void RequestGateway::onUndeliverable(const Endpoint& to, const PeerEnvelope& envelope) {
+  if (envelope.has_owner_work()) {
+    ownerClient_.onUndeliverable(to, envelope.owner_work());
   }
 }
 
 void RequestGateway::onView() {
   view_ = published_.read();
   const LeafsByService leafs = ownLeafs();
+  sender_.setShares(shares_);
   leafs_.reconcile(leafs, steadyNow());
+  warm(leafs);
   std::unordered_set<std::string> used;
+  for (const auto& [service, entries] : leafs) {
+    for (const LeafEntry& leaf : entries) {
+      used.insert(leaf.id);
+    }
+  }
+  pool_.retain([&](const std::string& leaf) { return used.count(leaf) != 0; });
+}
+
+void RequestGateway::warm(const LeafsByService& leafs) {
   std::size_t count = 0;
   for (const auto& [service, entries] : leafs) {
     count += entries.size();
   }
-  const bool warms = settled_ || count <= kMostEarlyConnections;
+  if (!settled_ && count > kMostEarlyConnections) {
+    return;
+  }
   for (const auto& [service, entries] : leafs) {
+    if (owners_.owned(service) && !owners_.isFirstOwner(service)) {
+      continue;
+    }
     for (const LeafEntry& leaf : entries) {
-      used.insert(leaf.id);
-      if (shares_.count(service) != 0 && warms) {
-        pool_.warm(leaf, connectionsTo(service));
+      pool_.warm(leaf, sender_.connectionsTo(service));
+    }
+  }
+}
+
+std::unordered_set<std::string> RequestGateway::ownedShards(
+    const std::unordered_map<std::string, std::size_t>& maximumConnections) const {
+  std::unordered_set<std::string> owned;
+  if (!view_->configuration) {
+    return owned;
+  }
+  for (const Route& route : view_->configuration->routes) {
+    const auto* gather = std::get_if<GatherTarget>(&route.target);
+    if (gather == nullptr) {
+      continue;
+    }
+    for (const std::string& shard : gather->shards) {
+      const auto maximum = maximumConnections.find(shard);
+      if (maximum != maximumConnections.end() && needsOwners(maximum->second, daemonCount_)) {
+        owned.insert(shard);
       }
     }
   }
-  pool_.retain([&](const std::string& leaf) { return used.count(leaf) != 0; });
+  return owned;
 }
 
 LeafsByService RequestGateway::ownLeafs() {
@@ -82,6 +150,7 @@
       maximumConnections[service.name] = service.maximumConnections;
     }
   }
+  owners_.setServices(ownedShards(maximumConnections));
   shares_.clear();
   LeafsByService leafs;
   for (const auto& [service, entries] : *view_->leafs) {
@@ -89,18 +158,18 @@
     if (maximum == maximumConnections.end()) {
       continue;
     }
-    const ConnectionShare share = shareOf(entries.size(), maximum->second, daemonCount_);
-    shares_[service] = share;
-    leafs[service] = chooseSubset(entries, share.leafs, self_);
+    if (!owners_.owned(service)) {
+      const ConnectionShare share = shareOf(entries.size(), maximum->second, daemonCount_);
+      shares_[service] = share;
+      leafs[service] = chooseSubset(entries, share.leafs, self_);
+    } else if (owners_.isOwner(service)) {
+      shares_[service] = ConnectionShare{entries.size(), ownerConnections(maximum->second, zones_)};
+      leafs[service] = chooseSubset(entries, entries.size(), self_);
+    }
   }
   return leafs;
 }
 
-std::size_t RequestGateway::connectionsTo(const std::string& service) const {
-  const auto found = shares_.find(service);
-  return found == shares_.end() ? 1 : found->second.connections;
-}
-
 std::function<void()> RequestGateway::onRequest(HttpRequest request, ResponseWriter writer) {
   const Moment now = steadyNow();
   ++counters_.received;
@@ -137,6 +206,7 @@
   }
   auto active = std::make_shared<ActiveQuery>(context_, std::move(writer));
   active->request = std::make_shared<const LeafRequestTemplate>(request, names_);
+  active->original = std::make_shared<const HttpRequest>(std::move(request));
   active->query = std::make_unique<Query>(view_, *route, queryContext_, now, deadline);
   apply(active, active->query->start(now));
   const std::weak_ptr<ActiveQuery> weak = active;
@@ -154,9 +224,13 @@
   for (const ExchangeId exchange : actions.abandons) {
     pool_.abandon(exchange);
   }
+  ownerClient_.cancel(actions.abandons);
   for (const SendAction& action : actions.sends) {
     send(active, action);
   }
+  if (!actions.relays.empty()) {
+    relay(active, actions.relays);
+  }
   if (actions.answer) {
     answer(active, *actions.answer);
   }
@@ -164,31 +238,42 @@
 }
 
 void RequestGateway::send(const ActivePointer& active, const SendAction& action) {
-  const LeafEntry& leaf = action.leaf->entry();
-  LeafPool::Order order;
-  order.exchange = action.exchange;
-  order.request = active->request;
-  order.rank = active->query->route().rank;
-  order.deadline = active->query->leafDeadline();
-  order.listener.onWritten = [active, action] { active->query->onWritten(action.exchange); };
-  order.listener.onOutcome = [this, active, action, started = steadyNow()](const LeafOutcome& outcome) {
-    const Moment now = steadyNow();
-    action.leaf->onFinished(action.exchange, outcome.kind, now);
-    if (outcome.load) {
-      action.leaf->onLoad(*outcome.load, now);
-    }
-    if (outcome.kind == LeafOutcome::Kind::kAnswered) {
-      queryContext_.latencyOf(active->query->route()).record(now - started, now);
-    }
-    onOutcome(active, action, outcome);
+  LeafSend send;
+  send.action = action;
+  send.request = active->request;
+  send.route = std::shared_ptr<const Route>(active, &active->query->route());
+  send.deadline = active->query->leafDeadline();
+  LeafPool::Listener listener;
+  const ExchangeId exchange = action.exchange;
+  listener.onWritten = [active, exchange] { active->query->onWritten(exchange); };
+  listener.onOutcome = [this, active, exchange](const LeafOutcome& outcome) {
+    onOutcome(active, exchange, outcome);
   };
-  pool_.send(leaf, connectionsTo(leaf.service), std::move(order));
+  sender_.send(send, queryContext_, std::move(listener));
+}
+
+void RequestGateway::relay(const ActivePointer& active, const std::vector<RelayAction>& relays) {
+  if (!active->ownerListener) {
+    const std::weak_ptr<ActiveQuery> weak = active;
+    active->ownerListener = std::make_shared<const OwnerClient::Listener>(
+        [this, weak](ExchangeId exchange, const LeafOutcome& outcome) {
+          if (const ActivePointer asking = weak.lock()) {
+            onOutcome(asking, exchange, outcome);
+          }
+        });
+  }
+  OwnerClient::Order order;
+  order.request = active->original;
+  order.route = std::shared_ptr<const Route>(active, &active->query->route());
+  order.leafDeadline = active->query->leafDeadline();
+  order.usefulUntil = active->query->answerBy();
+  order.listener = active->ownerListener;
+  ownerClient_.send(relays, order);
 }
 
-void RequestGateway::onOutcome(const ActivePointer& active, const SendAction& action,
-                               const LeafOutcome& outcome) {
+void RequestGateway::onOutcome(const ActivePointer& active, ExchangeId exchange, const LeafOutcome& outcome) {
   if (!active->query->finished()) {
-    apply(active, active->query->onOutcome(action.exchange, outcome, steadyNow()));
+    apply(active, active->query->onOutcome(exchange, outcome, steadyNow()));
   }
 }
 
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -7,10 +7,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
-#include "coordination/serving/leaf_subset.h"
 #include "coordination/serving/query.h"
+#include "coordination/serving/shard_owners.h"
 #include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/leaf_sender.h"
+#include "programs/gateway/owner_client.h"
+#include "programs/gateway/owner_service.h"
 #include "programs/gateway/request_log.h"
 #include "protocol/serving/header_names.h"
 #include "state/published.h"
@@ -21,18 +25,27 @@
 
 class RequestGateway : public RequestHandler {
  public:
+  /// `ownerBudgets`: those of a shard's owner, while `queryContext` has those of every daemon.
   RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
-                 Published<ServingView>& published, const Endpoint& self, QueryContext queryContext);
+                 Published<ServingView>& published, const Endpoint& self, QueryContext queryContext,
+                 ExtraSendBudgets& ownerBudgets, const FrameSender& sendFrame);
 
   std::function<void()> onRequest(HttpRequest request, ResponseWriter writer) override;
 
   /// A new view was published.
   void onView();
-  /// How many daemons share each leaf's connections.
-  /// `settled`: the number can be relied on.
-  void setDaemonCount(std::size_t count, bool settled);
+  /// `planned`: how many daemons share each leaf's connections. `settled`: that can be relied on.
+  void setDaemons(const DaemonGroup& daemons, std::size_t planned, bool settled);
+  /// A frame of another daemon, or of this one, about shards.
+  void onFrame(const Endpoint& sender, const PeerEnvelope& envelope);
+  /// A frame could not be handed to the network.
+  void onUndeliverable(const Endpoint& to, const PeerEnvelope& envelope);
+  /// Requests of other daemons that this one works on.
+  std::size_t servedForOthers() const { return ownerService_.inProgress(); }
   const RequestCounters& counters() const { return counters_; }
   const LeafPoolCounters& poolCounters() const { return pool_.counters(); }
+  const OwnerClientCounters& ownerCounters() const { return ownerClient_.counters(); }
+  std::uint64_t partsServed() const { return ownerService_.partsServed(); }
   std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut(); }
 
  private:
@@ -41,16 +54,20 @@
 
   void apply(const ActivePointer& active, QueryActions actions);
   void send(const ActivePointer& active, const SendAction& action);
-  void onOutcome(const ActivePointer& active, const SendAction& action, const LeafOutcome& outcome);
+  void relay(const ActivePointer& active, const std::vector<RelayAction>& relays);
+  void onOutcome(const ActivePointer& active, ExchangeId exchange, const LeafOutcome& outcome);
   void answer(const ActivePointer& active, const FinalAnswer& answer);
   void countDecisions(const RequestTrace& trace);
   /// An answer of the gateway's own before any query.
   void reject(const ResponseWriter& writer, const std::string& requestId, const HttpReply& reply,
               const std::string& reason);
   void armTimer(const ActivePointer& active);
-  std::size_t connectionsTo(const std::string& service) const;
   /// The leafs that this daemon uses, for each service.
   LeafsByService ownLeafs();
+  /// The shards that are left to owners.
+  std::unordered_set<std::string> ownedShards(
+      const std::unordered_map<std::string, std::size_t>& maximumConnections) const;
+  void warm(const LeafsByService& leafs);
 
   boost::asio::io_context& context_;
   const HeaderNames& names_;
@@ -60,8 +77,13 @@
   LeafPool pool_;
   std::shared_ptr<const ServingView> view_;
   Endpoint self_;
-  std::unordered_map<std::string, ConnectionShare> shares_;
+  LeafSender sender_;
+  ShardOwners owners_;
+  OwnerClient ownerClient_;
+  OwnerService ownerService_;
+  ConnectionShares shares_;
   std::size_t daemonCount_ = 12;
+  std::size_t zones_ = 1;
   bool settled_ = false;
   RequestCounters counters_;
   RequestLog log_{RequestLogSettings{}};
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -28,7 +28,8 @@
       peers_(context, peers,
              {[this](const Endpoint& sender, const SourceNews& news) { onNews(sender, news); },
               [this](const Endpoint& sender) { onNewsRequest(sender); },
-              [this](const std::vector<Endpoint>& members) { onMembers(members); }}),
+              [this](const DaemonGroup& daemons) { onMembers(daemons); }, handlers_.onShardFrame,
+              handlers_.onShardFrameUndeliverable}),
       timer_(context) {}
 
 std::string SourceLoop::start() {
@@ -91,10 +92,14 @@
   }
 }
 
-void SourceLoop::onMembers(const std::vector<Endpoint>& members) {
-  follower_.setMembers(members);
-  log(LogLevel::kInfo, "members changed", {{"serving", members.size()}, {"place", follower_.place()}});
-  handlers_.onDaemonCount(members.size());
+void SourceLoop::onMembers(const DaemonGroup& daemons) {
+  follower_.setMembers(daemons.all);
+  log(LogLevel::kInfo, "members changed",
+      {{"serving", daemons.all.size()},
+       {"own_zone", daemons.ownZone.size()},
+       {"zones", daemons.zones},
+       {"place", follower_.place()}});
+  handlers_.onDaemons(daemons);
 }
 
 void SourceLoop::carryOut(const FollowerActions& actions) {
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/serving/source_follower.h"
@@ -23,7 +24,10 @@
   struct Handlers {
     /// A view was published.
     std::function<void()> onView;
-    std::function<void(std::size_t count)> onDaemonCount;
+    std::function<void(const DaemonGroup& daemons)> onDaemons;
+    /// As in `PeerLink::Handlers`.
+    std::function<void(const Endpoint& sender, PeerEnvelope envelope)> onShardFrame;
+    std::function<void(const Endpoint& to, PeerEnvelope envelope)> onShardFrameUndeliverable;
   };
 
   SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
@@ -34,6 +38,10 @@
   void stop() { peers_.stop(); }
   void leave() { peers_.leave(); }
   void reload(const Endpoint& source, const std::vector<Endpoint>& seeds);
+  /// Thread-safe.
+  void sendShardFrame(const Endpoint& to, PeerEnvelope envelope) {
+    peers_.sendShardFrame(to, std::move(envelope));
+  }
   bool complete() const { return follower_.complete(); }
   const FollowerCounters& counters() const { return follower_.counters(); }
 
@@ -43,7 +51,7 @@
   void onAnswer(const SourceCall& call, const SourceAnswer& answer);
   void onNews(const Endpoint& sender, const SourceNews& news);
   void onNewsRequest(const Endpoint& sender);
-  void onMembers(const std::vector<Endpoint>& members);
+  void onMembers(const DaemonGroup& daemons);
   void carryOut(const FollowerActions& actions);
   void publish();
 
--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -30,7 +30,8 @@
 constexpr int kFramesPerRound = 256;
 
 bool isWork(const PeerEnvelope& envelope) {
-  return envelope.has_work() || envelope.has_results() || envelope.has_cancel();
+  return envelope.has_work() || envelope.has_results() || envelope.has_cancel() ||
+         envelope.has_owner_work() || envelope.has_owner_results() || envelope.has_owner_cancel();
 }
 
 }  // namespace
--- a/tests/serving/coordination/extra_send_budget_test.cpp
+++ b/tests/serving/coordination/extra_send_budget_test.cpp
@@ -41,7 +41,7 @@
 
 TEST_CASE("extra sends never exceed the share of requests and what may be saved", "[serving]") {
   OAKPIER_PROPERTY("budget", [] {
-    const ExtraSendBounds bounds{*rc::gen::element(0.05, 0.2, 0.5), *rc::gen::element(1.0, 3.0), kWindow};
+    const ExtraSendBounds bounds{*rc::gen::element(0.05, 0.2, 0.5), *rc::gen::element(1.0, 3.0), kWindow, {}};
     const auto requests = *rc::gen::container<std::vector<bool>>(300, rc::gen::arbitrary<bool>());
     RandomEngine random(5);
     ExtraSendBudget budget;
@@ -61,7 +61,7 @@
 }
 
 TEST_CASE("a new process saves nothing until the operator's window has passed once", "[serving]") {
-  const ExtraSendBounds bounds{0.1, 3.0, kWindow};
+  const ExtraSendBounds bounds{0.1, 3.0, kWindow, {}};
   RandomEngine random(5);
   ExtraSendBudgets budgets(bounds, at(0), random);
   REQUIRE_FALSE(budgets.spend("s", at(9'999)));
@@ -93,6 +93,27 @@
   REQUIRE(saved * 86 <= 168);
 }
 
+TEST_CASE("who takes over a service has little saved until a window has passed", "[serving]") {
+  const ExtraSendShare share(OperatorExtraSends{0.2, 100, kWindow}, 5, ExtraSendShare::Holder::kOwner);
+  RandomEngine random(5);
+  ExtraSendBudgets budgets(share.bounds(), at(0), random);
+  const auto spentAt = [&](int milliseconds) {
+    int spent = 0;
+    while (budgets.spend("s", at(milliseconds))) {
+      ++spent;
+    }
+    return spent;
+  };
+  const int few = spentAt(60'000);
+  REQUIRE(few == 3);
+  for (int second = 61; second < 70; ++second) {
+    REQUIRE(spentAt(second * 1000) == 0);
+  }
+  REQUIRE(spentAt(70'000) == 18);
+  // It had lost the service meanwhile.
+  REQUIRE(spentAt(100'000) == few);
+}
+
 TEST_CASE("a daemon too small for a whole extra send still makes its share of them", "[serving]") {
   RandomEngine random(5);
   const OperatorExtraSends total{0.2, 56, kWindow};
--- /dev/null
+++ b/tests/serving/coordination/shard_owners_test.cpp
@@ -0,0 +1,106 @@
+/// Which daemon owns a shard, and what happens to owners that do not answer.
+
+#include "coordination/serving/shard_owners.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+std::vector<Endpoint> daemons(std::uint32_t count) {
+  std::vector<Endpoint> addresses;
+  for (std::uint32_t number = 1; number <= count; ++number) {
+    addresses.emplace_back(number, 9);
+  }
+  return addresses;
+}
+
+ShardOwners ownersSeenBy(const Endpoint& self, const std::vector<Endpoint>& group) {
+  ShardOwners owners(self);
+  owners.setDaemons(group);
+  return owners;
+}
+
+std::string shard(int number) { return "shard-" + std::to_string(number); }
+
+}  // namespace
+
+TEST_CASE("daemons that know the same others name the same owners", "[serving]") {
+  const auto group = daemons(17);
+  auto first = ownersSeenBy(group[0], group);
+  auto last = ownersSeenBy(group[16], group);
+  std::map<Endpoint, int> shards;
+  for (int number = 0; number < 500; ++number) {
+    const auto owners = first.ownersOf(shard(number), at(0));
+    REQUIRE(owners == last.ownersOf(shard(number), at(0)));
+    REQUIRE(owners.size() == kOwnersPerShard);
+    REQUIRE(first.isFirstOwner(shard(number)) == (owners[0] == group[0]));
+    ++shards[owners[0]];
+  }
+  for (const Endpoint& daemon : group) {
+    REQUIRE(shards[daemon] > 10);
+  }
+}
+
+TEST_CASE("a daemon that goes moves only its own shards, to their second owners", "[serving]") {
+  OAKPIER_PROPERTY("moves", [] {
+    auto group = daemons(*rc::gen::inRange<std::uint32_t>(2, 40));
+    auto before = ownersSeenBy(group[0], group);
+    const auto gone = static_cast<std::ptrdiff_t>(*rc::gen::inRange<std::size_t>(0, group.size()));
+    const Endpoint lost = group[static_cast<std::size_t>(gone)];
+    group.erase(group.begin() + gone);
+    auto after = ownersSeenBy(group[0], group);
+    for (int number = 0; number < 50; ++number) {
+      const auto was = before.ownersOf(shard(number), at(0));
+      const auto is = after.ownersOf(shard(number), at(0));
+      RC_ASSERT(is[0] == (was[0] == lost ? was[1] : was[0]));
+    }
+  });
+}
+
+TEST_CASE("an owner that leaves a frame unanswered comes second until it is heard", "[serving]") {
+  const auto group = daemons(5);
+  auto owners = ownersSeenBy(group[0], group);
+  const auto usual = owners.ownersOf("s", at(0));
+  owners.onSent(usual[0], at(0));
+  owners.onSent(usual[0], at(100));
+  REQUIRE(owners.ownersOf("s", at(100)) == usual);
+  REQUIRE(owners.takeProbes(at(100)).empty());
+  const std::vector<Endpoint> turned{usual[1], usual[0]};
+  REQUIRE(owners.ownersOf("s", at(300)) == turned);
+  // It is asked for a sign of life now and then, not sent work to.
+  REQUIRE(owners.takeProbes(at(300)) == std::vector<Endpoint>{usual[0]});
+  REQUIRE(owners.takeProbes(at(310)).empty());
+  REQUIRE(owners.takeProbes(at(600)).size() == 1);
+  owners.onHeard(usual[0]);
+  REQUIRE(owners.ownersOf("s", at(601)) == usual);
+}
+
+TEST_CASE("with both owners silent the first stays first", "[serving]") {
+  const auto group = daemons(2);
+  auto owners = ownersSeenBy(group[0], group);
+  const auto usual = owners.ownersOf("s", at(0));
+  owners.onSent(usual[0], at(0));
+  owners.onSent(usual[1], at(0));
+  REQUIRE(owners.ownersOf("s", at(500)) == usual);
+}
+
+TEST_CASE("the connections of all zones' owners fit a leaf", "[serving]") {
+  OAKPIER_PROPERTY("connections", [] {
+    const auto zones = *rc::gen::inRange<std::size_t>(1, 8);
+    const auto maximum = *rc::gen::inRange<std::size_t>(2 * zones, 200);
+    const std::size_t each = ownerConnections(maximum, zones);
+    RC_ASSERT(each >= 1U);
+    RC_ASSERT(each * zones * kOwnersPerShard <= maximum);
+  });
+  REQUIRE(needsOwners(54, 64));
+  REQUIRE_FALSE(needsOwners(26, 12));
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/coordination/shard_server_test.cpp
@@ -0,0 +1,318 @@
+/// The hop between daemons: a query that leaves its shards to owners, and the owners that serve them, with
+/// frames carried, lost and delayed by the test.
+
+#include "coordination/serving/shard_server.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "coordination/serving/shard_owners.h"
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+using Kind = LeafOutcome::Kind;
+
+const Endpoint kAsker(1, 9);
+constexpr std::uint64_t kRun = 77;
+
+OwnerWork workOf(const std::vector<std::string>& services, unsigned attempts = 2) {
+  OwnerWork work;
+  work.set_sender_run(kRun);
+  work.set_method("GET");
+  work.set_target("/all/");
+  work.set_route("gather");
+  work.set_target_latency_us(200'000);
+  work.set_remaining_us(600'000);
+  work.set_useful_us(180'000);
+  work.set_top_records(2);
+  work.set_attempts(attempts);
+  for (std::size_t number = 0; number < services.size(); ++number) {
+    OwnerPart* part = work.add_parts();
+    part->set_exchange(100 + number);
+    part->set_service(services[number]);
+  }
+  return work;
+}
+
+std::string record(char letter) { return std::string(16, letter); }
+
+struct ServerWorld : QueryWorld {
+  explicit ServerWorld(std::size_t replicas = 2, double saved = 100)
+      : QueryWorld(viewOf({gatherRoute({"s", "t"}, 0.5)}, {"s", "t"}, replicas), saved), server(*context) {}
+
+  ShardServer server;
+};
+
+}  // namespace
+
+TEST_CASE("an owner answers the process that asked with the greatest records", "[serving]") {
+  ServerWorld world;
+  const auto started = world.server.onWork(kAsker, workOf({"s"}), at(0));
+  REQUIRE(started.sends.size() == 1);
+  REQUIRE(started.results.empty());
+  const ExchangeId exchange = started.sends[0].action.exchange;
+  world.server.onWritten(exchange);
+  const auto done = world.server.onOutcome(
+      exchange, outcomeOf(Kind::kAnswered, record('a') + record('c') + record('b')), at(20));
+  REQUIRE(done.results.size() == 1);
+  REQUIRE(done.results[0].to == kAsker);
+  REQUIRE(done.results[0].results.receiver_run() == kRun);
+  const OwnerResult& result = done.results[0].results.results(0);
+  REQUIRE(result.exchange() == 100);
+  REQUIRE(result.status() == OWNER_ANSWERED);
+  REQUIRE(result.signature() == "signature");
+  REQUIRE(result.records() == record('c') + record('b'));
+  REQUIRE(world.server.inProgress() == 0);
+}
+
+TEST_CASE("an owner hedges, and takes back the loser once one has answered", "[serving]") {
+  ServerWorld world;
+  const auto started = world.server.onWork(kAsker, workOf({"s"}), at(0));
+  const ExchangeId first = started.sends[0].action.exchange;
+  world.server.onWritten(first);
+  const Moment due = world.server.nextDecisionAt();
+  REQUIRE(due < at(180));
+  const auto hedged = world.server.onTime(due);
+  REQUIRE(hedged.sends.size() == 1);
+  const ExchangeId second = hedged.sends[0].action.exchange;
+  world.server.onWritten(second);
+  const auto done = world.server.onOutcome(second, outcomeOf(Kind::kAnswered, record('a')),
+                                           due + std::chrono::milliseconds(5));
+  REQUIRE(done.abandons == std::vector<ExchangeId>{first});
+  REQUIRE(done.results.size() == 1);
+  // The loser's late answer is nobody's.
+  REQUIRE(world.server.onOutcome(first, outcomeOf(Kind::kAnswered, record('b')), at(300)).results.empty());
+}
+
+TEST_CASE("an owner says not run only when no leaf can have run the request", "[serving]") {
+  ServerWorld unknown;
+  const auto nowhere = unknown.server.onWork(kAsker, workOf({"nowhere"}), at(0));
+  REQUIRE(nowhere.results[0].results.results(0).status() == OWNER_NOT_RUN);
+
+  ServerWorld refused(1);
+  const auto started = refused.server.onWork(kAsker, workOf({"s"}), at(0));
+  refused.server.onWritten(started.sends[0].action.exchange);
+  const auto turnedAway =
+      refused.server.onOutcome(started.sends[0].action.exchange, outcomeOf(Kind::kNotExecuted), at(5));
+  REQUIRE(turnedAway.results[0].results.results(0).status() == OWNER_NOT_RUN);
+
+  ServerWorld lost(1);
+  const auto begun = lost.server.onWork(kAsker, workOf({"s"}), at(0));
+  lost.server.onWritten(begun.sends[0].action.exchange);
+  const auto broken =
+      lost.server.onOutcome(begun.sends[0].action.exchange, outcomeOf(Kind::kNoAnswer), at(5));
+  REQUIRE(broken.results[0].results.results(0).status() == OWNER_NO_ANSWER);
+}
+
+TEST_CASE("cancelled or expired work is taken back from leafs without a result", "[serving]") {
+  ServerWorld world;
+  const auto started = world.server.onWork(kAsker, workOf({"s", "t"}), at(0));
+  REQUIRE(started.sends.size() == 2);
+  OwnerCancel cancel;
+  cancel.add_exchanges(100);
+  cancel.set_sender_run(kRun + 1);
+  REQUIRE(world.server.onCancel(kAsker, cancel).abandons.empty());
+  cancel.set_sender_run(kRun);
+  const auto cancelled = world.server.onCancel(kAsker, cancel);
+  REQUIRE(cancelled.abandons == std::vector<ExchangeId>{started.sends[0].action.exchange});
+  REQUIRE(cancelled.results.empty());
+  REQUIRE(world.server.inProgress() == 1);
+  const auto expired = world.server.onTime(at(600));
+  REQUIRE(std::count(expired.abandons.begin(), expired.abandons.end(), started.sends[1].action.exchange) ==
+          1);
+  REQUIRE(expired.results.empty());
+  REQUIRE(world.server.inProgress() == 0);
+  REQUIRE(world.server.nextDecisionAt() == kNever);
+}
+
+namespace {
+
+/// A query over owned shards at a daemon that is no owner.
+struct AskerWorld : QueryWorld {
+  explicit AskerWorld(const std::vector<std::string>& shards, double share)
+      : QueryWorld(viewOf({gatherRoute(shards, share)}, shards, 2)),
+        view(viewOf({gatherRoute(shards, share)}, shards, 2)),
+        owners(kAsker) {
+    owners.setDaemons({Endpoint(2, 9), Endpoint(3, 9), Endpoint(4, 9)});
+    owners.setServices({shards.begin(), shards.end()});
+    context->owners = &owners;
+    query = std::make_unique<Query>(view, view->configuration->routes.front(), *context, at(0), at(1000));
+  }
+
+  std::shared_ptr<const ServingView> view;
+  ShardOwners owners;
+  std::unique_ptr<Query> query;
+};
+
+}  // namespace
+
+TEST_CASE("a second owner is asked only when the first has surely sent nothing", "[serving]") {
+  for (const Kind kind : {Kind::kNotSent, Kind::kNotExecuted, Kind::kNoAnswer}) {
+    AskerWorld world({"s"}, 1.0);
+    const auto started = world.query->start(at(0));
+    REQUIRE(started.sends.empty());
+    REQUIRE(started.relays.size() == 1);
+    const auto next = world.query->onOutcome(started.relays[0].exchange, outcomeOf(kind), at(30));
+    if (kind == Kind::kNoAnswer) {
+      REQUIRE(next.relays.empty());
+      REQUIRE(std::holds_alternative<Failure>(*next.answer));
+      continue;
+    }
+    REQUIRE(next.relays.size() == 1);
+    REQUIRE_FALSE(next.relays[0].owner == started.relays[0].owner);
+    const auto last = world.query->onOutcome(next.relays[0].exchange, outcomeOf(kind), at(60));
+    REQUIRE(std::holds_alternative<Refusal>(*last.answer));
+  }
+}
+
+TEST_CASE("a query merges what owners answered and says what is missing", "[serving]") {
+  AskerWorld world({"s", "t", "u"}, 0.6);
+  const auto started = world.query->start(at(0));
+  REQUIRE(started.relays.size() == 3);
+  world.query->onOutcome(started.relays[0].exchange, outcomeOf(Kind::kAnswered, record('a')), at(10));
+  world.query->onOutcome(started.relays[2].exchange, outcomeOf(Kind::kAnswered, record('b')), at(12));
+  const auto due = world.query->onTime(world.query->answerBy());
+  const auto& merged = std::get<MergedAnswer>(*due.answer);
+  REQUIRE(merged.missingShards == 1);
+  REQUIRE(merged.records == record('b') + record('a'));
+  // What is still out at an owner is withdrawn.
+  REQUIRE(due.abandons == std::vector<ExchangeId>{started.relays[1].exchange});
+}
+
+namespace {
+
+/// One query, three owners and the frames between them; frames and leafs fail as the generator says.
+class HopSimulation {
+ public:
+  HopSimulation() : asker_(shards_, 0.5) {
+    for (const Endpoint& daemon : {Endpoint(2, 9), Endpoint(3, 9), Endpoint(4, 9)}) {
+      owners_[daemon] = std::make_unique<ServerWorld>(3);
+      owners_[daemon]->registry.reconcile(leafsOf(shards_, 3), at(0));
+    }
+    carry(asker_.query->start(at(0)));
+  }
+
+  void deliverFrame(Moment now) {
+    if (frames_.empty()) {
+      return;
+    }
+    const RelayAction relay = frames_.front();
+    frames_.pop_front();
+    const int fate = *rc::gen::inRange(0, 4);
+    if (fate == 0) {
+      // It never left: the transport says so.
+      carry(asker_.query->onOutcome(relay.exchange, outcomeOf(Kind::kNotSent), now));
+    } else if (fate != 1) {
+      OwnerWork work = workOf({relay.service}, relay.attempts);
+      work.mutable_parts(0)->set_exchange(relay.exchange);
+      carry(relay.owner, owners_[relay.owner]->server.onWork(kAsker, work, now), now);
+    }
+  }
+
+  void endExchange(Moment now) {
+    if (running_.empty()) {
+      return;
+    }
+    const auto picked = static_cast<std::ptrdiff_t>(*rc::gen::inRange<std::size_t>(0, running_.size()));
+    const Running ended = running_[static_cast<std::size_t>(picked)];
+    running_.erase(running_.begin() + picked);
+    const Kind kind = *rc::gen::element(Kind::kAnswered, Kind::kNoAnswer, Kind::kNotExecuted, Kind::kNotSent);
+    ShardServer& server = owners_[ended.owner]->server;
+    if (kind != Kind::kNotSent) {
+      server.onWritten(ended.action.exchange);
+    }
+    if (kind == Kind::kNotExecuted || kind == Kind::kNotSent) {
+      const LeafEntry& leaf = ended.action.leaf->entry();
+      ranAt_[leaf.service].erase(leaf.id);
+    }
+    carry(ended.owner, server.onOutcome(ended.action.exchange, outcomeOf(kind), now), now);
+  }
+
+  void passTime(Moment now) {
+    for (auto& [owner, world] : owners_) {
+      carry(owner, world->server.onTime(now), now);
+    }
+  }
+
+  /// The most leafs that may have run one shard's request.
+  std::size_t mostLeafs() const {
+    std::size_t most = 0;
+    for (const auto& [shard, leafs] : ranAt_) {
+      most = std::max(most, leafs.size());
+    }
+    return most;
+  }
+
+ private:
+  struct Running {
+    Endpoint owner;
+    SendAction action;
+  };
+
+  void carry(const QueryActions& actions) {
+    frames_.insert(frames_.end(), actions.relays.begin(), actions.relays.end());
+  }
+
+  void carry(const Endpoint& owner, const ShardServerActions& actions, Moment now) {
+    for (const ServedSend& send : actions.sends) {
+      const LeafEntry& leaf = send.action.leaf->entry();
+      ranAt_[leaf.service].insert(leaf.id);
+      running_.push_back({owner, send.action});
+    }
+    for (const OutgoingResults& outgoing : actions.results) {
+      for (const OwnerResult& result : outgoing.results.results()) {
+        const bool lost = *rc::gen::inRange(0, 5) == 0;
+        if (!lost) {
+          carry(asker_.query->onOutcome(result.exchange(), outcomeOf(kindOf(result)), now));
+        }
+      }
+    }
+  }
+
+  static Kind kindOf(const OwnerResult& result) {
+    if (result.status() == OWNER_ANSWERED) {
+      return Kind::kAnswered;
+    }
+    return result.status() == OWNER_NOT_RUN ? Kind::kNotExecuted : Kind::kNoAnswer;
+  }
+
+  const std::vector<std::string> shards_{"s", "t", "u", "v"};
+  AskerWorld asker_;
+  std::map<Endpoint, std::unique_ptr<ServerWorld>> owners_;
+  std::deque<RelayAction> frames_;
+  std::vector<Running> running_;
+  /// By shard: leafs that may have run the request.
+  std::map<std::string, std::set<std::string>> ranAt_;
+};
+
+}  // namespace
+
+TEST_CASE("owners together never let more leafs run a shard than the route allows", "[serving]") {
+  OAKPIER_PROPERTY("attempts", [] {
+    HopSimulation simulation;
+    for (int step = 1; step < 60; ++step) {
+      const Moment now = at(step * 7);
+      switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+          simulation.deliverFrame(now);
+          break;
+        case 1:
+          simulation.endExchange(now);
+          break;
+        default:
+          simulation.passTime(now);
+          break;
+      }
+      RC_ASSERT(simulation.mostLeafs() <= 2U);
+    }
+  });
+}
+
+}  // namespace oakpier::serving
--- a/tests/serving/support/serving_fixtures.h
+++ b/tests/serving/support/serving_fixtures.h
@@ -90,13 +90,16 @@
 class QueryWorld {
  public:
   explicit QueryWorld(const std::shared_ptr<const ServingView>& view, double savedSends = 100)
-      : random(7), budgets(ExtraSendBounds{savedSends, savedSends, std::chrono::hours(1)}, at(0), random) {
+      : random(7),
+        budgets(ExtraSendBounds{savedSends, savedSends, std::chrono::hours(1), {}}, at(0), random) {
     registry.reconcile(*view->leafs, at(0));
-    context = std::make_unique<QueryContext>(QueryContext{registry, budgets, random, QueryPolicy{}, "a", {}});
+    context = std::make_unique<QueryContext>(
+        QueryContext{registry, budgets, random, QueryPolicy{}, "a", exchanges, nullptr, {}});
   }
 
   LeafRegistry registry;
   RandomEngine random;
+  ExchangeNumbers exchanges;
   ExtraSendBudgets budgets;
   std::unique_ptr<QueryContext> context;
 };
