--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -180,7 +180,7 @@
       leafs += entries.size();
     }
     return metricsText(GatewayFigures{requests_.counters(), requests_.poolCounters(),
-                                      requests_.ownerCounters(), requests_.partsServed(), sourceCounters_,
+                                      requests_.ownerCounters(), requests_.partsServed(), source_.peerCounters(), sourceCounters_,
                                       view->configuration ? view->configuration->version : 0, leafs, daemons_,
                                       ready_, requests_.logLinesLeftOut(), droppedLogLines()});
   }
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -17,6 +17,8 @@
 using prometheus::MetricType;
 
 constexpr double kFirstBoundSeconds = 0.001;
+/// In the order of `FrameKind`.
+constexpr std::array<const char*, kFrameKinds> kFrameKindNames = {"membership", "configuration", "work"};
 
 class FamilyList {
  public:
@@ -30,6 +32,17 @@
     metric.gauge.value = value;
     families_.push_back({"oakpier_gateway_" + name, help, MetricType::Gauge, {metric}});
   }
+  void bytesByKind(const PeerTransportCounters& peers) {
+    MetricFamily family{"oakpier_gateway_peer_bytes_sent_total", "Bytes of frames sent to other daemons",
+                        MetricType::Counter, {}};
+    for (std::size_t kind = 0; kind < kFrameKinds; ++kind) {
+      ClientMetric metric;
+      metric.label.push_back({"kind", kFrameKindNames.at(kind)});
+      metric.counter.value = static_cast<double>(peers.bytesSentByKind.at(kind));
+      family.metric.push_back(metric);
+    }
+    families_.push_back(std::move(family));
+  }
   void histograms(const std::string& name, const std::string& help,
                   const std::map<std::string, LatencyHistogram>& byRoute) {
     MetricFamily family{"oakpier_gateway_" + name, help, MetricType::Histogram, {}};
@@ -114,6 +127,7 @@
                figures.pool.closedWithReply);
   list.counter("leaf_connections_broken_total", "Connections that ended under a request",
                figures.pool.brokenUnderRequest);
+  list.bytesByKind(figures.peers);
   list.counter("source_calls_total", "Calls to the configuration source", figures.source.calls);
   list.counter("source_failures_total", "Of these, without a usable answer", figures.source.failures);
   list.counter("news_accepted_total", "News taken over from other daemons", figures.source.newsAccepted);
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -9,6 +9,7 @@
 
 #include "coordination/serving/source_follower.h"
 #include "programs/gateway/owner_client.h"
+#include "transport/peer_transport.h"
 #include "transport/serving/leaf_pool.h"
 
 namespace oakpier::serving {
@@ -54,6 +55,7 @@
   const OwnerClientCounters& owners;
   /// Shards served for other daemons.
   std::uint64_t partsServed = 0;
+  const PeerTransportCounters& peers;
   FollowerCounters source;
   std::uint64_t configurationVersion = 0;
   std::size_t leafs = 0;
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -46,6 +46,8 @@
   void askForNews(const Endpoint& from);
   /// Thread-safe.
   void sendShardFrame(const Endpoint& to, PeerEnvelope envelope);
+  /// May be read on any thread.
+  const PeerTransportCounters& counters() const { return transport_.counters(); }
   /// Tells others that this daemon leaves.
   void leave();
 
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -43,6 +43,8 @@
     peers_.sendShardFrame(to, std::move(envelope));
   }
   bool complete() const { return follower_.complete(); }
+  /// May be read on any thread.
+  const PeerTransportCounters& peerCounters() const { return peers_.counters(); }
   const FollowerCounters& counters() const { return follower_.counters(); }
 
  private:
--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -29,13 +29,25 @@
 constexpr std::chrono::milliseconds kPollTimeWhileWaiting(2);
 constexpr int kFramesPerRound = 256;
 
-bool isWork(const PeerEnvelope& envelope) {
-  return envelope.has_work() || envelope.has_results() || envelope.has_cancel() ||
-         envelope.has_owner_work() || envelope.has_owner_results() || envelope.has_owner_cancel();
-}
-
 }  // namespace
 
+FrameKind kindOf(const PeerEnvelope& envelope) {
+  switch (envelope.body_case()) {
+    case PeerEnvelope::kProbe:
+    case PeerEnvelope::kProbeReply:
+      return FrameKind::kMembership;
+    case PeerEnvelope::kWork:
+    case PeerEnvelope::kResults:
+    case PeerEnvelope::kCancel:
+    case PeerEnvelope::kOwnerWork:
+    case PeerEnvelope::kOwnerResults:
+    case PeerEnvelope::kOwnerCancel:
+      return FrameKind::kWork;
+    default:
+      return FrameKind::kConfiguration;
+  }
+}
+
 class PeerTransport::Loop {
  public:
   explicit Loop(PeerTransport& owner)
@@ -72,7 +84,7 @@
   }
 
   void enqueue(const Endpoint& to, const PeerEnvelope& envelope) {
-    Frame frame{to, envelope.SerializeAsString(), isWork(envelope), {}};
+    Frame frame{to, envelope.SerializeAsString(), kindOf(envelope), {}};
     bool first = false;
     {
       const std::lock_guard<std::mutex> guard(mutex_);
@@ -88,7 +100,7 @@
   struct Frame {
     Endpoint to;
     std::string bytes;
-    bool work = false;
+    FrameKind kind = FrameKind::kMembership;
     Moment giveUpAt{};
   };
   struct Peer {
@@ -179,7 +191,8 @@
     }
     ++owner_.counters_.framesSent;
     owner_.counters_.bytesSent += frame.bytes.size();
-    if (!frame.work) {
+    owner_.counters_.bytesSentByKind.at(static_cast<std::size_t>(frame.kind)) += frame.bytes.size();
+    if (frame.kind != FrameKind::kWork) {
       ++owner_.counters_.controlFramesSent;
       owner_.counters_.controlBytesSent += frame.bytes.size();
     }
--- a/src/transport/peer_transport.h
+++ b/src/transport/peer_transport.h
@@ -3,6 +3,7 @@
 /// Frames between daemons over ZeroMQ: one PULL socket receives, one PUSH socket a peer sends. A frame is one
 /// serialized PeerEnvelope; it is sent at most once and never queued in the library for a peer that is away.
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -18,10 +19,18 @@
 
 namespace oakpier {
 
+/// What a frame is about.
+enum class FrameKind { kMembership, kConfiguration, kWork };
+inline constexpr std::size_t kFrameKinds = 3;
+
+FrameKind kindOf(const PeerEnvelope& envelope);
+
 struct PeerTransportCounters {
   std::atomic<std::uint64_t> framesSent{0};
   std::atomic<std::uint64_t> framesReceived{0};
   std::atomic<std::uint64_t> bytesSent{0};
+  /// By `FrameKind`.
+  std::array<std::atomic<std::uint64_t>, kFrameKinds> bytesSentByKind{};
   std::atomic<std::uint64_t> controlFramesSent{0};
   std::atomic<std::uint64_t> controlBytesSent{0};
   std::atomic<std::uint64_t> framesUndeliverable{0};
