--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -15,8 +15,6 @@
 constexpr int kProbeLifetimeTimeouts = 3;
 /// Members told directly of a planned leave.
 constexpr int kLeaveNotices = 5;
-/// More waiting updates than this means that messages should carry many.
-constexpr std::size_t kBacklog = 100;
 /// Records exchanged in one comparison, about; and the fewest parts.
 constexpr std::size_t kRecordsPerComparison = 200;
 constexpr std::size_t kLeastPartsPerComparison = 2;
@@ -25,7 +23,7 @@
 
 Membership::Membership(const Endpoint& self, const std::string& zone, std::uint64_t incarnation,
                        const MembershipSettings& settings, RandomEngine random)
-    : self_(self), zone_(zone), incarnation_(incarnation), settings_(settings), random_(random) {}
+    : self_(self), zone_(zone), incarnation_(incarnation), settings_(settings), random_(random), updates_(settings.updates) {}
 
 void Membership::setSeeds(std::vector<Endpoint> seeds) {
   eraseValue(seeds, self_);
@@ -113,12 +111,9 @@
 
 void Membership::onPause(Moment now) {
   updates_.clear();
-  transmissionsLeft_.clear();
   pending_.clear();
   // Suspicions start again: during the pause nobody could refute them here.
-  for (auto& suspicion : suspicions_) {
-    suspicion.expiresAt = now + suspicionTime();
-  }
+  suspicions_.restart(now + suspicionTime());
   nextProbeAt_ = now;
   nextReconnectAt_ = now;
 }
@@ -227,22 +222,11 @@
 }
 
 void Membership::expireSuspicions(Moment now) {
-  for (std::size_t position = 0; position < suspicions_.size();) {
-    const Suspicion suspicion = suspicions_[position];
-    const MemberRecord* record = members_.find(suspicion.subject);
-    const bool open = record != nullptr && record->condition == MEMBER_SUSPECT;
-    if (open && now < suspicion.expiresAt) {
-      ++position;
-      continue;
-    }
-    suspicions_[position] = suspicions_.back();
-    suspicions_.pop_back();
-    if (open) {
-      ++counters_.deathsDeclared;
-      MemberRecord update = *record;
-      update.condition = MEMBER_DEAD;
-      mergeRecord(update, false, now);
-    }
+  for (const Endpoint& subject : suspicions_.takeExpired(members_, now)) {
+    ++counters_.deathsDeclared;
+    MemberRecord update = *members_.find(subject);
+    update.condition = MEMBER_DEAD;
+    mergeRecord(update, false, now);
   }
 }
 
@@ -341,7 +325,7 @@
     ++version_;
   }
   if (record.condition == MEMBER_SUSPECT) {
-    suspicions_.push_back(Suspicion{record.address, now + suspicionTime()});
+    suspicions_.add(record.address, now + suspicionTime());
   }
   if (record.serving() && !servedBefore) {
     // Joins the current round at a random place.
@@ -364,10 +348,7 @@
 /// Queues what is now believed of `subject` to be sent a bounded number of times.
 void Membership::spread(const Endpoint& subject) {
   const int transmissions = static_cast<int>(std::ceil(settings_.updateTransmissions * logMembers()));
-  const bool added = transmissionsLeft_.insert_or_assign(subject, transmissions).second;
-  if (added) {
-    updates_.push_front(subject);
-  }
+  updates_.add(subject, transmissions);
 }
 
 /// The sender's own record always rides along, so the receiver knows whom it hears; and what is believed of
@@ -385,21 +366,11 @@
     }
     return;
   }
-  const std::size_t most =
-      updates_.size() > kBacklog ? settings_.updatesPerMessageWhenBehind : settings_.updatesPerMessage;
-  const std::size_t count = std::min(most, updates_.size());
-  for (std::size_t taken = 0; taken < count; ++taken) {
-    const Endpoint subject = updates_.front();
-    updates_.pop_front();
+  for (const Endpoint& subject : updates_.take()) {
     const MemberRecord* record = members_.find(subject);
     if (record != nullptr) {
       *message.add_updates() = describe(*record);
     }
-    if (--transmissionsLeft_[subject] > 0) {
-      updates_.push_back(subject);
-    } else {
-      transmissionsLeft_.erase(subject);
-    }
   }
 }
 
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -7,12 +7,13 @@
 /// except by its own refutation (dead) or as a later process (higher incarnation); every update is sent a
 /// bounded number of times.
 
-#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/suspicion_list.h"
+#include "coordination/update_queue.h"
 #include "oakpier/peer.pb.h"
 #include "state/member_table.h"
 #include "state/random.h"
@@ -28,9 +29,7 @@
   double suspicionPeriods = 3.0;
   /// Each update is sent this many times log10(members + 1).
   double updateTransmissions = 4.0;
-  std::size_t updatesPerMessage = 8;
-  /// With many updates waiting, as after a healed cut, messages carry up to this many.
-  std::size_t updatesPerMessageWhenBehind = 40;
+  UpdateQueueSettings updates;
   /// How often one dead member or seed is tried, so that healed cuts merge.
   Duration reconnectPeriod = std::chrono::seconds(5);
   /// How often at most a daemon compares its table with that of another whose digest differs.
@@ -109,10 +108,6 @@
     std::optional<Endpoint> askedBy;
     std::uint64_t askedSequence = 0;
   };
-  struct Suspicion {
-    Endpoint subject;
-    Moment expiresAt{};
-  };
 
   bool settling(Moment now) const { return now - startedAt_ < settings_.settlingTime; }
   void probeNext(Moment now, MembershipActions& actions);
@@ -157,10 +152,8 @@
   std::vector<Endpoint> dead_;
   std::vector<Endpoint> probeOrder_;
   std::unordered_map<std::uint64_t, PendingProbe> pending_;
-  /// Subjects of news in the order they are sent, and how often each is still to be sent.
-  std::deque<Endpoint> updates_;
-  std::unordered_map<Endpoint, int> transmissionsLeft_;
-  std::vector<Suspicion> suspicions_;
+  UpdateQueue updates_;
+  SuspicionList suspicions_;
   std::uint64_t nextSequence_ = 1;
   std::uint32_t selfRefutation_ = 0;
   std::uint64_t version_ = 1;
--- /dev/null
+++ b/src/coordination/update_queue.cpp
@@ -0,0 +1,45 @@
+#include "coordination/update_queue.h"
+
+#include <algorithm>
+
+namespace oakpier {
+
+namespace {
+
+/// More waiting updates than this means that messages should carry many.
+constexpr std::size_t kBacklog = 100;
+
+}  // namespace
+
+void UpdateQueue::add(const Endpoint& subject, int transmissions) {
+  const bool added = transmissionsLeft_.insert_or_assign(subject, transmissions).second;
+  if (added) {
+    subjects_.push_front(subject);
+  }
+}
+
+std::vector<Endpoint> UpdateQueue::take() {
+  const std::size_t most =
+      subjects_.size() > kBacklog ? settings_.perMessageWhenBehind : settings_.perMessage;
+  const std::size_t count = std::min(most, subjects_.size());
+  std::vector<Endpoint> taken;
+  taken.reserve(count);
+  for (std::size_t number = 0; number < count; ++number) {
+    const Endpoint subject = subjects_.front();
+    subjects_.pop_front();
+    taken.push_back(subject);
+    if (--transmissionsLeft_[subject] > 0) {
+      subjects_.push_back(subject);
+    } else {
+      transmissionsLeft_.erase(subject);
+    }
+  }
+  return taken;
+}
+
+void UpdateQueue::clear() {
+  subjects_.clear();
+  transmissionsLeft_.clear();
+}
+
+}  // namespace oakpier
