Leave leafs that no route names yet to owners too

Cause: when an index is cut anew, the next shards' leafs are listed seconds before a configuration names them. Ruled out: idle ends and requests' own connections, by the counters of connections' ends. Change: every service whose leafs accept too few connections is left to owners, but for those that a route sends whole requests to. Test: services that no route names.

--- a/src/coordination/serving/shard_owners.cpp
+++ b/src/coordination/serving/shard_owners.cpp
@@ -22,6 +22,24 @@
   return maximumConnections < std::max<std::size_t>(1, daemons);
 }
 
+std::unordered_set<std::string> servicesForOwners(const ServingConfiguration& configuration,
+                                                  std::size_t daemons) {
+  std::unordered_set<std::string> owned;
+  for (const ServiceDefinition& service : configuration.services) {
+    if (needsOwners(service.maximumConnections, daemons)) {
+      owned.insert(service.name);
+    }
+  }
+  for (const Route& route : configuration.routes) {
+    if (const auto* single = std::get_if<SingleTarget>(&route.target)) {
+      for (const WeightedService& part : single->services) {
+        owned.erase(part.service);
+      }
+    }
+  }
+  return owned;
+}
+
 std::size_t ownerConnections(std::size_t maximumConnections, std::size_t zones) {
   const std::size_t owners = std::max<std::size_t>(1, zones) * kOwnersAtOnce;
   return std::clamp<std::size_t>(maximumConnections / owners, 1, kMostOwnerConnections);
--- a/src/coordination/serving/shard_owners.h
+++ b/src/coordination/serving/shard_owners.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "state/endpoint.h"
+#include "state/serving/serving_configuration.h"
 #include "state/time.h"
 
 namespace oakpier::serving {
@@ -31,6 +32,11 @@
 /// True when a leaf accepts too few connections for every daemon to have its own.
 bool needsOwners(std::size_t maximumConnections, std::size_t daemons);
 
+/// The services that are left to owners: all whose leafs accept too few connections, but for those that a
+/// route sends whole requests to. Leafs that no route names yet count as well: they may be tomorrow's shards.
+std::unordered_set<std::string> servicesForOwners(const ServingConfiguration& configuration,
+                                                  std::size_t daemons);
+
 /// Connections that one owner may hold to a leaf: those of two owners a zone, while views differ, fit.
 std::size_t ownerConnections(std::size_t maximumConnections, std::size_t zones);
 
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -122,35 +122,14 @@
   }
 }
 
-std::unordered_set<std::string> RequestGateway::ownedShards(
-    const std::unordered_map<std::string, std::size_t>& maximumConnections) const {
-  std::unordered_set<std::string> owned;
-  if (!view_->configuration) {
-    return owned;
-  }
-  for (const Route& route : view_->configuration->routes) {
-    const auto* gather = std::get_if<GatherTarget>(&route.target);
-    if (gather == nullptr) {
-      continue;
-    }
-    for (const std::string& shard : gather->shards) {
-      const auto maximum = maximumConnections.find(shard);
-      if (maximum != maximumConnections.end() && needsOwners(maximum->second, daemonCount_)) {
-        owned.insert(shard);
-      }
-    }
-  }
-  return owned;
-}
-
 LeafsByService RequestGateway::ownLeafs() {
   std::unordered_map<std::string, std::size_t> maximumConnections;
   if (view_->configuration) {
     for (const ServiceDefinition& service : view_->configuration->services) {
       maximumConnections[service.name] = service.maximumConnections;
     }
+    owners_.setServices(servicesForOwners(*view_->configuration, daemonCount_));
   }
-  owners_.setServices(ownedShards(maximumConnections));
   shares_.clear();
   LeafsByService leafs;
   for (const auto& [service, entries] : *view_->leafs) {
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -7,7 +7,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "coordination/serving/query.h"
 #include "coordination/serving/shard_owners.h"
@@ -64,9 +63,6 @@
   void armTimer(const ActivePointer& active);
   /// The leafs that this daemon uses, for each service.
   LeafsByService ownLeafs();
-  /// The shards that are left to owners.
-  std::unordered_set<std::string> ownedShards(
-      const std::unordered_map<std::string, std::size_t>& maximumConnections) const;
   void warm(const LeafsByService& leafs);
 
   boost::asio::io_context& context_;
--- a/tests/serving/coordination/shard_owners_test.cpp
+++ b/tests/serving/coordination/shard_owners_test.cpp
@@ -91,6 +91,14 @@
   REQUIRE(owners.ownersOf("s", at(500)) == usual);
 }
 
+TEST_CASE("leafs that no route names yet are left to owners too", "[serving]") {
+  ServingConfiguration configuration;
+  configuration.routes = {gatherRoute({"now"}, 0.5), singleRoute("whole", true, 2)};
+  configuration.services = {{"now", 26}, {"next", 26}, {"whole", 26}, {"wide", 500}};
+  REQUIRE(servicesForOwners(configuration, 100) == std::unordered_set<std::string>{"now", "next"});
+  REQUIRE(servicesForOwners(configuration, 12).empty());
+}
+
 TEST_CASE("the connections of all zones' owners fit a leaf", "[serving]") {
   OAKPIER_PROPERTY("connections", [] {
     const auto zones = *rc::gen::inRange<std::size_t>(1, 8);
