Tell a daemon that missed news only what it missed

Cause: whoever found a gap in the news was sent every record; at 100,000 leafs that is tens of MB for one lost frame. Change: the request tells the revision that is known; ends of records are remembered (4,096), so that the answer holds only later changes, and everything only after a listing or to a daemon that knows nothing.

--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -157,11 +157,12 @@
   return actions;
 }
 
-std::optional<OutgoingNews> SourceFollower::onNewsRequest(const Endpoint& sender, Moment now) const {
+std::optional<OutgoingNews> SourceFollower::onNewsRequest(const Endpoint& sender, const SourceNewsRequest& request,
+                                                          Moment now) const {
   if (reader_.knownRevision() == 0) {
     return std::nullopt;
   }
-  return relay_.everything(sender, reader_.knownRevision(), now);
+  return relay_.missedBy(sender, request.known_revision(), reader_.knownRevision(), now);
 }
 
 Duration SourceFollower::stagger() const {
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -30,7 +30,7 @@
 
 struct FollowerActions {
   std::vector<OutgoingNews> news;
-  /// Ask this daemon for everything.
+  /// Ask this daemon for everything after what is known here.
   std::optional<Endpoint> ask;
   /// Records and configurations that were refused, in plain words.
   std::vector<std::string> problems;
@@ -56,7 +56,8 @@
   FollowerActions onAnswer(const SourceCall& call, const SourceAnswer& answer, Moment now);
   FollowerActions onNews(const Endpoint& sender, const SourceNews& news, Moment now);
   /// What a daemon that asked is to be told; empty while nothing is known.
-  std::optional<OutgoingNews> onNewsRequest(const Endpoint& sender, Moment now) const;
+  std::optional<OutgoingNews> onNewsRequest(const Endpoint& sender, const SourceNewsRequest& request,
+                                            Moment now) const;
   void onTime(Moment now) { knowledge_.onTime(now); }
   /// When `onTime` or `takeCall` has something to do.
   Moment nextDueAt() const;
--- a/src/coordination/serving/source_relay.cpp
+++ b/src/coordination/serving/source_relay.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/// A daemon asks for everything no more often than this.
+/// A daemon asks for what it missed no more often than this.
 constexpr Duration kAskPeriod = std::chrono::milliseconds(300);
+/// Ends of records that are remembered for daemons that missed them.
+constexpr std::size_t kMostGone = 4096;
 
 void addRecord(const SourceRecord& record, SourceNews& news) {
   SourceRecordNews* added = news.add_records();
@@ -41,6 +43,11 @@
 void SourceRelay::keep(const SourceRecord& record) {
   if (record.gone) {
     records_.erase(record.key);
+    gone_[record.revision] = record.key;
+    if (gone_.size() > kMostGone) {
+      goneSince_ = gone_.begin()->first;
+      gone_.erase(gone_.begin());
+    }
     return;
   }
   SourceRecord& kept = records_[record.key];
@@ -50,6 +57,9 @@
 }
 
 void SourceRelay::dropUnlisted(const std::set<std::string>& keys, std::uint64_t revision) {
+  // Which records went, and when, is not told by a listing.
+  gone_.clear();
+  goneSince_ = std::max(goneSince_, revision);
   for (auto record = records_.begin(); record != records_.end();) {
     const bool dropped = keys.count(record->first) == 0 && record->second.revision <= revision;
     record = dropped ? records_.erase(record) : std::next(record);
@@ -101,16 +111,34 @@
   return actions;
 }
 
-OutgoingNews SourceRelay::everything(const Endpoint& to, std::uint64_t knownRevision, Moment now) const {
+OutgoingNews SourceRelay::missedBy(const Endpoint& to, std::uint64_t askersRevision,
+                                   std::uint64_t knownRevision, Moment now) const {
   OutgoingNews outgoing{to, {}};
-  outgoing.news.set_whole(true);
   outgoing.news.set_revision(knownRevision);
   outgoing.news.set_age_us(ageAt(now));
-  outgoing.news.set_reader(self_.text());
+  if (askersRevision > 0 && askersRevision >= goneSince_) {
+    outgoing.news.set_after_revision(askersRevision);
+    addChangesSince(askersRevision, outgoing.news);
+    return outgoing;
+  }
+  outgoing.news.set_whole(true);
   for (const auto& [key, record] : records_) {
     addRecord(record, outgoing.news);
   }
   return outgoing;
 }
 
+void SourceRelay::addChangesSince(std::uint64_t revision, SourceNews& news) const {
+  for (const auto& [key, record] : records_) {
+    if (record.revision > revision) {
+      addRecord(record, news);
+    }
+  }
+  for (auto gone = gone_.upper_bound(revision); gone != gone_.end(); ++gone) {
+    if (records_.count(gone->second) == 0) {
+      addRecord(SourceRecord{gone->second, "", gone->first, true}, news);
+    }
+  }
+}
+
 }  // namespace oakpier::serving
--- a/src/coordination/serving/source_relay.h
+++ b/src/coordination/serving/source_relay.h
@@ -4,7 +4,7 @@
 /// know, and a daemon that the source refuses still learns.
 ///
 /// Invariants: news is taken over only when nothing before it is missing; a daemon that misses something asks
-/// for everything; news of one revision is forwarded at most once by each daemon.
+/// for what it has missed; news of one revision is forwarded at most once by each daemon.
 
 #include <map>
 #include <optional>
@@ -26,7 +26,7 @@
 
 struct RelayActions {
   std::vector<OutgoingNews> news;
-  /// Ask this daemon for everything.
+  /// Ask this daemon for everything after what is known here.
   std::optional<Endpoint> ask;
   /// The news may be taken over: every record in it, and for whole news nothing else is listed.
   bool accepted = false;
@@ -47,10 +47,12 @@
   /// `knownRevision`: everything up to it is known here.
   RelayActions onNews(const Endpoint& sender, const SourceNews& news, std::uint64_t knownRevision,
                       Moment now);
-  /// Everything this daemon knows, for one that asks.
-  OutgoingNews everything(const Endpoint& to, std::uint64_t knownRevision, Moment now) const;
+  /// What a daemon that knows everything up to `askersRevision` has missed; everything when that cannot be
+  /// told any more.
+  OutgoingNews missedBy(const Endpoint& to, std::uint64_t askersRevision, std::uint64_t knownRevision,
+                        Moment now) const;
 
-  /// Keeps a record for daemons that ask.
+  /// Keeps a record, or its end, for daemons that ask.
   void keep(const SourceRecord& record);
   /// Forgets records that a whole listing as of `revision` did not name, newer ones excepted.
   void dropUnlisted(const std::set<std::string>& keys, std::uint64_t revision);
@@ -63,7 +65,13 @@
 
   Endpoint self_;
   std::vector<Endpoint> members_;
+  void addChangesSince(std::uint64_t revision, SourceNews& news) const;
+
   std::map<std::string, SourceRecord> records_;
+  /// Keys of records that are gone, by the revision at which they went.
+  std::map<std::uint64_t, std::string> gone_;
+  /// Every record that went after this revision is in `gone_`.
+  std::uint64_t goneSince_ = 0;
   Moment freshAt_{};
   std::uint64_t forwardedRevision_ = 0;
   Moment askedAt_{};
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -116,7 +116,7 @@
   } else if (envelope.has_source_news()) {
     handlers_.onNews(*sender, envelope.source_news());
   } else if (envelope.has_source_news_request()) {
-    handlers_.onNewsRequest(*sender);
+    handlers_.onNewsRequest(*sender, envelope.source_news_request());
   }
   publishMembers();
 }
@@ -154,9 +154,9 @@
   send(to, std::move(envelope));
 }
 
-void PeerLink::askForNews(const Endpoint& from) {
+void PeerLink::askForNews(const Endpoint& from, std::uint64_t knownRevision) {
   PeerEnvelope envelope;
-  envelope.mutable_source_news_request();
+  envelope.mutable_source_news_request()->set_known_revision(knownRevision);
   send(from, std::move(envelope));
 }
 
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -27,7 +27,7 @@
  public:
   struct Handlers {
     std::function<void(const Endpoint& sender, const SourceNews& news)> onNews;
-    std::function<void(const Endpoint& sender)> onNewsRequest;
+    std::function<void(const Endpoint& sender, const SourceNewsRequest& request)> onNewsRequest;
     /// The addresses of `daemons` are in rising order.
     std::function<void(const DaemonGroup& daemons)> onMembers;
     /// A frame about shards. Called on the transport's thread.
@@ -43,7 +43,8 @@
   void stop();
   void setSeeds(const std::vector<Endpoint>& seeds) { membership_.setSeeds(seeds); }
   void sendNews(const Endpoint& to, const SourceNews& news);
-  void askForNews(const Endpoint& from);
+  /// Asks for everything after `knownRevision`.
+  void askForNews(const Endpoint& from, std::uint64_t knownRevision);
   /// Thread-safe.
   void sendShardFrame(const Endpoint& to, PeerEnvelope envelope);
   /// May be read on any thread.
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -27,7 +27,7 @@
           RandomEngine(std::random_device{}())),
       peers_(context, peers,
              {[this](const Endpoint& sender, const SourceNews& news) { onNews(sender, news); },
-              [this](const Endpoint& sender) { onNewsRequest(sender); },
+              [this](const Endpoint& sender, const SourceNewsRequest& request) { onNewsRequest(sender, request); },
               [this](const DaemonGroup& daemons) { onMembers(daemons); }, handlers_.onShardFrame,
               handlers_.onShardFrameUndeliverable}),
       timer_(context) {}
@@ -86,8 +86,8 @@
   carryOut(follower_.onNews(sender, news, steadyNow()));
 }
 
-void SourceLoop::onNewsRequest(const Endpoint& sender) {
-  if (const auto outgoing = follower_.onNewsRequest(sender, steadyNow())) {
+void SourceLoop::onNewsRequest(const Endpoint& sender, const SourceNewsRequest& request) {
+  if (const auto outgoing = follower_.onNewsRequest(sender, request, steadyNow())) {
     peers_.sendNews(outgoing->to, outgoing->news);
   }
 }
@@ -110,7 +110,7 @@
     peers_.sendNews(outgoing.to, outgoing.news);
   }
   if (actions.ask) {
-    peers_.askForNews(*actions.ask);
+    peers_.askForNews(*actions.ask, follower_.knownRevision());
   }
   publish();
   schedule();
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -52,7 +52,7 @@
   void step();
   void onAnswer(const SourceCall& call, const SourceAnswer& answer);
   void onNews(const Endpoint& sender, const SourceNews& news);
-  void onNewsRequest(const Endpoint& sender);
+  void onNewsRequest(const Endpoint& sender, const SourceNewsRequest& request);
   void onMembers(const DaemonGroup& daemons);
   void carryOut(const FollowerActions& actions);
   void publish();
--- a/tests/serving/coordination/source_follower_test.cpp
+++ b/tests/serving/coordination/source_follower_test.cpp
@@ -123,6 +123,7 @@
     Endpoint from;
     Endpoint to;
     std::optional<SourceNews> news;
+    SourceNewsRequest request;
   };
 
   void changeSource() {
@@ -156,10 +157,12 @@
 
   void send(std::size_t number, const FollowerActions& actions) {
     for (const OutgoingNews& outgoing : actions.news) {
-      messages_.push_back({members_[number], outgoing.to, outgoing.news});
+      messages_.push_back({members_[number], outgoing.to, outgoing.news, {}});
     }
     if (actions.ask) {
-      messages_.push_back({members_[number], *actions.ask, std::nullopt});
+      SourceNewsRequest request;
+      request.set_known_revision(daemons_[number].follower.knownRevision());
+      messages_.push_back({members_[number], *actions.ask, std::nullopt, request});
     }
   }
 
@@ -177,8 +180,8 @@
     SourceFollower& follower = daemons_[receiver - 1].follower;
     if (message.news) {
       send(receiver - 1, follower.onNews(message.from, *message.news, now_));
-    } else if (const auto all = follower.onNewsRequest(message.from, now_)) {
-      messages_.push_back({message.to, message.from, all->news});
+    } else if (const auto all = follower.onNewsRequest(message.from, message.request, now_)) {
+      messages_.push_back({message.to, message.from, all->news, {}});
     }
   }
 
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 
 #include "coordination/serving/forwarding_tree.h"
 #include "coordination/serving/leaf_subset.h"
@@ -162,7 +163,8 @@
     const auto refused = receiver.onNews(one, news, 3, at(5000));
     REQUIRE_FALSE(refused.accepted);
     REQUIRE(*refused.ask == one);
-    const auto whole = reader.everything(other, 8, at(1200));
+    const auto whole = reader.missedBy(other, 0, 8, at(1200));
+    REQUIRE(whole.news.whole());
     REQUIRE(receiver.onNews(one, whole.news, 3, at(5100)).accepted);
     REQUIRE(recordsOf(whole.news).size() == 1);
   }
@@ -171,6 +173,33 @@
   }
 }
 
+TEST_CASE("a daemon that has missed a little is told only that", "[serving]") {
+  SourceRelay relay(Endpoint(1, 1));
+  const Endpoint asker(2, 1);
+  for (std::uint64_t revision = 1; revision <= 100; ++revision) {
+    relay.keep({"servers/" + std::to_string(revision), "value", revision, false});
+  }
+  relay.keep({"servers/7", "", 101, true});
+  relay.keep({"servers/8", "", 102, true});
+  relay.keep({"servers/8", "again", 103, false});
+
+  const SourceNews missed = relay.missedBy(asker, 99, 103, at(1000)).news;
+  REQUIRE_FALSE(missed.whole());
+  REQUIRE(missed.after_revision() == 99);
+  REQUIRE(missed.revision() == 103);
+  REQUIRE(missed.reader().empty());
+  std::set<std::string> told;
+  for (const SourceRecord& record : recordsOf(missed)) {
+    told.insert(record.key + (record.gone ? " gone" : ""));
+  }
+  REQUIRE(told == std::set<std::string>{"servers/100", "servers/7 gone", "servers/8"});
+
+  // After a listing nobody knows what went before it.
+  relay.dropUnlisted({"servers/100"}, 103);
+  REQUIRE(relay.missedBy(asker, 99, 104, at(1000)).news.whole());
+  REQUIRE_FALSE(relay.missedBy(asker, 103, 104, at(1000)).news.whole());
+}
+
 TEST_CASE("news of one revision is forwarded once", "[serving]") {
   std::vector<Endpoint> members;
   for (std::uint32_t number = 1; number <= 30; ++number) {
