--- a/tests/platform_model/deployment.cpp
+++ b/tests/platform_model/deployment.cpp
@@ -8,7 +8,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr unsigned kShardConnections = 26;
 constexpr unsigned kSingleConnections = 110;
 
 nlohmann::json routeOf(const Deployment& deployment, const RequestClass& requestClass) {
@@ -87,7 +86,7 @@
   for (std::size_t number = 0; number < deployment.shards; ++number) {
     services.push_back({{"name", shardName(number)},
                         {"health_check_path", "/health"},
-                        {"max_connections", kShardConnections}});
+                        {"max_connections", deployment.shardConnections}});
   }
   services.push_back(
       {{"name", kSingleService}, {"health_check_path", "/health"}, {"max_connections", kSingleConnections}});
--- a/tests/platform_model/deployment.h
+++ b/tests/platform_model/deployment.h
@@ -28,6 +28,8 @@
   std::size_t gateways = 0;
   std::size_t shards = 0;
   std::size_t replicas = 2;
+  /// Connections that a shard's leaf accepts from all gateways together.
+  unsigned shardConnections = 26;
   std::size_t singleLeafs = 0;
   std::vector<RequestClass> classes;
 };
--- a/tests/platform_model/main.cpp
+++ b/tests/platform_model/main.cpp
@@ -7,6 +7,12 @@
 
 #include "platform_model/platform_day.h"
 
+namespace {
+
+constexpr unsigned kFewConnections = 5;
+
+}  // namespace
+
 int main(int argumentCount, char** arguments) {
   using oakpier::serving::model::DaySettings;
   CLI::App app{"Plays a day of a deployment on loopback and checks what clients and leafs see."};
@@ -24,11 +30,16 @@
   app.add_option("--seed", settings.seed, "of arrivals, work and answers");
   app.add_flag("!--calm", settings.troubles, "leave out the troubles");
   app.add_flag("--stalled-output", settings.stalledOutput, "nobody reads the gateways' output");
+  app.add_flag("--few-connections", settings.expectOwners,
+               "leafs accept fewer connections than there are gateways, so that shards have owners");
   app.add_flag("--hold", hold, "start, print addresses and serve without traffic until stopped");
   CLI11_PARSE(app, argumentCount, arguments);
   settings.length = oakpier::Duration(static_cast<std::int64_t>(seconds * 1e6));
-  const auto deployment =
+  auto deployment =
       name == "tavua" ? oakpier::serving::model::tavua() : oakpier::serving::model::fundPrices();
+  if (settings.expectOwners) {
+    deployment.shardConnections = kFewConnections;
+  }
   oakpier::serving::model::PlatformDay day(deployment, settings);
   const std::string problem = day.start();
   if (!problem.empty()) {
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -30,6 +30,12 @@
   return value == nullptr ? "" : *value;
 }
 
+bool leftToOwners(const std::string& metrics) {
+  const std::string name = "\noakpier_gateway_parts_left_to_owners_total ";
+  const std::size_t place = metrics.find(name);
+  return place != std::string::npos && metrics[place + name.size()] != '0';
+}
+
 }  // namespace
 
 struct PlatformDay::Gateway {
@@ -149,6 +155,7 @@
   client->connection.call(request, kClientPatience, [this, client](const std::optional<HttpReply>& reply) {
     const bool told = reply && reply->body.find("oakpier_gateway_requests_total") != std::string::npos;
     metricsFetched_ += told ? 1 : 0;
+    ownersUsed_ = ownersUsed_ || (told && leftToOwners(reply->body));
   });
 }
 
@@ -333,7 +340,8 @@
 bool PlatformDay::passed() const {
   const bool served = std::all_of(results_.begin(), results_.end(),
                                   [](const ClassResult& result) { return result.answered > 0; });
-  return served && metricsFetched_ > 0 && observations_.violations().empty();
+  const bool asExpected = ownersUsed_ == settings_.expectOwners;
+  return served && metricsFetched_ > 0 && asExpected && observations_.violations().empty();
 }
 
 void PlatformDay::report(std::ostream& out) const {
@@ -353,6 +361,7 @@
   }
   out << "leaf requests: " << observations_.arrivals() << ", calls to the store: " << store_.calls()
       << ", metrics fetched: " << metricsFetched_
+      << ", shards left to owners: " << (ownersUsed_ ? "yes" : "no")
       << ", broken promises: " << observations_.violations().size() << "\n";
   for (const std::string& violation : observations_.violations()) {
     out << "  " << violation << "\n";
--- a/tests/platform_model/platform_day.h
+++ b/tests/platform_model/platform_day.h
@@ -28,6 +28,8 @@
   bool troubles = true;
   /// Nobody reads the gateways' output, and its pipe is full from the start.
   bool stalledOutput = false;
+  /// The shards' connections do not suffice for all gateways, so that shards must be left to owners.
+  bool expectOwners = false;
 };
 
 struct ClassResult {
@@ -93,6 +95,8 @@
   std::uint64_t nextRequest_ = 1;
   std::size_t waiting_ = 0;
   std::size_t metricsFetched_ = 0;
+  /// The front gateway has left shards to their owners.
+  bool ownersUsed_ = false;
   std::vector<int> pipes_;
   bool playing_ = false;
 };
