Log what owners decide for other daemons' requests

A request that lacked a shard had no line that said why once shards were left to owners. Now the daemon with the caller notes whom it left a shard to and what that said, and an owner logs each shard that ended without an answer, under the caller's id, with its decisions; within the bound of lines a second. Tests: the trace of a query over owned shards, and the reasons an owner gives.

--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -25,7 +25,7 @@
 
 void PartExchange::note(Decision decision, const std::shared_ptr<LeafStatus>& leaf, Moment now,
                         std::optional<LeafOutcome::Kind> outcome) {
-  TraceEvent event{now, decision, service_, leaf, 0, 0, {}, outcome};
+  TraceEvent event{now, decision, service_, leaf, 0, 0, {}, outcome, std::nullopt};
   if (leaf) {
     event.queueLength = leaf->queueLength(now);
     event.slowness = leaf->slowness();
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -57,7 +57,7 @@
 
 std::unique_ptr<QueryPart> Query::newPart(const std::string& service) {
   if (isGather() && context_.owners != nullptr && context_.owners->owned(service)) {
-    return std::make_unique<RelayedPart>(service, route_, context_);
+    return std::make_unique<RelayedPart>(service, route_, context_, *trace_);
   }
   return std::make_unique<PartExchange>(service, route_, context_, *trace_);
 }
--- a/src/coordination/serving/relayed_part.cpp
+++ b/src/coordination/serving/relayed_part.cpp
@@ -7,24 +7,30 @@
 
 namespace oakpier::serving {
 
-RelayedPart::RelayedPart(std::string service, const Route& route, QueryContext& context)
-    : QueryPart(std::move(service)), route_(route), context_(context) {}
+RelayedPart::RelayedPart(std::string service, const Route& route, QueryContext& context, RequestTrace& trace)
+    : QueryPart(std::move(service)), route_(route), context_(context), trace_(trace) {}
+
+void RelayedPart::note(Decision decision, const Endpoint& owner, Moment now,
+                       std::optional<LeafOutcome::Kind> outcome) {
+  trace_.add(TraceEvent{now, decision, service_, nullptr, 0, 0, {}, outcome, owner});
+}
 
 void RelayedPart::start(Moment now, Moment, QueryActions& actions) {
   owners_ = context_.owners->ownersOf(service_, now);
-  if (!delegate(actions)) {
+  if (!delegate(now, actions)) {
     state_ = State::kExhausted;
   }
 }
 
-bool RelayedPart::delegate(QueryActions& actions) {
+bool RelayedPart::delegate(Moment now, QueryActions& actions) {
   if (delegations_.size() >= owners_.size()) {
     return false;
   }
   Delegation delegation;
   delegation.exchange = context_.exchanges.next++;
-  const Endpoint& owner = owners_[delegations_.size()];
-  actions.relays.push_back(RelayAction{delegation.exchange, owner, service_, route_.attempts});
+  delegation.owner = owners_[delegations_.size()];
+  note(Decision::kDelegate, delegation.owner, now);
+  actions.relays.push_back(RelayAction{delegation.exchange, delegation.owner, service_, route_.attempts});
   delegations_.push_back(delegation);
   return true;
 }
@@ -34,12 +40,14 @@
                      [&](const Delegation& delegation) { return delegation.exchange == exchange; });
 }
 
-void RelayedPart::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment, QueryActions& actions) {
+void RelayedPart::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now,
+                            QueryActions& actions) {
   Delegation& last = delegations_.back();
   if (last.exchange != exchange || last.finished || state_ != State::kOpen) {
     return;
   }
   last.finished = true;
+  note(Decision::kOwnerOutcome, last.owner, now, outcome.kind);
   if (outcome.kind == LeafOutcome::Kind::kAnswered) {
     outcome_ = outcome;
     state_ = State::kAnswered;
@@ -47,7 +55,7 @@
   }
   last.knownNotRun =
       outcome.kind == LeafOutcome::Kind::kNotSent || outcome.kind == LeafOutcome::Kind::kNotExecuted;
-  if (!last.knownNotRun || !delegate(actions)) {
+  if (!last.knownNotRun || !delegate(now, actions)) {
     state_ = State::kExhausted;
   }
 }
--- a/src/coordination/serving/relayed_part.h
+++ b/src/coordination/serving/relayed_part.h
@@ -12,13 +12,14 @@
 
 #include "coordination/serving/query_part.h"
 #include "coordination/serving/query_policy.h"
+#include "coordination/serving/request_trace.h"
 
 namespace oakpier::serving {
 
 class RelayedPart : public QueryPart {
  public:
-  /// `context.owners` is set.
-  RelayedPart(std::string service, const Route& route, QueryContext& context);
+  /// `context.owners` is set; `trace` outlives the part.
+  RelayedPart(std::string service, const Route& route, QueryContext& context, RequestTrace& trace);
 
   void start(Moment now, Moment usefulUntil, QueryActions& actions) override;
   bool owns(ExchangeId exchange) const override;
@@ -32,15 +33,19 @@
  private:
   struct Delegation {
     ExchangeId exchange = 0;
+    Endpoint owner;
     bool finished = false;
     bool knownNotRun = false;
   };
 
   /// False when no owner is left.
-  bool delegate(QueryActions& actions);
+  bool delegate(Moment now, QueryActions& actions);
+  void note(Decision decision, const Endpoint& owner, Moment now,
+            std::optional<LeafOutcome::Kind> outcome = std::nullopt);
 
   const Route& route_;
   QueryContext& context_;
+  RequestTrace& trace_;
   std::vector<Endpoint> owners_;
   std::vector<Delegation> delegations_;
 };
--- a/src/coordination/serving/request_trace.h
+++ b/src/coordination/serving/request_trace.h
@@ -10,6 +10,7 @@
 
 #include "coordination/serving/leaf_outcome.h"
 #include "coordination/serving/leaf_status.h"
+#include "state/endpoint.h"
 #include "state/time.h"
 
 namespace oakpier::serving {
@@ -23,20 +24,26 @@
   /// A further send would have been made, but the budget of extra sends was used up.
   kBudgetEmpty,
   kOutcome,
+  /// Left to the daemon that owns the shard.
+  kDelegate,
+  /// What the owner said of it.
+  kOwnerOutcome,
 };
 
 struct TraceEvent {
   Moment at;
   Decision decision = Decision::kSend;
   std::string service;
-  /// Null for kNoLeaf and kBudgetEmpty.
+  /// Null for kNoLeaf, kBudgetEmpty and what concerns owners.
   std::shared_ptr<const LeafStatus> leaf;
   /// What the choice rested on: requests at the leaf, its smoothed slowness, how long it was overdue.
   double queueLength = 0;
   double slowness = 0;
   Duration stalledFor{};
-  /// For kOutcome.
+  /// For kOutcome and kOwnerOutcome.
   std::optional<LeafOutcome::Kind> outcome;
+  /// For kDelegate and kOwnerOutcome.
+  std::optional<Endpoint> owner;
 };
 
 /// Not thread-safe. Keeps the first events of a request up to a bound.
--- a/src/coordination/serving/shard_server.cpp
+++ b/src/coordination/serving/shard_server.cpp
@@ -54,6 +54,7 @@
   served->askerRun = work.sender_run();
   served->route = routeOf(work);
   served->topRecords = work.top_records();
+  served->receivedAt = now;
   served->deadline = now + microseconds(work.remaining_us());
   served->request = requestOf(work);
   works_.push_back(served);
@@ -87,7 +88,16 @@
   if (exchange.state() == QueryPart::State::kAnswered) {
     result.set_signature(exchange.outcome().signature);
     result.set_records(greatestRecords({exchange.outcome().reply->body}, work->topRecords));
+    finish(part, out);
+    return;
   }
+  const bool ran = exchange.mayHaveRun();
+  giveUp(work, part, ran ? UnansweredPart::Reason::kNoAnswer : UnansweredPart::Reason::kNotRun, out);
+}
+
+void ShardServer::giveUp(const WorkPointer& work, ServedWork::Part& part, UnansweredPart::Reason reason,
+                         ShardServerActions& out) {
+  out.unanswered.push_back(UnansweredPart{work, part.exchange->service(), reason});
   finish(part, out);
 }
 
@@ -141,7 +151,7 @@
       const auto& exchanges = cancel.exchanges();
       const bool named = std::find(exchanges.begin(), exchanges.end(), part.askedAs) != exchanges.end();
       if (named && !part.finished) {
-        finish(part, out);
+        giveUp(work, part, UnansweredPart::Reason::kWithdrawn, out);
       }
     }
   }
@@ -158,7 +168,7 @@
         continue;
       }
       if (now >= work->deadline) {
-        finish(part, out);
+        giveUp(work, part, UnansweredPart::Reason::kTimePassed, out);
         continue;
       }
       QueryActions actions;
--- a/src/coordination/serving/shard_server.h
+++ b/src/coordination/serving/shard_server.h
@@ -31,6 +31,7 @@
   /// With what of the route concerns leafs.
   Route route;
   std::size_t topRecords = 0;
+  Moment receivedAt{};
   Moment deadline{};
   HttpRequest request;
   RequestTrace trace;
@@ -48,10 +49,20 @@
   OwnerResults results;
 };
 
+/// A part that ended without an answer.
+struct UnansweredPart {
+  enum class Reason { kNoAnswer, kNotRun, kWithdrawn, kTimePassed };
+
+  std::shared_ptr<const ServedWork> work;
+  std::string service;
+  Reason reason = Reason::kNoAnswer;
+};
+
 struct ShardServerActions {
   std::vector<ServedSend> sends;
   std::vector<ExchangeId> abandons;
   std::vector<OutgoingResults> results;
+  std::vector<UnansweredPart> unanswered;
 };
 
 /// Not thread-safe.
@@ -78,7 +89,9 @@
 
   /// Carries out what the part decided and reports what became of it.
   void settle(const WorkPointer& work, std::size_t part, QueryActions actions, ShardServerActions& out);
-  void finish(ServedWork::Part& part, ShardServerActions& out);
+  static void finish(ServedWork::Part& part, ShardServerActions& out);
+  static void giveUp(const WorkPointer& work, ServedWork::Part& part, UnansweredPart::Reason reason,
+                     ShardServerActions& out);
   void forgetFinished();
 
   QueryContext& context_;
--- a/src/programs/gateway/owner_service.cpp
+++ b/src/programs/gateway/owner_service.cpp
@@ -49,6 +49,9 @@
     }
     send(served, request);
   }
+  for (const UnansweredPart& part : actions.unanswered) {
+    logUnanswered(part);
+  }
   if (!actions.results.empty() && results_.empty()) {
     boost::asio::post(io_, [this] { flushResults(); });
   }
@@ -59,6 +62,11 @@
   armTimer();
 }
 
+void OwnerService::logUnanswered(const UnansweredPart& part) {
+  const std::string* id = findHeader(part.work->request.headers, names_.requestId);
+  log_.onUnanswered(id == nullptr ? "" : *id, part, steadyNow());
+}
+
 void OwnerService::send(const ServedSend& served, std::shared_ptr<const LeafRequestTemplate> request) {
   LeafSend send;
   send.action = served.action;
--- a/src/programs/gateway/owner_service.h
+++ b/src/programs/gateway/owner_service.h
@@ -12,6 +12,7 @@
 #include "coordination/serving/shard_server.h"
 #include "programs/gateway/leaf_sender.h"
 #include "programs/gateway/owner_client.h"
+#include "programs/gateway/request_log.h"
 #include "protocol/serving/header_names.h"
 
 namespace oakpier::serving {
@@ -26,11 +27,13 @@
   void onCancel(const Endpoint& asker, const OwnerCancel& cancel);
   std::size_t inProgress() const { return server_.inProgress(); }
   std::uint64_t partsServed() const { return partsServed_; }
+  std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut(); }
 
  private:
   using AskerProcess = std::pair<Endpoint, std::uint64_t>;
 
   void apply(ShardServerActions actions);
+  void logUnanswered(const UnansweredPart& part);
   void send(const ServedSend& served, std::shared_ptr<const LeafRequestTemplate> request);
   /// Results that come in the same turn travel in one frame.
   void flushResults();
@@ -53,6 +56,7 @@
   std::set<AskerProcess> unacknowledged_;
   boost::asio::steady_timer acknowledgeTimer_;
   std::uint64_t partsServed_ = 0;
+  RequestLog log_{RequestLogSettings{}};
 };
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -45,7 +45,7 @@
   const LeafPoolCounters& poolCounters() const { return pool_.counters(); }
   const OwnerClientCounters& ownerCounters() const { return ownerClient_.counters(); }
   std::uint64_t partsServed() const { return ownerService_.partsServed(); }
-  std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut(); }
+  std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut() + ownerService_.logLinesLeftOut(); }
 
  private:
   struct ActiveQuery;
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -21,6 +21,10 @@
       return "no usable leaf";
     case Decision::kBudgetEmpty:
       return "no extra send left";
+    case Decision::kDelegate:
+      return "left to the owner";
+    case Decision::kOwnerOutcome:
+      return "the owner's result";
     default:
       return "outcome";
   }
@@ -45,6 +49,19 @@
   }
 }
 
+const char* textOf(UnansweredPart::Reason reason) {
+  switch (reason) {
+    case UnansweredPart::Reason::kNoAnswer:
+      return "no leaf answered";
+    case UnansweredPart::Reason::kNotRun:
+      return "not run";
+    case UnansweredPart::Reason::kWithdrawn:
+      return "withdrawn by the daemon that asked";
+    default:
+      return "its time has passed";
+  }
+}
+
 /// To a tenth.
 double inMilliseconds(Duration duration) {
   const std::int64_t tenths = duration.count() / 100;
@@ -63,6 +80,9 @@
     fields.push_back({"slowness", event.slowness});
     fields.push_back({"overdue_ms", inMilliseconds(std::max(event.stalledFor, Duration(0)))});
   }
+  if (event.owner) {
+    fields.push_back({"owner", event.owner->text()});
+  }
   if (event.outcome) {
     fields.push_back({"result", textOf(*event.outcome)});
   }
@@ -113,6 +133,24 @@
   write(requestId, query, "the caller left", false, now);
 }
 
+void RequestLog::onUnanswered(const std::string& requestId, const UnansweredPart& part, Moment now) {
+  const ServedWork& work = *part.work;
+  if (!takeRoom(now)) {
+    return;
+  }
+  log(LogLevel::kWarning, "shard",
+      {{"id", requestId},
+       {"outcome", textOf(part.reason)},
+       {"service", part.service},
+       {"asked_by", work.asker.text()},
+       {"elapsed_ms", inMilliseconds(now - work.receivedAt)}});
+  for (const TraceEvent& event : work.trace.events()) {
+    if (event.service == part.service && takeRoom(now)) {
+      log(LogLevel::kWarning, "decision", fieldsOf(requestId, event, work.receivedAt));
+    }
+  }
+}
+
 void RequestLog::write(const std::string& requestId, const Query& query, const std::string& outcome,
                        bool ordinary, Moment now) {
   if (ordinary && ++ordinary_ % settings_.sampleOneIn != 0) {
--- a/src/programs/gateway/request_log.h
+++ b/src/programs/gateway/request_log.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "coordination/serving/query.h"
+#include "coordination/serving/shard_server.h"
 
 namespace oakpier::serving {
 
@@ -28,6 +29,8 @@
   void onRefused(const std::string& requestId, const std::string& reason, unsigned status, Moment now);
   void onAnswer(const std::string& requestId, const Query& query, const FinalAnswer& answer, Moment now);
   void onCallerGone(const std::string& requestId, const Query& query, Moment now);
+  /// A shard that this daemon served for another one and that ended without an answer.
+  void onUnanswered(const std::string& requestId, const UnansweredPart& part, Moment now);
   std::uint64_t linesLeftOut() const { return leftOut_; }
 
  private:
--- a/tests/serving/coordination/shard_server_test.cpp
+++ b/tests/serving/coordination/shard_server_test.cpp
@@ -69,6 +69,7 @@
   REQUIRE(result.status() == OWNER_ANSWERED);
   REQUIRE(result.signature() == "signature");
   REQUIRE(result.records() == record('c') + record('b'));
+  REQUIRE(done.unanswered.empty());
   REQUIRE(world.server.inProgress() == 0);
 }
 
@@ -123,11 +124,15 @@
   const auto cancelled = world.server.onCancel(kAsker, cancel);
   REQUIRE(cancelled.abandons == std::vector<ExchangeId>{started.sends[0].action.exchange});
   REQUIRE(cancelled.results.empty());
+  REQUIRE(cancelled.unanswered.size() == 1);
+  REQUIRE(cancelled.unanswered[0].reason == UnansweredPart::Reason::kWithdrawn);
+  REQUIRE(cancelled.unanswered[0].service == "s");
   REQUIRE(world.server.inProgress() == 1);
   const auto expired = world.server.onTime(at(600));
   REQUIRE(std::count(expired.abandons.begin(), expired.abandons.end(), started.sends[1].action.exchange) ==
           1);
   REQUIRE(expired.results.empty());
+  REQUIRE(expired.unanswered[0].reason == UnansweredPart::Reason::kTimePassed);
   REQUIRE(world.server.inProgress() == 0);
   REQUIRE(world.server.nextDecisionAt() == kNever);
 }
@@ -167,6 +172,12 @@
     }
     REQUIRE(next.relays.size() == 1);
     REQUIRE_FALSE(next.relays[0].owner == started.relays[0].owner);
+    const auto& events = world.query->trace().events();
+    REQUIRE(events.size() == 3);
+    REQUIRE(events[0].decision == Decision::kDelegate);
+    REQUIRE(*events[0].owner == started.relays[0].owner);
+    REQUIRE(*events[1].outcome == kind);
+    REQUIRE(*events[2].owner == next.relays[0].owner);
     const auto last = world.query->onOutcome(next.relays[0].exchange, outcomeOf(kind), at(60));
     REQUIRE(std::holds_alternative<Refusal>(*last.answer));
   }
