Count a shard's budget from when it became this daemon's; greet owners ahead

Cause: in the first ten seconds of traffic owners had a fifth of their extra sends, since their window began with the first request, and the first frames between daemons waited for connections. Change: the window counts from when the members make this daemon the shard's first owner; daemons of the zone are asked for a sign of life once settled, so that connections stand. Test: the window of a service that is one's own.

--- a/src/coordination/serving/extra_send_budget.h
+++ b/src/coordination/serving/extra_send_budget.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "state/random.h"
 #include "state/time.h"
@@ -99,10 +100,9 @@
   /// Called before each use. `processStartedAt`: what an earlier process used is unknown.
   void refresh(const ExtraSendBounds& bounds, Moment processStartedAt, Moment now) {
     const bool windowPassed = now - processStartedAt >= bounds.window;
-    if (bounds.savedWhenNew && (takenAt_ == Moment{} || now - usedAt_ >= bounds.window)) {
-      takenAt_ = now;
-      filled_ = false;
-      tokens_ = windowPassed ? *bounds.savedWhenNew : 0.0;
+    const bool lapsed = !held_ && now - usedAt_ >= bounds.window;
+    if (bounds.savedWhenNew && (takenAt_ == Moment{} || lapsed)) {
+      take(bounds, windowPassed, now);
     }
     usedAt_ = now;
     const bool ownWindowPassed = !bounds.savedWhenNew || now - takenAt_ >= bounds.window;
@@ -111,13 +111,27 @@
       tokens_ = bounds.saved;
     }
   }
+  /// Says whether the service is this daemon's own, so that having it counts from now on, used or not.
+  void setHeld(bool held, const ExtraSendBounds& bounds, Moment processStartedAt, Moment now) {
+    if (held && !held_ && bounds.savedWhenNew) {
+      take(bounds, now - processStartedAt >= bounds.window, now);
+    }
+    held_ = held;
+  }
   double tokens() const { return tokens_; }
   /// How full the budget is, from 0 to 1.
   double fill(const ExtraSendBounds& bounds) const { return std::clamp(tokens_ / bounds.saved, 0.0, 1.0); }
 
  private:
+  void take(const ExtraSendBounds& bounds, bool windowPassed, Moment now) {
+    takenAt_ = now;
+    filled_ = false;
+    tokens_ = windowPassed ? bounds.savedWhenNew.value_or(0.0) : 0.0;
+  }
+
   double tokens_ = 0.0;
   bool filled_ = false;
+  bool held_ = false;
   /// When this daemon began to serve the service, as far as it was not idle for a window since.
   Moment takenAt_{};
   Moment usedAt_{};
@@ -135,6 +149,15 @@
   bool spend(const std::string& service, Moment now) {
     return budgetOf(service, now).spend(bounds_, random_);
   }
+  /// The services whose owner this daemon is, all others not.
+  void setHeld(const std::unordered_set<std::string>& services, Moment now) {
+    for (const std::string& service : services) {
+      budgets_.try_emplace(service);
+    }
+    for (auto& [service, budget] : budgets_) {
+      budget.setHeld(services.count(service) != 0, bounds_, startedAt_, now);
+    }
+  }
   double fill(const std::string& service, Moment now) { return budgetOf(service, now).fill(bounds_); }
 
  private:
--- a/src/coordination/serving/shard_owners.h
+++ b/src/coordination/serving/shard_owners.h
@@ -49,6 +49,7 @@
   /// The services that are left to owners; all others are sent to by every daemon.
   void setServices(std::unordered_set<std::string> services) { services_ = std::move(services); }
 
+  bool any() const { return !services_.empty(); }
   bool owned(const std::string& service) const { return services_.count(service) != 0; }
   /// In the order in which they are to be tried.
   std::vector<Endpoint> ownersOf(const std::string& service, Moment now);
--- a/src/programs/gateway/owner_client.cpp
+++ b/src/programs/gateway/owner_client.cpp
@@ -15,6 +15,8 @@
 /// Work that was on the way for longer is not begun: a leaf's time is counted from the owner's receipt.
 constexpr std::uint32_t kWorkLifetimeMilliseconds = 250;
 constexpr std::uint32_t kCancelLifetimeMilliseconds = 2000;
+/// More connections than this are not opened ahead.
+constexpr std::size_t kMostGreetings = 100;
 
 std::uint64_t microsecondsUntil(Moment moment, Moment now) {
   return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (moment - now).count()));
@@ -91,11 +93,23 @@
 
 void OwnerClient::probeSilentOwners(Moment now) {
   for (const Endpoint& owner : owners_.takeProbes(now)) {
-    PeerEnvelope frame;
-    frame.mutable_owner_work()->set_sender_run(run_);
-    frame.set_time_to_live_ms(kWorkLifetimeMilliseconds);
     ++counters_.probes;
-    sendFrame_(owner, std::move(frame));
+    askForSignOfLife(owner);
+  }
+}
+
+void OwnerClient::askForSignOfLife(const Endpoint& owner) {
+  PeerEnvelope frame;
+  frame.mutable_owner_work()->set_sender_run(run_);
+  frame.set_time_to_live_ms(kWorkLifetimeMilliseconds);
+  sendFrame_(owner, std::move(frame));
+}
+
+void OwnerClient::greet(const std::vector<Endpoint>& daemons) {
+  for (const Endpoint& daemon : daemons) {
+    if (greeted_.size() < kMostGreetings && greeted_.insert(daemon).second) {
+      askForSignOfLife(daemon);
+    }
   }
 }
 
--- a/src/programs/gateway/owner_client.h
+++ b/src/programs/gateway/owner_client.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -43,6 +44,8 @@
   OwnerClient(QueryContext& context, ShardOwners& owners, FrameSender sendFrame);
 
   void send(const std::vector<RelayAction>& relays, const Order& order);
+  /// Asks daemons that were not met before for a sign of life, so that connections stand before work comes.
+  void greet(const std::vector<Endpoint>& daemons);
   /// Withdraws those of the exchanges that were left to owners.
   void cancel(const std::vector<ExchangeId>& exchanges);
   void onResults(const Endpoint& owner, const OwnerResults& results);
@@ -57,6 +60,7 @@
     std::shared_ptr<const Listener> listener;
   };
 
+  void askForSignOfLife(const Endpoint& owner);
   void probeSilentOwners(Moment now);
   void onResult(const OwnerResult& result, Moment now);
 
@@ -66,6 +70,7 @@
   /// Tells this process from earlier ones at its address.
   std::uint64_t run_;
   std::unordered_map<ExchangeId, Pending> pending_;
+  std::set<Endpoint> greeted_;
   OwnerClientCounters counters_;
 };
 
--- a/src/programs/gateway/owner_service.cpp
+++ b/src/programs/gateway/owner_service.cpp
@@ -32,6 +32,10 @@
   apply(server_.onWork(asker, work, steadyNow()));
 }
 
+void OwnerService::setOwnedShards(const std::unordered_set<std::string>& services) {
+  context_.budgets.setHeld(services, steadyNow());
+}
+
 void OwnerService::onCancel(const Endpoint& asker, const OwnerCancel& cancel) {
   apply(server_.onCancel(asker, cancel));
 }
--- a/src/programs/gateway/owner_service.h
+++ b/src/programs/gateway/owner_service.h
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
+#include <string>
+#include <unordered_set>
 #include <utility>
 
 #include "coordination/serving/shard_server.h"
@@ -24,6 +26,8 @@
                QueryContext context, FrameSender sendFrame);
 
   void onWork(const Endpoint& asker, const OwnerWork& work);
+  /// The shards whose first owner this daemon is.
+  void setOwnedShards(const std::unordered_set<std::string>& services);
   void onCancel(const Endpoint& asker, const OwnerCancel& cancel);
   std::size_t inProgress() const { return server_.inProgress(); }
   std::uint64_t partsServed() const { return partsServed_; }
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -71,6 +71,9 @@
   daemonCount_ = planned;
   settled_ = settled;
   onView();
+  if (settled_ && owners_.any()) {
+    ownerClient_.greet(daemons.ownZone);
+  }
 }
 
 void RequestGateway::onFrame(const Endpoint& sender, const PeerEnvelope& envelope) {
@@ -122,13 +125,25 @@
   }
 }
 
+std::unordered_set<std::string> RequestGateway::firstOwned(const std::unordered_set<std::string>& services) {
+  std::unordered_set<std::string> first;
+  for (const std::string& service : services) {
+    if (owners_.isFirstOwner(service)) {
+      first.insert(service);
+    }
+  }
+  return first;
+}
+
 LeafsByService RequestGateway::ownLeafs() {
   std::unordered_map<std::string, std::size_t> maximumConnections;
   if (view_->configuration) {
     for (const ServiceDefinition& service : view_->configuration->services) {
       maximumConnections[service.name] = service.maximumConnections;
     }
-    owners_.setServices(servicesForOwners(*view_->configuration, daemonCount_));
+    const auto owned = servicesForOwners(*view_->configuration, daemonCount_);
+    owners_.setServices(owned);
+    ownerService_.setOwnedShards(firstOwned(owned));
   }
   shares_.clear();
   LeafsByService leafs;
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "coordination/serving/query.h"
 #include "coordination/serving/shard_owners.h"
@@ -63,6 +64,8 @@
   void armTimer(const ActivePointer& active);
   /// The leafs that this daemon uses, for each service.
   LeafsByService ownLeafs();
+  /// Those whose first owner this daemon is.
+  std::unordered_set<std::string> firstOwned(const std::unordered_set<std::string>& services);
   void warm(const LeafsByService& leafs);
 
   boost::asio::io_context& context_;
--- a/tests/serving/coordination/extra_send_budget_test.cpp
+++ b/tests/serving/coordination/extra_send_budget_test.cpp
@@ -114,6 +114,28 @@
   REQUIRE(spentAt(100'000) == few);
 }
 
+TEST_CASE("the window of a service that is one's own counts from when it became so", "[serving]") {
+  const ExtraSendShare share(OperatorExtraSends{0.2, 100, kWindow}, 5, ExtraSendShare::Holder::kOwner);
+  RandomEngine random(5);
+  ExtraSendBudgets budgets(share.bounds(), at(0), random);
+  const auto spentAt = [&](int milliseconds) {
+    int spent = 0;
+    while (budgets.spend("s", at(milliseconds))) {
+      ++spent;
+    }
+    return spent;
+  };
+  budgets.setHeld({"s"}, at(1'000));
+  budgets.setHeld({"s"}, at(9'000));
+  REQUIRE(spentAt(11'000) == 18);
+  // Idle for long, but still its own: what was spent is not given again.
+  REQUIRE(spentAt(60'000) == 0);
+  budgets.setHeld({}, at(60'000));
+  budgets.setHeld({"s"}, at(61'000));
+  REQUIRE(spentAt(61'000) == 3);
+  REQUIRE(spentAt(70'999) == 0);
+}
+
 TEST_CASE("a daemon too small for a whole extra send still makes its share of them", "[serving]") {
   RandomEngine random(5);
   const OperatorExtraSends total{0.2, 56, kWindow};
