Use a vanished leaf on for half of the operator's bound, less for short bounds

Cause: after an outage of the source in which leafs' records lapse, all of them go at once and come back with the leafs' next beats, more than a second later in part; used on for 1 s, whole shards had no leaf for that time. Change: the delay follows the operator's bound on use after a leave: the bound less 2 s, at least a sixth and at most half of it; 1.0 s as before for 3 s, 2.5 s for 5 s. Tests: records that go for a moment; the delay never exceeds half of the bound.

--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -6,6 +6,17 @@
 
 namespace oakpier::serving {
 
+namespace {
+
+/// With the reading daemon lost, others know what it would have told after this time.
+constexpr Duration kLatestNews = std::chrono::seconds(2);
+
+}  // namespace
+
+Duration removalDelayFor(Duration leaveBound) {
+  return std::clamp(leaveBound - kLatestNews, leaveBound / 6, leaveBound / 2);
+}
+
 std::vector<std::string> ServingKnowledge::onConfiguration(
     std::shared_ptr<const ServingConfiguration> configuration) {
   if (configuration_ && configuration->version <= configuration_->version) {
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -20,6 +20,10 @@
   Duration removalDelay = std::chrono::milliseconds(1000);
 };
 
+/// How long a leaf may be used on after its record went: the operator's bound on use after a leave, less the
+/// time that a daemon may take to hear of it, and not more than half of the bound.
+Duration removalDelayFor(Duration leaveBound);
+
 class ServingKnowledge {
  public:
   explicit ServingKnowledge(const KnowledgeSettings& settings) : settings_(settings) {}
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -60,6 +60,12 @@
   std::function<std::string()> metrics_;
 };
 
+FollowerSettings followerSettings(const GatewaySettings& settings) {
+  FollowerSettings follower;
+  follower.knowledge.removalDelay = removalDelayFor(settings.leaveBound);
+  return follower;
+}
+
 class Gateway {
  public:
   Gateway(const GatewaySettings& settings, const HeaderNames& names, const SourceDialect& dialect,
@@ -83,7 +89,8 @@
         callers_(requestContext_, requests_),
         status_(requestContext_, statusHandler_),
         source_(controlContext_, settings.sourceAddress, dialect,
-                PeerLinkSettings{settings.peerAddress, settings.zone, settings.seeds}, published_,
+                PeerLinkSettings{settings.peerAddress, settings.zone, settings.seeds},
+                followerSettings(settings), published_,
                 {[this] { onView(); }, [this](const DaemonGroup& daemons) { onDaemons(daemons); },
                  [this](const Endpoint& sender, PeerEnvelope envelope) {
                    boost::asio::post(requestContext_, [this, sender, envelope = std::move(envelope)] {
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -8,6 +8,8 @@
 
 constexpr Duration kShortestGrace = std::chrono::seconds(1);
 constexpr Duration kLongestGrace = std::chrono::minutes(10);
+constexpr Duration kShortestLeaveBound = std::chrono::milliseconds(500);
+constexpr Duration kLongestLeaveBound = std::chrono::minutes(1);
 constexpr Duration kShortestWindow = std::chrono::seconds(1);
 
 }  // namespace
@@ -23,6 +25,7 @@
   }
   text << "\nsource_address = " << settings.sourceAddress.text()
        << "\nstop_grace_ms = " << toMilliseconds(settings.stopGrace)
+       << "\nleave_bound_ms = " << toMilliseconds(settings.leaveBound)
        << "\nextra_send_ratio = " << settings.extraSends.ratio
        << "\nextra_send_slack = " << settings.extraSends.slack
        << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSends.window) << "\n";
@@ -41,6 +44,8 @@
   require(settings.callerAddress != settings.readinessAddress, "callers' and status address are the same");
   require(settings.stopGrace >= kShortestGrace && settings.stopGrace <= kLongestGrace,
           "the grace of a stop is not within 1 and 600 seconds");
+  require(settings.leaveBound >= kShortestLeaveBound && settings.leaveBound <= kLongestLeaveBound,
+          "the bound on use after a leave is not within 0.5 and 60 seconds");
   require(settings.extraSends.ratio >= 0 && settings.extraSends.ratio <= 1,
           "the ratio of extra sends is not within 0 and 1");
   require(settings.extraSends.slack >= 0, "the slack of extra sends is negative");
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -26,6 +26,8 @@
   Endpoint sourceAddress;
   /// From a request to stop until the process is killed.
   Duration stopGrace = std::chrono::seconds(6);
+  /// A leaf may get new requests for this long after the source says that it leaves.
+  Duration leaveBound = std::chrono::seconds(3);
   /// Extra sends that all daemons together may make to a service.
   OperatorExtraSends extraSends;
 };
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -16,14 +16,14 @@
 }  // namespace
 
 SourceLoop::SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
-                       const PeerLinkSettings& peers, Published<ServingView>& published, Handlers handlers)
+                       const PeerLinkSettings& peers, const FollowerSettings& follower,
+                       Published<ServingView>& published, Handlers handlers)
     : dialect_(dialect),
       published_(published),
       handlers_(std::move(handlers)),
       client_(context, source),
       follower_(
-          peers.self, FollowerSettings{},
-          [&dialect](const SourceRecord& record) { return dialect.interpret(record); },
+          peers.self, follower, [&dialect](const SourceRecord& record) { return dialect.interpret(record); },
           RandomEngine(std::random_device{}())),
       peers_(context, peers,
              {[this](const Endpoint& sender, const SourceNews& news) { onNews(sender, news); },
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -31,7 +31,8 @@
   };
 
   SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
-             const PeerLinkSettings& peers, Published<ServingView>& published, Handlers handlers);
+             const PeerLinkSettings& peers, const FollowerSettings& follower,
+             Published<ServingView>& published, Handlers handlers);
 
   /// Returns a text when an address cannot be bound, else an empty one.
   std::string start();
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -173,6 +173,33 @@
   }
 }
 
+TEST_CASE("leafs whose records go by mistake for a moment stay in use", "[serving]") {
+  KnowledgeSettings settings;
+  settings.removalDelay = removalDelayFor(std::chrono::seconds(5));
+  ServingKnowledge knowledge(settings);
+  knowledge.onLeaf(leafEntry("x", "s", 1), 1);
+  knowledge.onLeaf(leafEntry("y", "s", 2), 2);
+  knowledge.onListing({"x", "y"}, 2, at(0));
+  knowledge.onLeafRemoved("x", 3, at(0));
+  knowledge.onLeafRemoved("y", 4, at(0));
+  knowledge.onTime(at(2400));
+  REQUIRE(knowledge.leafCount() == 2);
+  knowledge.onLeaf(leafEntry("x", "s", 1), 5);
+  knowledge.onTime(at(2600));
+  // "y" did not come back.
+  REQUIRE(knowledge.leafCount() == 1);
+}
+
+TEST_CASE("a leaf that went is never used beyond the operator's bound", "[serving]") {
+  for (const int bound : {600, 2500, 3000, 5000, 60'000}) {
+    const Duration leaveBound = std::chrono::milliseconds(bound);
+    REQUIRE(removalDelayFor(leaveBound) <= leaveBound / 2);
+    REQUIRE(removalDelayFor(leaveBound) > Duration(0));
+  }
+  REQUIRE(removalDelayFor(std::chrono::seconds(3)) == std::chrono::seconds(1));
+  REQUIRE(removalDelayFor(std::chrono::seconds(5)) == std::chrono::milliseconds(2500));
+}
+
 TEST_CASE("a daemon that has missed a little is told only that", "[serving]") {
   SourceRelay relay(Endpoint(1, 1));
   const Endpoint asker(2, 1);
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -11,7 +11,7 @@
   "node_name": "edge-a-1", "zone": "a", "ip": "10.1.0.9", "unknown": [1],
   "bind_addresses": {"http": "10.1.0.9:8104", "readiness": "10.1.0.9:8108", "admin": "10.1.0.9:8106"},
   "internal_port_range": [7380, 7395], "seeds": ["10.1.0.9:8106", "10.2.0.21:8106"],
-  "bounds": {"grace_s": 6, "retry_budget_ratio": 0.2, "budget_slack": 56, "budget_window_s": 10},
+  "bounds": {"grace_s": 6, "drain_ms": 5000, "retry_budget_ratio": 0.2, "budget_slack": 56, "budget_window_s": 10},
   "platform": {"address": "10.200.1.7:8102"}})";
 
 const char* const kConfiguration = R"({"version": 7, "routes": [
@@ -43,6 +43,7 @@
   REQUIRE(settings.seeds[1].text() == "10.2.0.21:7380");
   REQUIRE(settings.stopGrace == std::chrono::seconds(6));
   REQUIRE(settings.extraSends.slack == 56);
+  REQUIRE(settings.leaveBound == std::chrono::seconds(5));
 }
 
 TEST_CASE("settings that cannot be used say why", "[platform]") {
