--- a/src/programs/gateway/owner_service.cpp
+++ b/src/programs/gateway/owner_service.cpp
@@ -40,7 +40,7 @@
   apply(server_.onCancel(asker, cancel));
 }
 
-void OwnerService::apply(ShardServerActions actions) {
+void OwnerService::apply(const ShardServerActions& actions) {
   for (const ExchangeId exchange : actions.abandons) {
     pool_.abandon(exchange);
   }
@@ -59,7 +59,7 @@
   if (!actions.results.empty() && results_.empty()) {
     boost::asio::post(io_, [this] { flushResults(); });
   }
-  for (OutgoingResults& outgoing : actions.results) {
+  for (const OutgoingResults& outgoing : actions.results) {
     const AskerProcess asker{outgoing.to, outgoing.results.receiver_run()};
     results_[asker].MergeFrom(outgoing.results);
   }
--- a/src/programs/gateway/owner_service.h
+++ b/src/programs/gateway/owner_service.h
@@ -36,7 +36,7 @@
  private:
   using AskerProcess = std::pair<Endpoint, std::uint64_t>;
 
-  void apply(ShardServerActions actions);
+  void apply(const ShardServerActions& actions);
   void logUnanswered(const UnansweredPart& part);
   void send(const ServedSend& served, std::shared_ptr<const LeafRequestTemplate> request);
   /// Results that come in the same turn travel in one frame.
