Give up a part at once when its owner has fallen silent

Change: an owner that left a frame unanswered for 120 ms ends its parts; the query answers with what is in, or fails at once. A living owner acknowledges after 30 ms, so it is not given up for a slow leaf. Tests: seen failing first (a query does not wait for a silent owner); one that says that it lives is waited for.

--- a/src/coordination/serving/relayed_part.cpp
+++ b/src/coordination/serving/relayed_part.cpp
@@ -7,6 +7,12 @@
 
 namespace oakpier::serving {
 
+namespace {
+
+constexpr Duration kCheckPeriod = std::chrono::milliseconds(50);
+
+}  // namespace
+
 RelayedPart::RelayedPart(std::string service, const Route& route, QueryContext& context, RequestTrace& trace)
     : QueryPart(std::move(service)), route_(route), context_(context), trace_(trace) {}
 
@@ -32,6 +38,7 @@
   note(Decision::kDelegate, delegation.owner, now);
   actions.relays.push_back(RelayAction{delegation.exchange, delegation.owner, service_, route_.attempts});
   delegations_.push_back(delegation);
+  checkAt_ = now + kCheckPeriod;
   return true;
 }
 
@@ -60,6 +67,18 @@
   }
 }
 
+void RelayedPart::onTime(Moment now, QueryActions&) {
+  if (state_ != State::kOpen || now < checkAt_) {
+    return;
+  }
+  checkAt_ = now + kCheckPeriod;
+  const Endpoint& owner = delegations_.back().owner;
+  if (context_.owners->silent(owner, now)) {
+    note(Decision::kOwnerSilent, owner, now);
+    state_ = State::kExhausted;
+  }
+}
+
 void RelayedPart::close(QueryActions& actions) {
   for (const Delegation& delegation : delegations_) {
     if (!delegation.finished) {
--- a/src/coordination/serving/relayed_part.h
+++ b/src/coordination/serving/relayed_part.h
@@ -4,8 +4,8 @@
 /// retries among the leafs.
 ///
 /// Invariant: a second owner is asked only when the first is known to have sent nothing to any leaf, so that
-/// the owners together never use more attempts than the route allows. An owner that falls silent with the
-/// part costs the query that part; `ShardOwners` keeps later queries away from it.
+/// the owners together never use more attempts than the route allows. So an owner that falls silent costs the
+/// query the part, at once; `ShardOwners` keeps later queries away from it.
 
 #include <string>
 #include <vector>
@@ -25,9 +25,9 @@
   bool owns(ExchangeId exchange) const override;
   void onWritten(ExchangeId) override {}
   void onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now, QueryActions& actions) override;
-  void onTime(Moment, QueryActions&) override {}
+  void onTime(Moment now, QueryActions& actions) override;
   void close(QueryActions& actions) override;
-  Moment nextDecisionAt() const override { return kNever; }
+  Moment nextDecisionAt() const override { return state_ == State::kOpen ? checkAt_ : kNever; }
   bool mayHaveRun() const override;
 
  private:
@@ -48,6 +48,8 @@
   RequestTrace& trace_;
   std::vector<Endpoint> owners_;
   std::vector<Delegation> delegations_;
+  /// When to see whether the owner is silent.
+  Moment checkAt_ = kNever;
 };
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/request_trace.h
+++ b/src/coordination/serving/request_trace.h
@@ -28,6 +28,8 @@
   kDelegate,
   /// What the owner said of it.
   kOwnerOutcome,
+  /// The owner was not heard any more, so that the part was given up.
+  kOwnerSilent,
 };
 
 struct TraceEvent {
@@ -42,7 +44,7 @@
   Duration stalledFor{};
   /// For kOutcome and kOwnerOutcome.
   std::optional<LeafOutcome::Kind> outcome;
-  /// For kDelegate and kOwnerOutcome.
+  /// For kDelegate, kOwnerOutcome and kOwnerSilent.
   std::optional<Endpoint> owner;
 };
 
--- a/src/coordination/serving/shard_owners.h
+++ b/src/coordination/serving/shard_owners.h
@@ -60,6 +60,8 @@
 
   void onSent(const Endpoint& owner, Moment now);
   void onHeard(const Endpoint& owner);
+  /// The daemon has left a frame unanswered for longer than a living one would.
+  bool silent(const Endpoint& owner, Moment now) const;
   /// Daemons that are silent and should be asked for a sign of life now.
   std::vector<Endpoint> takeProbes(Moment now);
 
@@ -69,7 +71,6 @@
     Moment probedAt{};
   };
 
-  bool silent(const Endpoint& owner, Moment now) const;
   const std::vector<Endpoint>& ranked(const std::string& service);
 
   Endpoint self_;
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -25,6 +25,8 @@
       return "left to the owner";
     case Decision::kOwnerOutcome:
       return "the owner's result";
+    case Decision::kOwnerSilent:
+      return "given up: the owner is silent";
     default:
       return "outcome";
   }
--- a/tests/serving/coordination/shard_server_test.cpp
+++ b/tests/serving/coordination/shard_server_test.cpp
@@ -183,6 +183,40 @@
   }
 }
 
+TEST_CASE("a query does not wait for an owner that has fallen silent", "[serving]") {
+  for (const double share : {0.5, 1.0}) {
+    AskerWorld world({"s", "t"}, share);
+    const auto started = world.query->start(at(0));
+    const Endpoint silent = started.relays[1].owner;
+    world.owners.onSent(silent, at(0));
+    world.query->onOutcome(started.relays[0].exchange, outcomeOf(Kind::kAnswered, record('a')), at(10));
+    QueryActions actions;
+    Moment now = at(10);
+    while (!world.query->finished()) {
+      now = world.query->nextDecisionAt();
+      actions = world.query->onTime(now);
+    }
+    REQUIRE(now < at(180));
+    if (share < 1.0) {
+      REQUIRE(std::get<MergedAnswer>(*actions.answer).missingShards == 1);
+    } else {
+      REQUIRE_FALSE(std::get<Failure>(*actions.answer).timedOut);
+    }
+    // It may still be at work.
+    REQUIRE(actions.abandons == std::vector<ExchangeId>{started.relays[1].exchange});
+  }
+}
+
+TEST_CASE("a query waits for an owner that says that it lives", "[serving]") {
+  AskerWorld world({"s"}, 1.0);
+  const auto started = world.query->start(at(0));
+  world.owners.onSent(started.relays[0].owner, at(0));
+  world.owners.onHeard(started.relays[0].owner);
+  for (int milliseconds = 50; milliseconds < 950; milliseconds += 50) {
+    REQUIRE_FALSE(world.query->onTime(at(milliseconds)).answer);
+  }
+}
+
 TEST_CASE("a query merges what owners answered and says what is missing", "[serving]") {
   AskerWorld world({"s", "t", "u"}, 0.6);
   const auto started = world.query->start(at(0));
