Move the assignment of leafs to coordination; clear errors of settings; test the asking side of the hop

Read as a newcomer: which leafs a daemon uses was decided in the program (request_gateway), and the timer of a state machine's next decision stood twice. Now leaf_assignment decides, without sockets, and decision_timer is used by both. The set of daemons greeted grew to 100 and was never cleared; it now follows the zone's members, so that one that comes back is greeted again (test). Parameters that nobody read are gone. Tried as a new user: a wrong type in the settings was answered by a library's text without the key, a missing path by ': cannot read '; a lost source logged its failure as a number. Each now says what is wrong where (tests). A wrong flag, a dead source and a dead leaf were clear already. New tests: every shard has one first owner and leafs' connections suffice (generated, 27 to 120 daemons); frames and results of the asking side. No policy changes; not measured apart.

--- /dev/null
+++ b/src/coordination/serving/leaf_assignment.cpp
@@ -0,0 +1,48 @@
+#include "coordination/serving/leaf_assignment.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+void assignService(const std::vector<LeafEntry>& leafs, const ServiceDefinition& service,
+                   const SharingDaemons& daemons, const Endpoint& self, ShardOwners& owners,
+                   LeafAssignment& assignment) {
+  if (!owners.owned(service.name)) {
+    const ConnectionShare share = shareOf(leafs.size(), service.maximumConnections, daemons.planned);
+    assignment.shares[service.name] = share;
+    assignment.leafs[service.name] = chooseSubset(leafs, share.leafs, self);
+    return;
+  }
+  if (!owners.isOwner(service.name)) {
+    return;
+  }
+  const std::size_t connections = ownerConnections(service.maximumConnections, daemons.zones);
+  assignment.shares[service.name] = ConnectionShare{leafs.size(), connections};
+  assignment.leafs[service.name] = chooseSubset(leafs, leafs.size(), self);
+}
+
+}  // namespace
+
+LeafAssignment assignLeafs(const ServingView& view, const SharingDaemons& daemons, const Endpoint& self,
+                           ShardOwners& owners) {
+  LeafAssignment assignment;
+  if (!view.configuration) {
+    return assignment;
+  }
+  const auto owned = servicesForOwners(*view.configuration, daemons.planned);
+  owners.setServices(owned);
+  for (const std::string& service : owned) {
+    if (owners.isFirstOwner(service)) {
+      assignment.firstOwned.insert(service);
+    }
+  }
+  for (const ServiceDefinition& service : view.configuration->services) {
+    const auto leafs = view.leafs->find(service.name);
+    if (leafs != view.leafs->end()) {
+      assignService(leafs->second, service, daemons, self, owners, assignment);
+    }
+  }
+  return assignment;
+}
+
+}  // namespace oakpier::serving
--- a/src/coordination/serving/leaf_subset.h
+++ b/src/coordination/serving/leaf_subset.h
@@ -3,6 +3,8 @@
 /// Divides the leafs of a service among the daemons, so that no leaf gets more connections than it accepts.
 
 #include <cstddef>
+#include <string>
+#include <unordered_map>
 
 #include "state/endpoint.h"
 #include "state/serving/leaf_directory.h"
@@ -16,6 +18,9 @@
   std::size_t connections = 1;
 };
 
+/// By service.
+using ConnectionShares = std::unordered_map<std::string, ConnectionShare>;
+
 /// `maximumConnections`: what one leaf accepts from all daemons together.
 ConnectionShare shareOf(std::size_t leafs, std::size_t maximumConnections, std::size_t daemons);
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -29,8 +29,6 @@
 /// Kept free before the process would be killed: this share of the grace, and at most this long.
 constexpr double kStopReserveShare = 0.15;
 constexpr Duration kLongestStopReserve = std::chrono::milliseconds(800);
-/// Until the others had time to be found, this many daemons are assumed.
-constexpr std::size_t kUsualDaemons = 12;
 /// Owners of a shard, one a zone, that are assumed at least; as many more may follow one another in a window.
 constexpr std::size_t kUsualOwners = 4;
 constexpr std::size_t kOwnersInChange = 2;
@@ -97,9 +95,9 @@
                      requests_.onFrame(sender, envelope);
                    });
                  },
-                 [this](const Endpoint& to, PeerEnvelope envelope) {
-                   boost::asio::post(requestContext_, [this, to, envelope = std::move(envelope)] {
-                     requests_.onUndeliverable(to, envelope);
+                 [this](PeerEnvelope envelope) {
+                   boost::asio::post(requestContext_, [this, envelope = std::move(envelope)] {
+                     requests_.onUndeliverable(envelope);
                    });
                  }}),
         signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
--- a/src/programs/gateway/leaf_sender.h
+++ b/src/programs/gateway/leaf_sender.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 #include "coordination/serving/leaf_subset.h"
 #include "coordination/serving/query_policy.h"
@@ -13,8 +12,6 @@
 
 namespace oakpier::serving {
 
-using ConnectionShares = std::unordered_map<std::string, ConnectionShare>;
-
 /// One request to one leaf.
 struct LeafSend {
   SendAction action;
--- a/src/programs/gateway/owner_client.cpp
+++ b/src/programs/gateway/owner_client.cpp
@@ -106,11 +106,17 @@
 }
 
 void OwnerClient::greet(const std::vector<Endpoint>& daemons) {
+  std::set<Endpoint> greeted;
   for (const Endpoint& daemon : daemons) {
-    if (greeted_.size() < kMostGreetings && greeted_.insert(daemon).second) {
+    if (greeted.size() >= kMostGreetings) {
+      break;
+    }
+    greeted.insert(daemon);
+    if (greeted_.count(daemon) == 0) {
       askForSignOfLife(daemon);
     }
   }
+  greeted_ = std::move(greeted);
 }
 
 void OwnerClient::cancel(const std::vector<ExchangeId>& exchanges) {
@@ -156,7 +162,7 @@
   (*pending.listener)(result.exchange(), outcome);
 }
 
-void OwnerClient::onUndeliverable(const Endpoint&, const OwnerWork& work) {
+void OwnerClient::onUndeliverable(const OwnerWork& work) {
   ++counters_.undeliverable;
   LeafOutcome outcome;
   outcome.kind = LeafOutcome::Kind::kNotSent;
--- a/src/programs/gateway/owner_client.h
+++ b/src/programs/gateway/owner_client.h
@@ -44,12 +44,13 @@
   OwnerClient(QueryContext& context, ShardOwners& owners, FrameSender sendFrame);
 
   void send(const std::vector<RelayAction>& relays, const Order& order);
-  /// Asks daemons that were not met before for a sign of life, so that connections stand before work comes.
+  /// `daemons`: those of the zone. Asks the new ones for a sign of life, so that connections stand before
+  /// work comes.
   void greet(const std::vector<Endpoint>& daemons);
   /// Withdraws those of the exchanges that were left to owners.
   void cancel(const std::vector<ExchangeId>& exchanges);
   void onResults(const Endpoint& owner, const OwnerResults& results);
-  void onUndeliverable(const Endpoint& owner, const OwnerWork& work);
+  void onUndeliverable(const OwnerWork& work);
   const OwnerClientCounters& counters() const { return counters_; }
 
  private:
--- a/src/programs/gateway/owner_service.cpp
+++ b/src/programs/gateway/owner_service.cpp
@@ -119,22 +119,7 @@
 }
 
 void OwnerService::armTimer() {
-  const Moment next = server_.nextDecisionAt();
-  if (next == armedFor_) {
-    return;
-  }
-  armedFor_ = next;
-  if (next == kNever) {
-    timer_.cancel();
-    return;
-  }
-  timer_.expires_at(next);
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      armedFor_ = kNever;
-      apply(server_.onTime(steadyNow()));
-    }
-  });
+  timer_.arm(server_.nextDecisionAt(), [this] { apply(server_.onTime(steadyNow())); });
 }
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/owner_service.h
+++ b/src/programs/gateway/owner_service.h
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "coordination/serving/shard_server.h"
+#include "programs/gateway/decision_timer.h"
 #include "programs/gateway/leaf_sender.h"
 #include "programs/gateway/owner_client.h"
 #include "programs/gateway/request_log.h"
@@ -53,8 +54,7 @@
   QueryContext context_;
   FrameSender sendFrame_;
   ShardServer server_;
-  boost::asio::steady_timer timer_;
-  Moment armedFor_ = kNever;
+  DecisionTimer timer_;
   std::map<AskerProcess, OwnerResults> results_;
   /// Those who were told nothing since their work came.
   std::set<AskerProcess> unacknowledged_;
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -57,9 +57,9 @@
                                      receive(std::move(envelope));
                                    }
                                  },
-                                 [this](const Endpoint& to, PeerEnvelope envelope) {
+                                 [this](const Endpoint&, PeerEnvelope envelope) {
                                    if (isAboutShards(envelope)) {
-                                     handlers_.onShardFrameUndeliverable(to, std::move(envelope));
+                                     handlers_.onShardFrameUndeliverable(std::move(envelope));
                                    }
                                  }}),
       tick_(context) {
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -33,7 +33,7 @@
     /// A frame about shards. Called on the transport's thread.
     std::function<void(const Endpoint& sender, PeerEnvelope envelope)> onShardFrame;
     /// A frame about shards was not handed to the network. Called on the transport's thread.
-    std::function<void(const Endpoint& to, PeerEnvelope envelope)> onShardFrameUndeliverable;
+    std::function<void(PeerEnvelope envelope)> onShardFrameUndeliverable;
   };
 
   PeerLink(boost::asio::io_context& context, const PeerLinkSettings& settings, Handlers handlers);
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -28,8 +28,7 @@
       : timer(context), writer(std::move(responseWriter)) {}
 
   std::unique_ptr<Query> query;
-  boost::asio::steady_timer timer;
-  Moment armedFor = kNever;
+  DecisionTimer timer;
   ResponseWriter writer;
   std::shared_ptr<const LeafRequestTemplate> request;
   /// For other daemons.
@@ -67,8 +66,7 @@
 
 void RequestGateway::setDaemons(const DaemonGroup& daemons, std::size_t planned, bool settled) {
   owners_.setDaemons(daemons.ownZone);
-  zones_ = daemons.zones;
-  daemonCount_ = planned;
+  daemons_ = SharingDaemons{planned, daemons.zones};
   settled_ = settled;
   onView();
   if (settled_ && owners_.any()) {
@@ -86,20 +84,21 @@
   }
 }
 
-void RequestGateway::onUndeliverable(const Endpoint& to, const PeerEnvelope& envelope) {
+void RequestGateway::onUndeliverable(const PeerEnvelope& envelope) {
   if (envelope.has_owner_work()) {
-    ownerClient_.onUndeliverable(to, envelope.owner_work());
+    ownerClient_.onUndeliverable(envelope.owner_work());
   }
 }
 
 void RequestGateway::onView() {
   view_ = published_.read();
-  const LeafsByService leafs = ownLeafs();
-  sender_.setShares(shares_);
-  leafs_.reconcile(leafs, steadyNow());
-  warm(leafs);
+  const LeafAssignment assignment = assignLeafs(*view_, daemons_, self_, owners_);
+  ownerService_.setOwnedShards(assignment.firstOwned);
+  sender_.setShares(assignment.shares);
+  leafs_.reconcile(assignment.leafs, steadyNow());
+  openAhead(assignment);
   std::unordered_set<std::string> used;
-  for (const auto& [service, entries] : leafs) {
+  for (const auto& [service, entries] : assignment.leafs) {
     for (const LeafEntry& leaf : entries) {
       used.insert(leaf.id);
     }
@@ -107,16 +106,16 @@
   pool_.retain([&](const std::string& leaf) { return used.count(leaf) != 0; });
 }
 
-void RequestGateway::warm(const LeafsByService& leafs) {
+void RequestGateway::openAhead(const LeafAssignment& assignment) {
   std::size_t count = 0;
-  for (const auto& [service, entries] : leafs) {
+  for (const auto& [service, entries] : assignment.leafs) {
     count += entries.size();
   }
   if (!settled_ && count > kMostEarlyConnections) {
     return;
   }
-  for (const auto& [service, entries] : leafs) {
-    if (owners_.owned(service) && !owners_.isFirstOwner(service)) {
+  for (const auto& [service, entries] : assignment.leafs) {
+    if (owners_.owned(service) && assignment.firstOwned.count(service) == 0) {
       continue;
     }
     for (const LeafEntry& leaf : entries) {
@@ -125,45 +124,6 @@
   }
 }
 
-std::unordered_set<std::string> RequestGateway::firstOwned(const std::unordered_set<std::string>& services) {
-  std::unordered_set<std::string> first;
-  for (const std::string& service : services) {
-    if (owners_.isFirstOwner(service)) {
-      first.insert(service);
-    }
-  }
-  return first;
-}
-
-LeafsByService RequestGateway::ownLeafs() {
-  std::unordered_map<std::string, std::size_t> maximumConnections;
-  if (view_->configuration) {
-    for (const ServiceDefinition& service : view_->configuration->services) {
-      maximumConnections[service.name] = service.maximumConnections;
-    }
-    const auto owned = servicesForOwners(*view_->configuration, daemonCount_);
-    owners_.setServices(owned);
-    ownerService_.setOwnedShards(firstOwned(owned));
-  }
-  shares_.clear();
-  LeafsByService leafs;
-  for (const auto& [service, entries] : *view_->leafs) {
-    const auto maximum = maximumConnections.find(service);
-    if (maximum == maximumConnections.end()) {
-      continue;
-    }
-    if (!owners_.owned(service)) {
-      const ConnectionShare share = shareOf(entries.size(), maximum->second, daemonCount_);
-      shares_[service] = share;
-      leafs[service] = chooseSubset(entries, share.leafs, self_);
-    } else if (owners_.isOwner(service)) {
-      shares_[service] = ConnectionShare{entries.size(), ownerConnections(maximum->second, zones_)};
-      leafs[service] = chooseSubset(entries, entries.size(), self_);
-    }
-  }
-  return leafs;
-}
-
 std::function<void()> RequestGateway::onRequest(HttpRequest request, ResponseWriter writer) {
   const Moment now = steadyNow();
   ++counters_.received;
@@ -307,22 +267,10 @@
 }
 
 void RequestGateway::armTimer(const ActivePointer& active) {
-  const Moment next = active->query->nextDecisionAt();
-  if (next == active->armedFor) {
-    return;
-  }
-  active->armedFor = next;
-  if (next == kNever) {
-    active->timer.cancel();
-    return;
-  }
-  active->timer.expires_at(next);
-  active->timer.async_wait([this, active](const boost::system::error_code& error) {
-    if (error || active->query->finished()) {
-      return;
+  active->timer.arm(active->query->nextDecisionAt(), [this, active] {
+    if (!active->query->finished()) {
+      apply(active, active->query->onTime(steadyNow()));
     }
-    active->armedFor = kNever;
-    apply(active, active->query->onTime(steadyNow()));
   });
 }
 
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -4,13 +4,14 @@
 /// answers.
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
 
+#include "coordination/serving/leaf_assignment.h"
 #include "coordination/serving/query.h"
 #include "coordination/serving/shard_owners.h"
+#include "programs/gateway/decision_timer.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/leaf_sender.h"
 #include "programs/gateway/owner_client.h"
@@ -23,6 +24,9 @@
 
 namespace oakpier::serving {
 
+/// Until the others had time to be found, this many daemons are assumed.
+inline constexpr std::size_t kUsualDaemons = 12;
+
 class RequestGateway : public RequestHandler {
  public:
   /// `ownerBudgets`: those of a shard's owner, while `queryContext` has those of every daemon.
@@ -39,7 +43,7 @@
   /// A frame of another daemon, or of this one, about shards.
   void onFrame(const Endpoint& sender, const PeerEnvelope& envelope);
   /// A frame could not be handed to the network.
-  void onUndeliverable(const Endpoint& to, const PeerEnvelope& envelope);
+  void onUndeliverable(const PeerEnvelope& envelope);
   /// Requests of other daemons that this one works on.
   std::size_t servedForOthers() const { return ownerService_.inProgress(); }
   const RequestCounters& counters() const { return counters_; }
@@ -62,11 +66,8 @@
   void reject(const ResponseWriter& writer, const std::string& requestId, const HttpReply& reply,
               const std::string& reason);
   void armTimer(const ActivePointer& active);
-  /// The leafs that this daemon uses, for each service.
-  LeafsByService ownLeafs();
-  /// Those whose first owner this daemon is.
-  std::unordered_set<std::string> firstOwned(const std::unordered_set<std::string>& services);
-  void warm(const LeafsByService& leafs);
+  /// Opens the first connections to leafs before requests need them.
+  void openAhead(const LeafAssignment& assignment);
 
   boost::asio::io_context& context_;
   const HeaderNames& names_;
@@ -80,9 +81,7 @@
   ShardOwners owners_;
   OwnerClient ownerClient_;
   OwnerService ownerService_;
-  ConnectionShares shares_;
-  std::size_t daemonCount_ = 12;
-  std::size_t zones_ = 1;
+  SharingDaemons daemons_{kUsualDaemons, 1};
   bool settled_ = false;
   RequestCounters counters_;
   RequestLog log_{RequestLogSettings{}};
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -13,6 +13,19 @@
 /// Beyond the time that the source itself waits.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
 
+const char* textOf(SourceFailure failure) {
+  switch (failure) {
+    case SourceFailure::kHistoryGone:
+      return "history gone";
+    case SourceFailure::kThrottled:
+      return "too many calls";
+    case SourceFailure::kUnavailable:
+      return "unavailable";
+    default:
+      return "no answer";
+  }
+}
+
 }  // namespace
 
 SourceLoop::SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
@@ -76,7 +89,7 @@
   const FollowerActions actions = follower_.onAnswer(call, answer, steadyNow());
   if (follower_.sourceLost() && !wasLost) {
     log(LogLevel::kWarning, "configuration source lost",
-        {{"failure", static_cast<int>(std::get<SourceFailure>(answer))},
+        {{"failure", textOf(std::get<SourceFailure>(answer))},
          {"known_revision", follower_.knownRevision()}});
   } else if (wasLost && !follower_.sourceLost()) {
     log(LogLevel::kInfo, "configuration source regained", {{"known_revision", follower_.knownRevision()}});
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -27,7 +27,7 @@
     std::function<void(const DaemonGroup& daemons)> onDaemons;
     /// As in `PeerLink::Handlers`.
     std::function<void(const Endpoint& sender, PeerEnvelope envelope)> onShardFrame;
-    std::function<void(const Endpoint& to, PeerEnvelope envelope)> onShardFrameUndeliverable;
+    std::function<void(PeerEnvelope envelope)> onShardFrameUndeliverable;
   };
 
   SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
--- /dev/null
+++ b/tests/serving/coordination/leaf_assignment_test.cpp
@@ -0,0 +1,76 @@
+/// Which leafs a daemon uses, alone and together with the others.
+
+#include "coordination/serving/leaf_assignment.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+/// The assignment of daemon `number` of `count`, all in one zone.
+LeafAssignment assignmentOf(std::uint32_t number, std::uint32_t count, const ServingView& view) {
+  std::vector<Endpoint> daemons;
+  for (std::uint32_t each = 1; each <= count; ++each) {
+    daemons.emplace_back(each, 9);
+  }
+  ShardOwners owners(daemons[number]);
+  owners.setDaemons(daemons);
+  return assignLeafs(view, SharingDaemons{count, 1}, daemons[number], owners);
+}
+
+}  // namespace
+
+TEST_CASE("few daemons use every leaf that does not leave", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s", "t"}, 0.5)}, {"s", "t"}, 3);
+  ServingView changed = *view;
+  LeafsByService leafs = *view->leafs;
+  leafs["s"][1].draining = true;
+  changed.leafs = std::make_shared<const LeafsByService>(leafs);
+  const LeafAssignment assignment = assignmentOf(0, 4, changed);
+  REQUIRE(assignment.leafs.at("s").size() == 2);
+  REQUIRE(assignment.leafs.at("t").size() == 3);
+  REQUIRE(assignment.firstOwned.empty());
+}
+
+TEST_CASE("nothing is assigned before a configuration is known", "[serving]") {
+  ServingView view;
+  view.leafs = std::make_shared<const LeafsByService>(leafsOf({"s"}, 2));
+  REQUIRE(assignmentOf(0, 4, view).leafs.empty());
+}
+
+TEST_CASE("every shard has one first owner, and leafs' connections suffice", "[serving]") {
+  OAKPIER_PROPERTY("assignment", [] {
+    const auto count = *rc::gen::inRange<std::uint32_t>(27, 120);
+    const auto replicas = *rc::gen::inRange<std::size_t>(1, 4);
+    const std::vector<std::string> shards{"s", "t", "u", "v"};
+    // Leafs of these services accept 26 connections.
+    const auto view = viewOf({gatherRoute(shards, 0.5)}, shards, replicas);
+    std::map<std::string, std::size_t> firstOwners;
+    std::map<std::string, std::size_t> connections;
+    for (std::uint32_t number = 0; number < count; ++number) {
+      const LeafAssignment assignment = assignmentOf(number, count, *view);
+      for (const std::string& service : assignment.firstOwned) {
+        RC_ASSERT(assignment.leafs.at(service).size() == replicas);
+        ++firstOwners[service];
+      }
+      for (const auto& [service, leafs] : assignment.leafs) {
+        for (const LeafEntry& leaf : leafs) {
+          connections[leaf.id] += assignment.shares.at(service).connections;
+        }
+      }
+    }
+    for (const std::string& shard : shards) {
+      RC_ASSERT(firstOwners[shard] == 1U);
+    }
+    for (const auto& [leaf, sum] : connections) {
+      RC_ASSERT(sum <= 26U);
+    }
+  });
+}
+
+}  // namespace oakpier::serving
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -47,7 +47,17 @@
 }
 
 TEST_CASE("settings that cannot be used say why", "[platform]") {
-  REQUIRE_FALSE(std::get<SettingsError>(parseSettings("{")).text.empty());
+  REQUIRE(std::get<SettingsError>(parseSettings("{")).text == "the settings are not a JSON object");
+  REQUIRE(std::get<SettingsError>(readSettings("")).text.find("--settings") != std::string::npos);
+  REQUIRE(std::get<SettingsError>(parseSettings(R"({"node_name": 5})")).text ==
+          "setting \"node_name\" cannot be 5");
+  std::string without = kSettings;
+  without.replace(without.find("\"grace_s\""), 9, "\"other_s\"");
+  REQUIRE(std::get<SettingsError>(parseSettings(without)).text == "setting \"bounds.grace_s\" is missing");
+  std::string negative = kSettings;
+  negative.replace(negative.find("\"drain_ms\": 5000"), 16, "\"drain_ms\": 12");
+  REQUIRE(std::get<SettingsError>(parseSettings(negative)).text ==
+          "the bound on use after a leave is not within 0.5 and 60 seconds");
   REQUIRE(std::get<SettingsError>(parseSettings("{}")).text.find("node_name") != std::string::npos);
   std::string wrong = kSettings;
   wrong.replace(wrong.find("10.200.1.7:8102"), 15, "store.example:1");
--- /dev/null
+++ b/tests/serving/programs/owner_client_test.cpp
@@ -0,0 +1,141 @@
+/// The asking side of the hop between daemons: which frames go out and which results are believed.
+
+#include "programs/gateway/owner_client.h"
+
+#include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
+
+#include "serving/support/serving_fixtures.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+const Endpoint kFirstOwner(2, 9);
+const Endpoint kOtherOwner(3, 9);
+
+struct ClientWorld : QueryWorld {
+  ClientWorld()
+      : QueryWorld(viewOf({gatherRoute({"s", "t", "u"}, 0.5)}, {"s", "t", "u"}, 2)),
+        owners(Endpoint(1, 9)),
+        client(*context, owners, [this](const Endpoint& to, PeerEnvelope envelope) {
+          frames.emplace_back(to, std::move(envelope));
+        }) {
+    order.request = std::make_shared<const HttpRequest>(HttpRequest{"GET", "/all/", {{"X-Id", "7"}}, "body"});
+    order.route = std::make_shared<const Route>(gatherRoute({"s", "t", "u"}, 0.5));
+    order.leafDeadline = Moment::max();
+    order.usefulUntil = Moment::max();
+    order.listener = std::make_shared<const OwnerClient::Listener>(
+        [this](ExchangeId exchange, const LeafOutcome& outcome) {
+          outcomes.emplace_back(exchange, outcome);
+        });
+  }
+
+  void sendThree() {
+    client.send({{1, kFirstOwner, "s", 2}, {2, kOtherOwner, "t", 2}, {3, kFirstOwner, "u", 2}}, order);
+  }
+
+  OwnerResults resultOf(ExchangeId exchange, std::uint64_t run) const {
+    OwnerResults results;
+    results.set_receiver_run(run);
+    OwnerResult* result = results.add_results();
+    result->set_exchange(exchange);
+    result->set_status(OWNER_ANSWERED);
+    result->set_signature("signature");
+    result->set_records("records");
+    return results;
+  }
+
+  ShardOwners owners;
+  std::vector<std::pair<Endpoint, PeerEnvelope>> frames;
+  std::vector<std::pair<ExchangeId, LeafOutcome>> outcomes;
+  OwnerClient client;
+  OwnerClient::Order order;
+};
+
+}  // namespace
+
+TEST_CASE("shards of one owner travel in one frame with the whole request", "[serving]") {
+  ClientWorld world;
+  world.sendThree();
+  REQUIRE(world.frames.size() == 2);
+  REQUIRE(world.frames[0].first == kFirstOwner);
+  const OwnerWork& work = world.frames[0].second.owner_work();
+  REQUIRE(work.parts_size() == 2);
+  REQUIRE(work.parts(1).service() == "u");
+  REQUIRE(work.attempts() == 2);
+  REQUIRE(work.method() == "GET");
+  REQUIRE(work.target() == "/all/");
+  REQUIRE(work.body() == "body");
+  REQUIRE(work.headers(0).name() == "X-Id");
+  REQUIRE(work.top_records() == 3);
+  REQUIRE(world.frames[0].second.time_to_live_ms() > 0);
+}
+
+TEST_CASE("a result is believed once, and only by the process that asked", "[serving]") {
+  ClientWorld world;
+  world.sendThree();
+  const std::uint64_t run = world.frames[0].second.owner_work().sender_run();
+  world.client.onResults(kFirstOwner, world.resultOf(1, run + 1));
+  REQUIRE(world.outcomes.empty());
+  world.client.onResults(kFirstOwner, world.resultOf(1, run));
+  world.client.onResults(kFirstOwner, world.resultOf(1, run));
+  REQUIRE(world.outcomes.size() == 1);
+  REQUIRE(world.outcomes[0].first == 1);
+  REQUIRE(world.outcomes[0].second.kind == LeafOutcome::Kind::kAnswered);
+  REQUIRE(world.outcomes[0].second.reply->body == "records");
+}
+
+TEST_CASE("two processes do not take each other's results", "[serving]") {
+  ClientWorld first;
+  ClientWorld second;
+  second.random.seed(8);
+  OwnerClient later(*second.context, second.owners, [&](const Endpoint& to, PeerEnvelope envelope) {
+    second.frames.emplace_back(to, std::move(envelope));
+  });
+  first.sendThree();
+  later.send({{1, kFirstOwner, "s", 2}}, second.order);
+  REQUIRE(first.frames[0].second.owner_work().sender_run() !=
+          second.frames[0].second.owner_work().sender_run());
+}
+
+TEST_CASE("withdrawn shards are told to their owners and answer nobody", "[serving]") {
+  ClientWorld world;
+  world.sendThree();
+  const std::uint64_t run = world.frames[0].second.owner_work().sender_run();
+  world.frames.clear();
+  world.client.cancel({3, 2, 99});
+  REQUIRE(world.frames.size() == 2);
+  REQUIRE(world.frames[0].first == kFirstOwner);
+  REQUIRE(world.frames[0].second.owner_cancel().exchanges(0) == 3);
+  REQUIRE(world.frames[0].second.owner_cancel().sender_run() == run);
+  REQUIRE(world.frames[1].first == kOtherOwner);
+  world.client.onResults(kFirstOwner, world.resultOf(3, run));
+  REQUIRE(world.outcomes.empty());
+}
+
+TEST_CASE("work that never left is known not to have run", "[serving]") {
+  ClientWorld world;
+  world.sendThree();
+  const OwnerWork work = world.frames[0].second.owner_work();
+  world.client.onUndeliverable(work);
+  REQUIRE(world.outcomes.size() == 2);
+  REQUIRE(world.outcomes[0].second.kind == LeafOutcome::Kind::kNotSent);
+  REQUIRE(world.client.counters().undeliverable == 1);
+}
+
+TEST_CASE("daemons of the zone are greeted when they come, also when they come back", "[serving]") {
+  ClientWorld world;
+  world.client.greet({kFirstOwner, kOtherOwner});
+  REQUIRE(world.frames.size() == 2);
+  REQUIRE(world.frames[0].second.owner_work().parts_size() == 0);
+  world.client.greet({kFirstOwner, kOtherOwner});
+  REQUIRE(world.frames.size() == 2);
+  world.client.greet({kFirstOwner});
+  world.client.greet({kFirstOwner, kOtherOwner});
+  REQUIRE(world.frames.size() == 3);
+  REQUIRE(world.frames[2].first == kOtherOwner);
+}
+
+}  // namespace oakpier::serving
