--- a/tests/serving/coordination/leaf_knowledge_test.cpp
+++ b/tests/serving/coordination/leaf_knowledge_test.cpp
@@ -30,6 +30,26 @@
   REQUIRE(leafs[0]->stalledFor(at(60)).count() == 0);
 }
 
+TEST_CASE("a leaf that answers slower than usual is chosen after one that does not", "[serving]") {
+  LeafRegistry registry;
+  registry.reconcile(leafsOf({"s"}, 2), at(0));
+  const auto& leafs = registry.leafsOf("s");
+  RandomEngine random(1);
+  const std::string zone = "a";
+  for (int number = 0; number < 20; ++number) {
+    const int start = number * 200;
+    const auto exchange = static_cast<std::uint64_t>(number);
+    leafs[0]->onStarted(exchange, kUsual, at(start));
+    leafs[0]->onFinished(exchange, LeafOutcome::Kind::kAnswered, at(start + 100));
+    leafs[1]->onStarted(exchange, kUsual, at(start));
+    leafs[1]->onFinished(exchange, LeafOutcome::Kind::kAnswered, at(start + 20));
+  }
+  REQUIRE(leafs[0]->slowness() > leafs[1]->slowness() * 2);
+  for (int draw = 0; draw < 20; ++draw) {
+    REQUIRE(selectLeaf(leafs, {{}, kUsual, zone}, random, at(5000)) == leafs[1]);
+  }
+}
+
 TEST_CASE("a leaf that cannot be reached is the last choice, yet still a choice", "[serving]") {
   LeafRegistry registry;
   registry.reconcile(leafsOf({"s"}, 2), at(0));
--- a/tests/serving/coordination/query_test.cpp
+++ b/tests/serving/coordination/query_test.cpp
@@ -37,6 +37,26 @@
   REQUIRE(answer.missingShards == 0);
 }
 
+TEST_CASE("when the caller leaves, everything that is out is withdrawn and nothing more is sent",
+          "[serving]") {
+  const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  for (const SendAction& send : started.sends) {
+    query.onWritten(send.exchange);
+  }
+  query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kAnswered, record('a')), at(5));
+  const QueryActions gone = query.onCallerGone();
+  const std::vector<ExchangeId> out{started.sends[1].exchange, started.sends[2].exchange,
+                                    started.sends[3].exchange};
+  REQUIRE(gone.abandons == out);
+  REQUIRE_FALSE(gone.answer);
+  REQUIRE(query.finished());
+  REQUIRE(query.onTime(at(150)).sends.empty());
+  REQUIRE(query.nextDecisionAt() == kNever);
+}
+
 TEST_CASE("near the target latency a query answers with the shards that are in", "[serving]") {
   const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
   QueryWorld world(view, 0);
--- a/tests/serving/coordination/shard_server_test.cpp
+++ b/tests/serving/coordination/shard_server_test.cpp
@@ -183,6 +183,13 @@
   }
 }
 
+TEST_CASE("when the caller leaves, owners are told to withdraw", "[serving]") {
+  AskerWorld world({"s", "t"}, 1.0);
+  const auto started = world.query->start(at(0));
+  world.query->onOutcome(started.relays[0].exchange, outcomeOf(Kind::kAnswered, record('a')), at(10));
+  REQUIRE(world.query->onCallerGone().abandons == std::vector<ExchangeId>{started.relays[1].exchange});
+}
+
 TEST_CASE("a query does not wait for an owner that has fallen silent", "[serving]") {
   for (const double share : {0.5, 1.0}) {
     AskerWorld world({"s", "t"}, share);
