Let leafs work on shards' answers no longer than the target latency

Cause: a healthy copy whose twin is slow runs near its capacity and queues; leafs serve first come first served, and worked on requests for up to three target latencies, long after their queries had been answered without them. Change: usefulFactor 3.0 to 1.0, so a leaf drops what waits past the target.

--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -19,8 +19,9 @@
   /// Kept free before the target latency for the way back to the caller and for merging.
   Duration answerMargin = std::chrono::milliseconds(9);
   double answerMarginShare = 0.08;
-  /// Leafs may work on shards' answers for this multiple of the target latency.
-  double usefulFactor = 3.0;
+  /// Leafs may work on shards' answers for this multiple of the target latency. A leaf drops a request that is
+  /// still queued by then, so that an overloaded leaf spends its time on requests that can be answered in time.
+  double usefulFactor = 1.0;
   /// A refused caller is told to come back after this.
   Duration retryAfter = std::chrono::milliseconds(150);
   /// Kept free before the caller's deadline, so that the final answer reaches it.
--- a/tests/serving/coordination/query_test.cpp
+++ b/tests/serving/coordination/query_test.cpp
@@ -85,6 +85,17 @@
   REQUIRE(std::get<Failure>(*query.onTime(at(500)).answer).timedOut);
 }
 
+TEST_CASE("leafs are not asked to work on shards beyond the target latency", "[serving]") {
+  const auto view = viewOf({gatherRoute(kShards, 0.75), singleRoute("s0", true, 2)}, kShards, 1);
+  QueryWorld world(view);
+  const Query gathered(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  REQUIRE(gathered.leafDeadline() == at(200));
+  const Query hurried(view, view->configuration->routes[0], *world.context, at(0), at(100));
+  REQUIRE(hurried.leafDeadline() < at(100));
+  const Query single(view, view->configuration->routes[1], *world.context, at(0), at(1000));
+  REQUIRE(single.leafDeadline() > at(900));
+}
+
 TEST_CASE("a stalled shard is asked at its other replica before the target is missed", "[serving]") {
   const auto view = viewOf({gatherRoute({"s0"}, 1.0)}, {"s0"}, 2);
   QueryWorld world(view);
