Prefer nearer leafs more strongly

Hypothesis: bytes between zones are the largest price, and 4 ms for another zone is lost beside the noise of queue estimates. Change: 12 ms.

--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Duration kOtherZonePenalty = std::chrono::milliseconds(4);
+constexpr Duration kOtherZonePenalty = std::chrono::milliseconds(12);
 /// A stalled leaf is expected to stay silent at least this much longer.
 constexpr Duration kStallPenalty = std::chrono::milliseconds(100);
 constexpr Duration kEjectedPenalty = std::chrono::seconds(10);
