--- a/src/coordination/serving/leaf_outcome.h
+++ b/src/coordination/serving/leaf_outcome.h
@@ -41,6 +41,9 @@
   /// The leaf's signature of the answer.
   std::string signature;
   std::optional<ReportedLoad> load;
+  /// The answer came by way of a merging daemon: it lacks records that earlier answers of the same work rule
+  /// out, so none of those may be replaced by another leaf's answer.
+  bool merged = false;
 };
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration kOtherZonePenalty = std::chrono::milliseconds(12);
+constexpr Duration kFurtherZonePenalty = std::chrono::milliseconds(18);
 /// A stalled leaf is expected to stay silent at least this much longer.
 constexpr Duration kStallPenalty = std::chrono::milliseconds(100);
 constexpr Duration kEjectedPenalty = std::chrono::seconds(10);
@@ -14,6 +15,13 @@
 /// Breaks ties, so that daemons that know the same do not all choose the same leaf.
 constexpr std::size_t kTieBreakMicroseconds = 1500;
 
+Duration zonePenalty(const std::string& zone, const SelectionRequest& request) {
+  if (zone == request.ownZone) {
+    return Duration(0);
+  }
+  return zone == request.preferredZone ? kOtherZonePenalty : kFurtherZonePenalty;
+}
+
 }  // namespace
 
 Duration queueingLatency(const LeafStatus& leaf, Duration typicalLatency, Moment now) {
@@ -28,9 +36,7 @@
 
 Duration expectedLatency(const LeafStatus& leaf, const SelectionRequest& request, Moment now) {
   Duration expected = queueingLatency(leaf, request.typicalLatency, now);
-  if (leaf.entry().zone != request.ownZone) {
-    expected += kOtherZonePenalty;
-  }
+  expected += zonePenalty(leaf.entry().zone, request);
   if (leaf.stalledFor(now).count() > 0) {
     expected += kStallPenalty;
   }
--- a/src/coordination/serving/leaf_selection.h
+++ b/src/coordination/serving/leaf_selection.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "coordination/serving/leaf_status.h"
@@ -18,6 +19,8 @@
   Duration typicalLatency;
   /// The zone of this daemon; leafs elsewhere cost more to reach.
   const std::string& ownZone;
+  /// The other zone that costs least; may be empty.
+  std::string_view preferredZone = {};
 };
 
 /// The time to an answer that the leaf's speed and queue let expect.
--- /dev/null
+++ b/src/coordination/serving/merge_server.cpp
@@ -0,0 +1,185 @@
+#include "coordination/serving/merge_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/serving/record_merge.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+/// Kept free for the way back to the asking daemon.
+constexpr Duration kReturnMargin = std::chrono::milliseconds(3);
+
+Duration microseconds(std::uint64_t count) { return Duration(static_cast<std::int64_t>(count)); }
+
+std::shared_ptr<MergeTask> taskFor(const Endpoint& asker, const MergeWork& work, Moment now) {
+  auto task = std::make_shared<MergeTask>();
+  task->asker = asker;
+  task->askerRun = work.sender_run();
+  task->route.name = work.route();
+  task->route.repeatable = true;
+  task->route.targetLatency = microseconds(work.target_latency_us());
+  task->route.rank = work.rank();
+  task->receivedAt = now;
+  task->deadline = now + microseconds(work.remaining_us());
+  task->holdUntil = now + microseconds(work.hold_us()) - kReturnMargin;
+  task->request = HttpRequest{work.method(), work.target(), {}, work.body()};
+  for (const HeaderField& field : work.headers()) {
+    task->request.headers.push_back(Header{field.name(), field.value()});
+  }
+  task->topRecords = work.top_records();
+  return task;
+}
+
+MergeOutcome codeOf(LeafOutcome::Kind kind) {
+  switch (kind) {
+    case LeafOutcome::Kind::kAnswered:
+      return MERGE_ANSWERED;
+    case LeafOutcome::Kind::kLeafFailed:
+      return MERGE_LEAF_FAILED;
+    case LeafOutcome::Kind::kNotExecuted:
+      return MERGE_NOT_EXECUTED;
+    case LeafOutcome::Kind::kWrongInstance:
+      return MERGE_WRONG_INSTANCE;
+    case LeafOutcome::Kind::kNotSent:
+      return MERGE_NOT_SENT;
+    case LeafOutcome::Kind::kWithdrawn:
+      return MERGE_WITHDRAWN;
+    default:
+      return MERGE_NO_ANSWER;
+  }
+}
+
+MergeResult& addResult(MergeTask& task, ExchangeId askedAs, MergeOutcome outcome, Moment now) {
+  MergeResult& result = *task.results.add_results();
+  result.set_exchange(askedAs);
+  result.set_outcome(outcome);
+  result.set_taken_us(static_cast<std::uint64_t>((now - task.receivedAt).count()));
+  return result;
+}
+
+/// What the leaf told, and requests that wait here for a connection to it: a request of the asking daemon
+/// would queue behind both.
+void setLoad(const LeafStatus& leaf, const std::optional<ReportedLoad>& told, MergeResult& result) {
+  const auto outstanding = static_cast<unsigned>(leaf.inProgress());
+  const unsigned slots = std::max(1U, leaf.entry().slots);
+  const ReportedLoad load = told.value_or(ReportedLoad{});
+  result.set_slots(slots);
+  result.set_running(std::max(load.running, std::min(outstanding, slots)));
+  result.set_waiting(std::max(load.waiting, outstanding > slots ? outstanding - slots : 0));
+}
+
+/// Moves the task's results into a frame for the asking daemon.
+OutgoingMergeResults takeResults(MergeTask& task) {
+  OutgoingMergeResults outgoing{task.asker, {}};
+  outgoing.results.Swap(&task.results);
+  task.greatest = greatestRecords({task.greatest, task.newRecords}, task.topRecords);
+  outgoing.results.set_receiver_run(task.askerRun);
+  outgoing.results.set_records(recordsThatCount(task.newRecords, task.greatest, task.topRecords));
+  outgoing.results.set_earlier_answers(task.returnedAnswers);
+  task.newRecords.clear();
+  for (const MergeResult& result : outgoing.results.results()) {
+    task.returnedAnswers += result.outcome() == MERGE_ANSWERED ? 1 : 0;
+  }
+  return outgoing;
+}
+
+}  // namespace
+
+std::shared_ptr<LeafStatus> MergeServer::findLeaf(const MergePart& part) const {
+  const auto& leafs = context_.leafs.leafsOf(part.service());
+  const auto found = std::find_if(leafs.begin(), leafs.end(), [&](const auto& leaf) {
+    return leaf->usable() && leaf->entry().id == part.leaf();
+  });
+  return found == leafs.end() ? nullptr : *found;
+}
+
+MergeServerActions MergeServer::onWork(const Endpoint& asker, const MergeWork& work, Moment now) {
+  MergeServerActions out;
+  const TaskPointer task = taskFor(asker, work, now);
+
+  const Duration expected = context_.latencyOf(task->route).high();
+  for (const MergePart& part : work.parts()) {
+    const std::shared_ptr<LeafStatus> leaf = findLeaf(part);
+    if (!leaf) {
+      addResult(*task, part.exchange(), MERGE_NOT_SENT, now);
+      continue;
+    }
+    SendAction send;
+    send.exchange = context_.exchanges.next++;
+    send.leaf = leaf;
+    leaf->onStarted(send.exchange, expected, now);
+    ++task->openParts;
+    parts_.emplace(send.exchange, Part{task, leaf, part.exchange()});
+    out.sends.push_back(MergeSend{task, std::move(send)});
+  }
+  returnWhenDue(task, true, now, out);
+  return out;
+}
+
+void MergeServer::returnWhenDue(const TaskPointer& task, bool urgent, Moment now, MergeServerActions& out) {
+  if (task->results.results_size() == 0) {
+    return;
+  }
+  if (urgent || task->openParts == 0 || now >= task->holdUntil) {
+    waiting_.remove(task);
+    out.results.push_back(takeResults(*task));
+  } else if (std::find(waiting_.begin(), waiting_.end(), task) == waiting_.end()) {
+    waiting_.push_back(task);
+  }
+}
+
+MergeServerActions MergeServer::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now) {
+  MergeServerActions out;
+  const auto found = parts_.find(exchange);
+  if (found == parts_.end()) {
+    return out;
+  }
+  const Part part = std::move(found->second);
+  parts_.erase(found);
+  MergeTask& task = *part.task;
+  --task.openParts;
+  MergeResult& result = addResult(task, part.askedAs, codeOf(outcome.kind), now);
+  setLoad(*part.leaf, outcome.load, result);
+  const bool answered = outcome.kind == LeafOutcome::Kind::kAnswered;
+  if (answered) {
+    result.set_signature(outcome.signature);
+    task.newRecords = greatestRecords({task.newRecords, outcome.reply->body}, task.topRecords);
+  }
+  // The asking daemon may send to another leaf at once.
+  returnWhenDue(part.task, !answered, now, out);
+  return out;
+}
+
+MergeServerActions MergeServer::onTime(Moment now) {
+  MergeServerActions out;
+  const std::list<TaskPointer> waiting = waiting_;
+  for (const TaskPointer& task : waiting) {
+    returnWhenDue(task, false, now, out);
+  }
+  return out;
+}
+
+Moment MergeServer::nextDecisionAt() const {
+  Moment next = kNever;
+  for (const TaskPointer& task : waiting_) {
+    next = std::min(next, task->holdUntil);
+  }
+  return next;
+}
+
+MergeServerActions MergeServer::onCancel(const Endpoint& asker, const MergeCancel& cancel) const {
+  MergeServerActions out;
+  const auto& exchanges = cancel.exchanges();
+  for (const auto& [exchange, part] : parts_) {
+    const bool same = part.task->asker == asker && part.task->askerRun == cancel.sender_run();
+    if (same && std::find(exchanges.begin(), exchanges.end(), part.askedAs) != exchanges.end()) {
+      out.abandons.push_back(exchange);
+    }
+  }
+  return out;
+}
+
+}  // namespace oakpier::serving
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -44,7 +44,7 @@
 
 bool PartExchange::send(Decision decision, Moment now, QueryActions& actions) {
   RouteLatency& latency = context_.latencyOf(route_);
-  const SelectionRequest request{triedLeafs_, latency.typical(), context_.ownZone};
+  const SelectionRequest request{triedLeafs_, latency.typical(), context_.ownZone, context_.preferredZone};
   auto leaf = selectLeaf(context_.leafs.leafsOf(service_), request, context_.random, now);
   note(leaf ? decision : Decision::kNoLeaf, leaf, now);
   if (!leaf) {
@@ -56,7 +56,7 @@
   attempt.startedAt = now;
   leaf->onStarted(attempt.exchange, latency.high(), now);
   triedLeafs_.push_back(leaf->entry().id);
-  actions.sends.push_back(SendAction{attempt.exchange, leaf});
+  actions.sends.push_back(SendAction{attempt.exchange, leaf, std::nullopt});
   attempts_.push_back(std::move(attempt));
   if (route_.repeatable) {
     hedgeAt_ = now + hedgeDelay(latency, now);
@@ -132,6 +132,9 @@
   attempt->finished = true;
   note(Decision::kOutcome, attempt->leaf, now, outcome.kind);
   if (state_ != State::kOpen) {
+    if (state_ == State::kAnswered && outcome.merged && outcome.kind == LeafOutcome::Kind::kAnswered) {
+      outcome_ = outcome;
+    }
     return;
   }
   if (outcome.kind == LeafOutcome::Kind::kAnswered) {
--- /dev/null
+++ b/src/coordination/serving/peer_silence.cpp
@@ -0,0 +1,54 @@
+#include "coordination/serving/peer_silence.h"
+
+#include <algorithm>
+
+namespace oakpier::serving {
+
+namespace {
+
+/// A living daemon answers sooner, if only to say that it lives.
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(120);
+constexpr Duration kTryPeriod = std::chrono::milliseconds(250);
+
+}  // namespace
+
+void PeerSilence::onSent(const Endpoint& peer, Moment now) { silences_.try_emplace(peer, Silence{now, now}); }
+
+void PeerSilence::onHeard(const Endpoint& peer) { silences_.erase(peer); }
+
+bool PeerSilence::silent(const Endpoint& peer, Moment now) const {
+  const auto found = silences_.find(peer);
+  return found != silences_.end() && now - found->second.since > kSilenceLimit;
+}
+
+bool PeerSilence::takeTry(const Endpoint& peer, Silence& silence, Moment now) const {
+  if (!silent(peer, now) || now - silence.triedAt < kTryPeriod) {
+    return false;
+  }
+  silence.triedAt = now;
+  return true;
+}
+
+bool PeerSilence::takeTry(const Endpoint& peer, Moment now) {
+  const auto found = silences_.find(peer);
+  return found != silences_.end() && takeTry(peer, found->second, now);
+}
+
+std::vector<Endpoint> PeerSilence::takeTries(Moment now) {
+  std::vector<Endpoint> due;
+  for (auto& [peer, silence] : silences_) {
+    if (takeTry(peer, silence, now)) {
+      due.push_back(peer);
+    }
+  }
+  return due;
+}
+
+void PeerSilence::retain(const std::vector<Endpoint>& peers) {
+  for (auto entry = silences_.begin(); entry != silences_.end();) {
+    const bool known = std::find(peers.begin(), peers.end(), entry->first) != peers.end();
+    entry = known ? std::next(entry) : silences_.erase(entry);
+  }
+}
+
+}  // namespace oakpier::serving
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -7,6 +7,7 @@
 #include "coordination/serving/record_merge.h"
 #include "coordination/serving/relayed_part.h"
 #include "coordination/serving/shard_owners.h"
+#include "coordination/serving/zone_mergers.h"
 
 namespace oakpier::serving {
 
@@ -47,10 +48,16 @@
   const std::vector<std::string> services =
       isGather() ? gather_->shards : std::vector<std::string>{chooseService()};
   parts_.reserve(services.size());
+  if (context_.mergers != nullptr) {
+    context_.preferredZone = context_.mergers->drawZone(context_.random);
+  }
   for (const std::string& service : services) {
     parts_.push_back(newPart(service));
     parts_.back()->start(now, answerBy_, actions);
   }
+  if (isGather() && context_.mergers != nullptr) {
+    context_.mergers->assign(actions.sends, context_.random, now);
+  }
   decide(now, actions);
   return actions;
 }
@@ -75,12 +82,19 @@
 }
 
 QueryActions Query::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now) {
+  return onOutcomes({ExchangeOutcome{exchange, outcome}}, now);
+}
+
+QueryActions Query::onOutcomes(const std::vector<ExchangeOutcome>& outcomes, Moment now) {
   QueryActions actions;
-  QueryPart* part = partOf(exchange);
-  if (part == nullptr || finished_) {
+  if (finished_) {
     return actions;
   }
-  part->onOutcome(exchange, outcome, now, actions);
+  for (const auto& [exchange, outcome] : outcomes) {
+    if (QueryPart* part = partOf(exchange)) {
+      part->onOutcome(exchange, outcome, now, actions);
+    }
+  }
   decide(now, actions);
   return actions;
 }
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -24,6 +24,8 @@
   QueryActions start(Moment now);
   void onWritten(ExchangeId exchange);
   QueryActions onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now);
+  /// Takes all outcomes in before anything is decided: answers that were merged together belong together.
+  QueryActions onOutcomes(const std::vector<ExchangeOutcome>& outcomes, Moment now);
   QueryActions onTime(Moment now);
   /// The caller has left; nothing more is sent.
   QueryActions onCallerGone();
--- a/src/coordination/serving/query_actions.h
+++ b/src/coordination/serving/query_actions.h
@@ -19,10 +19,18 @@
 /// Identifies one send to one leaf, unique within the daemon process.
 using ExchangeId = std::uint64_t;
 
+/// How one exchange of a query ended.
+struct ExchangeOutcome {
+  ExchangeId exchange = 0;
+  LeafOutcome outcome;
+};
+
 /// Send the request to this leaf.
 struct SendAction {
   ExchangeId exchange = 0;
   std::shared_ptr<LeafStatus> leaf;
+  /// The daemon by way of which the request goes; none where it goes directly.
+  std::optional<Endpoint> merger;
 };
 
 /// Leave one shard to its owner.
--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -19,8 +19,9 @@
   /// Kept free before the target latency for the way back to the caller and for merging.
   Duration answerMargin = std::chrono::milliseconds(9);
   double answerMarginShare = 0.08;
-  /// Leafs may work on shards' answers for this multiple of the target latency. A leaf drops a request that is
-  /// still queued by then, so that an overloaded leaf spends its time on requests that can be answered in time.
+  /// Leafs may work on shards' answers for this multiple of the target latency. A leaf drops a request that
+  /// is still queued by then, so that an overloaded leaf spends its time on requests that can be answered in
+  /// time.
   double usefulFactor = 1.0;
   /// A refused caller is told to come back after this.
   Duration retryAfter = std::chrono::milliseconds(150);
@@ -49,6 +50,7 @@
 };
 
 class ShardOwners;
+class ZoneMergers;
 
 /// Numbers exchanges, so that no two of a process are alike.
 struct ExchangeNumbers {
@@ -66,6 +68,10 @@
   /// Null when every daemon sends to all leafs itself.
   ShardOwners* owners = nullptr;
   std::unordered_map<std::string, RouteLatency> latencies;
+  /// Null when nothing is merged in other zones.
+  ZoneMergers* mergers = nullptr;
+  /// Of the other zones the one that is chosen from first, while a query starts.
+  std::string preferredZone = {};
 
   RouteLatency& latencyOf(const Route& route) {
     return latencies.try_emplace(route.name, route.targetLatency).first->second;
--- a/src/coordination/serving/record_merge.cpp
+++ b/src/coordination/serving/record_merge.cpp
@@ -21,4 +21,17 @@
   return merged;
 }
 
+std::string recordsThatCount(const std::string& records, const std::string& greatest, std::size_t count) {
+  if (count == 0 || greatest.size() < count * kRecordBytes) {
+    return records;
+  }
+  const std::string_view least = std::string_view(greatest).substr((count - 1) * kRecordBytes, kRecordBytes);
+  std::size_t end = 0;
+  while (end + kRecordBytes <= records.size() &&
+         std::string_view(records).substr(end, kRecordBytes) >= least) {
+    end += kRecordBytes;
+  }
+  return records.substr(0, end);
+}
+
 }  // namespace oakpier::serving
--- a/src/coordination/serving/shard_owners.cpp
+++ b/src/coordination/serving/shard_owners.cpp
@@ -12,9 +12,6 @@
 /// Owners of one zone that may hold connections to a leaf at once: the first, its stand-in.
 constexpr std::size_t kOwnersAtOnce = 2;
 constexpr std::size_t kMostOwnerConnections = 6;
-/// A living owner answers sooner, if only to say that it lives.
-constexpr Duration kSilenceLimit = std::chrono::milliseconds(120);
-constexpr Duration kProbePeriod = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -48,10 +45,7 @@
 void ShardOwners::setDaemons(std::vector<Endpoint> ownZone) {
   daemons_ = std::move(ownZone);
   ranked_.clear();
-  for (auto entry = silences_.begin(); entry != silences_.end();) {
-    const bool known = std::find(daemons_.begin(), daemons_.end(), entry->first) != daemons_.end();
-    entry = known ? std::next(entry) : silences_.erase(entry);
-  }
+  silence_.retain(daemons_);
 }
 
 const std::vector<Endpoint>& ShardOwners::ranked(const std::string& service) {
@@ -92,26 +86,4 @@
   return !owners.empty() && owners.front() == self_;
 }
 
-void ShardOwners::onSent(const Endpoint& owner, Moment now) {
-  silences_.try_emplace(owner, Silence{now, now});
-}
-
-void ShardOwners::onHeard(const Endpoint& owner) { silences_.erase(owner); }
-
-bool ShardOwners::silent(const Endpoint& owner, Moment now) const {
-  const auto found = silences_.find(owner);
-  return found != silences_.end() && now - found->second.since > kSilenceLimit;
-}
-
-std::vector<Endpoint> ShardOwners::takeProbes(Moment now) {
-  std::vector<Endpoint> due;
-  for (auto& [owner, silence] : silences_) {
-    if (silent(owner, now) && now - silence.probedAt >= kProbePeriod) {
-      silence.probedAt = now;
-      due.push_back(owner);
-    }
-  }
-  return due;
-}
-
 }  // namespace oakpier::serving
--- a/src/coordination/serving/shard_owners.h
+++ b/src/coordination/serving/shard_owners.h
@@ -13,6 +13,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "coordination/serving/peer_silence.h"
 #include "state/endpoint.h"
 #include "state/serving/serving_configuration.h"
 #include "state/time.h"
@@ -23,6 +24,8 @@
 struct DaemonGroup {
   std::vector<Endpoint> all;
   std::vector<Endpoint> ownZone;
+  /// Daemons of each other zone, by the zone's name.
+  std::unordered_map<std::string, std::vector<Endpoint>> otherZones;
   std::size_t zones = 1;
 };
 
@@ -58,27 +61,21 @@
   /// This daemon is the shard's first owner.
   bool isFirstOwner(const std::string& service);
 
-  void onSent(const Endpoint& owner, Moment now);
-  void onHeard(const Endpoint& owner);
+  void onSent(const Endpoint& owner, Moment now) { silence_.onSent(owner, now); }
+  void onHeard(const Endpoint& owner) { silence_.onHeard(owner); }
   /// The daemon has left a frame unanswered for longer than a living one would.
-  bool silent(const Endpoint& owner, Moment now) const;
+  bool silent(const Endpoint& owner, Moment now) const { return silence_.silent(owner, now); }
   /// Daemons that are silent and should be asked for a sign of life now.
-  std::vector<Endpoint> takeProbes(Moment now);
+  std::vector<Endpoint> takeProbes(Moment now) { return silence_.takeTries(now); }
 
  private:
-  struct Silence {
-    Moment since{};
-    Moment probedAt{};
-  };
-
   const std::vector<Endpoint>& ranked(const std::string& service);
 
   Endpoint self_;
   std::vector<Endpoint> daemons_;
   std::unordered_set<std::string> services_;
   std::unordered_map<std::string, std::vector<Endpoint>> ranked_;
-  /// Daemons with a frame unanswered.
-  std::unordered_map<Endpoint, Silence> silences_;
+  PeerSilence silence_;
 };
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -76,13 +76,21 @@
         budgets_(extraSendShare_.bounds(), steadyNow(), random_),
         ownerShare_(settings.extraSends, kUsualOwners + kOwnersInChange, ExtraSendShare::Holder::kOwner),
         ownerBudgets_(ownerShare_.bounds(), steadyNow(), random_),
-        requests_(
-            requestContext_, names, published_, settings.peerAddress,
-            QueryContext{leafs_, budgets_, random_, QueryPolicy{}, settings.zone, exchanges_, nullptr, {}},
-            ownerBudgets_,
-            [this](const Endpoint& to, PeerEnvelope envelope) {
-              source_.sendShardFrame(to, std::move(envelope));
-            }),
+        requests_(requestContext_, names, published_, settings.peerAddress,
+                  QueryContext{leafs_,
+                               budgets_,
+                               random_,
+                               QueryPolicy{},
+                               settings.zone,
+                               exchanges_,
+                               nullptr,
+                               {},
+                               nullptr,
+                               {}},
+                  ownerBudgets_,
+                  [this](const Endpoint& to, PeerEnvelope envelope) {
+                    source_.sendShardFrame(to, std::move(envelope));
+                  }),
         statusHandler_(ready_, [this] { return metrics(); }),
         callers_(requestContext_, requests_),
         status_(requestContext_, statusHandler_),
@@ -186,8 +194,9 @@
     }
     return metricsText(GatewayFigures{
         requests_.counters(), requests_.poolCounters(), requests_.ownerCounters(), requests_.partsServed(),
-        source_.peerCounters(), sourceCounters_, view->configuration ? view->configuration->version : 0,
-        leafs, daemons_, ready_, requests_.logLinesLeftOut(), droppedLogLines()});
+        requests_.mergeCounters(), requests_.partsMerged(), source_.peerCounters(), sourceCounters_,
+        view->configuration ? view->configuration->version : 0, leafs, daemons_, ready_,
+        requests_.logLinesLeftOut(), droppedLogLines()});
   }
 
   void awaitSignal() {
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -113,6 +113,13 @@
   list.counter("owner_frames_undeliverable_total", "Frames to owners that could not be sent",
                figures.owners.undeliverable);
   list.counter("parts_served_total", "Shards served as their owner", figures.partsServed);
+  list.counter("parts_by_way_of_mergers_total",
+               "Requests to leafs that went by way of a daemon of their zone", figures.mergers.parts);
+  list.counter("merger_results_expired_total", "Of these, without a result in time", figures.mergers.expired);
+  list.counter("merger_answers_incomplete_total", "Answers that relied on a lost frame",
+               figures.mergers.incomplete);
+  list.counter("parts_merged_total", "Requests sent to leafs for daemons of other zones",
+               figures.partsMerged);
   list.counter("leaf_connections_opened_total", "Connections opened to leafs",
                figures.pool.connectionsOpened);
   list.counter("leaf_connections_failed_total", "Of these, never established",
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "coordination/serving/source_follower.h"
+#include "programs/gateway/merge_client.h"
 #include "programs/gateway/owner_client.h"
 #include "transport/peer_transport.h"
 #include "transport/serving/leaf_pool.h"
@@ -55,6 +56,9 @@
   const OwnerClientCounters& owners;
   /// Shards served for other daemons.
   std::uint64_t partsServed = 0;
+  const MergeClientCounters& mergers;
+  /// Requests to leafs sent for daemons of other zones.
+  std::uint64_t partsMerged = 0;
   const PeerTransportCounters& peers;
   FollowerCounters source;
   std::uint64_t configurationVersion = 0;
--- /dev/null
+++ b/src/programs/gateway/merge_client.cpp
@@ -0,0 +1,237 @@
+#include "programs/gateway/merge_client.h"
+
+#include <algorithm>
+#include <map>
+
+#include "transport/steady_clock.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+/// Work that was on the way for longer is not begun: a leaf's time is counted from the receipt.
+constexpr std::uint32_t kWorkLifetimeMilliseconds = 250;
+constexpr std::uint32_t kCancelLifetimeMilliseconds = 2000;
+/// A merging daemon tells within this time after the leafs' deadline what came of a request, also of one that
+/// was withdrawn.
+constexpr Duration kResultGrace = std::chrono::milliseconds(400);
+
+MergeWork workFor(const MergeClient::Order& order, std::uint64_t run, Moment now) {
+  MergeWork work;
+  work.set_sender_run(run);
+  work.set_method(order.request->method);
+  work.set_target(order.request->target);
+  for (const Header& header : order.request->headers) {
+    HeaderField* field = work.add_headers();
+    field->set_name(header.name);
+    field->set_value(header.value);
+  }
+  work.set_body(order.request->body);
+  work.set_route(order.route->name);
+  work.set_rank(order.route->rank);
+  work.set_target_latency_us(static_cast<std::uint64_t>(order.route->targetLatency.count()));
+  const Duration remaining = std::max(order.leafDeadline - now, Duration(0));
+  work.set_remaining_us(static_cast<std::uint64_t>(remaining.count()));
+  const Duration hold = std::max(std::min(order.decidesAt, order.leafDeadline) - now, Duration(0));
+  work.set_hold_us(static_cast<std::uint64_t>(hold.count()));
+  work.set_top_records(static_cast<std::uint32_t>(std::get<GatherTarget>(order.route->target).topRecords));
+  return work;
+}
+
+LeafOutcome::Kind kindOf(MergeOutcome outcome) {
+  switch (outcome) {
+    case MERGE_ANSWERED:
+      return LeafOutcome::Kind::kAnswered;
+    case MERGE_LEAF_FAILED:
+      return LeafOutcome::Kind::kLeafFailed;
+    case MERGE_NOT_EXECUTED:
+      return LeafOutcome::Kind::kNotExecuted;
+    case MERGE_WRONG_INSTANCE:
+      return LeafOutcome::Kind::kWrongInstance;
+    case MERGE_NOT_SENT:
+      return LeafOutcome::Kind::kNotSent;
+    case MERGE_WITHDRAWN:
+      return LeafOutcome::Kind::kWithdrawn;
+    default:
+      return LeafOutcome::Kind::kNoAnswer;
+  }
+}
+
+/// `records` are given to the query with one of the answers of a frame.
+LeafOutcome outcomeOf(const MergeResult& result, std::string records) {
+  LeafOutcome outcome;
+  outcome.kind = kindOf(result.outcome());
+  outcome.merged = true;
+  if (outcome.kind == LeafOutcome::Kind::kAnswered) {
+    auto reply = std::make_shared<HttpReply>();
+    reply->body = std::move(records);
+    outcome.reply = std::move(reply);
+    outcome.signature = result.signature();
+  }
+  return outcome;
+}
+
+}  // namespace
+
+MergeClient::MergeClient(boost::asio::io_context& io, QueryContext& context, ZoneMergers& mergers,
+                         FrameSender sendFrame)
+    : context_(context),
+      mergers_(mergers),
+      sendFrame_(std::move(sendFrame)),
+      run_(context.random()),
+      timer_(io) {}
+
+void MergeClient::send(const std::vector<SendAction>& sends, const Order& order) {
+  const Moment now = steadyNow();
+  std::map<Endpoint, std::pair<std::shared_ptr<Work>, PeerEnvelope>> frames;
+  for (const SendAction& send : sends) {
+    const auto [entry, isNew] = frames.try_emplace(*send.merger);
+    auto& [work, frame] = entry->second;
+    if (isNew) {
+      work = std::make_shared<Work>(Work{*send.merger, order.route, 0});
+      *frame.mutable_merge_work() = workFor(order, run_, now);
+      frame.set_time_to_live_ms(kWorkLifetimeMilliseconds);
+    }
+    MergePart* part = frame.mutable_merge_work()->add_parts();
+    part->set_exchange(send.exchange);
+    part->set_service(send.leaf->entry().service);
+    part->set_leaf(send.leaf->entry().id);
+    const Moment expiresAt = order.leafDeadline + kResultGrace;
+    pending_[send.exchange] = Pending{work, send.leaf, now, expiresAt, order.listener};
+    expiries_.emplace(expiresAt, send.exchange);
+    ++counters_.parts;
+  }
+  for (auto& [merger, entry] : frames) {
+    mergers_.onSent(merger, now);
+    sendFrame_(merger, std::move(entry.second));
+  }
+  armTimer();
+}
+
+void MergeClient::cancel(const std::vector<ExchangeId>& exchanges) {
+  std::map<Endpoint, PeerEnvelope> frames;
+  for (const ExchangeId exchange : exchanges) {
+    const auto pending = pending_.find(exchange);
+    if (pending == pending_.end() || !pending->second.listener) {
+      continue;
+    }
+    pending->second.listener = nullptr;
+    PeerEnvelope& frame = frames[pending->second.work->merger];
+    frame.mutable_merge_cancel()->set_sender_run(run_);
+    frame.mutable_merge_cancel()->add_exchanges(exchange);
+    frame.set_time_to_live_ms(kCancelLifetimeMilliseconds);
+  }
+  for (auto& [merger, frame] : frames) {
+    sendFrame_(merger, std::move(frame));
+  }
+}
+
+void MergeClient::onResults(const Endpoint& merger, const MergeResults& results) {
+  if (results.receiver_run() != run_) {
+    return;
+  }
+  const Moment now = steadyNow();
+  mergers_.onHeard(merger);
+  const bool complete = countIn(results);
+  std::string records = results.records();
+  std::shared_ptr<const Listener> listener;
+  std::vector<ExchangeOutcome> outcomes;
+  for (const MergeResult& result : results.results()) {
+    const std::optional<Pending> pending = take(result.exchange());
+    if (!pending) {
+      continue;
+    }
+    learn(result, *pending, now);
+    listener = pending->listener ? pending->listener : listener;
+    const bool lost = result.outcome() == MERGE_ANSWERED && !complete;
+    counters_.incomplete += lost ? 1 : 0;
+    outcomes.push_back({result.exchange(), lost ? LeafOutcome{} : outcomeOf(result, records)});
+    if (result.outcome() == MERGE_ANSWERED) {
+      records.clear();
+    }
+  }
+  if (listener) {
+    (*listener)(outcomes);
+  }
+  armTimer();
+}
+
+bool MergeClient::countIn(const MergeResults& results) {
+  std::shared_ptr<Work> work;
+  unsigned answers = 0;
+  for (const MergeResult& result : results.results()) {
+    if (result.outcome() != MERGE_ANSWERED) {
+      continue;
+    }
+    const auto found = pending_.find(result.exchange());
+    if (found == pending_.end() || (work && found->second.work != work)) {
+      return false;
+    }
+    work = found->second.work;
+    ++answers;
+  }
+  if (!work || work->answersReceived != results.earlier_answers()) {
+    return false;
+  }
+  work->answersReceived += answers;
+  return true;
+}
+
+void MergeClient::learn(const MergeResult& result, const Pending& pending, Moment now) {
+  const auto taken = Duration(static_cast<std::int64_t>(result.taken_us()));
+  const Moment endedAt = std::min(now, pending.startedAt + taken);
+  pending.leaf->onFinished(result.exchange(), kindOf(result.outcome()), endedAt);
+  if (result.slots() > 0) {
+    pending.leaf->onLoad(ReportedLoad{result.running(), result.waiting(), result.slots()}, endedAt);
+  }
+  if (result.outcome() == MERGE_ANSWERED) {
+    context_.latencyOf(*pending.work->route).record(endedAt - pending.startedAt, now);
+  }
+}
+
+std::optional<MergeClient::Pending> MergeClient::take(ExchangeId exchange) {
+  const auto found = pending_.find(exchange);
+  if (found == pending_.end()) {
+    return std::nullopt;
+  }
+  Pending pending = std::move(found->second);
+  pending_.erase(found);
+  expiries_.erase({pending.expiresAt, exchange});
+  return pending;
+}
+
+void MergeClient::endWithoutResult(ExchangeId exchange, LeafOutcome::Kind kind) {
+  const std::optional<Pending> pending = take(exchange);
+  if (!pending) {
+    return;
+  }
+  // Nothing is known of the leaf: the merging daemon may be what is silent.
+  pending->leaf->onFinished(exchange, LeafOutcome::Kind::kWithdrawn, steadyNow());
+  if (pending->listener) {
+    LeafOutcome outcome;
+    outcome.kind = kind;
+    (*pending->listener)({ExchangeOutcome{exchange, outcome}});
+  }
+}
+
+void MergeClient::onUndeliverable(const MergeWork& work) {
+  for (const MergePart& part : work.parts()) {
+    endWithoutResult(part.exchange(), LeafOutcome::Kind::kNotSent);
+  }
+  armTimer();
+}
+
+void MergeClient::expire() {
+  const Moment now = steadyNow();
+  while (!expiries_.empty() && expiries_.begin()->first <= now) {
+    ++counters_.expired;
+    endWithoutResult(expiries_.begin()->second, LeafOutcome::Kind::kNoAnswer);
+  }
+  armTimer();
+}
+
+void MergeClient::armTimer() {
+  timer_.arm(expiries_.empty() ? kNever : expiries_.begin()->first, [this] { expire(); });
+}
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -32,7 +32,8 @@
 }
 
 bool isAboutShards(const PeerEnvelope& envelope) {
-  return envelope.has_owner_work() || envelope.has_owner_results() || envelope.has_owner_cancel();
+  return envelope.has_owner_work() || envelope.has_owner_results() || envelope.has_owner_cancel() ||
+         envelope.has_merge_work() || envelope.has_merge_results() || envelope.has_merge_cancel();
 }
 
 void insertInOrder(const Endpoint& address, std::vector<Endpoint>& addresses) {
@@ -174,9 +175,9 @@
     if (record.serving() && !(record.address == settings_.self)) {
       daemons.all.push_back(record.address);
       zones.insert(record.zone);
-      if (membership_.members().zoneName(record.zone) == settings_.zone) {
-        daemons.ownZone.push_back(record.address);
-      }
+      const std::string& zone = membership_.members().zoneName(record.zone);
+      auto& group = zone == settings_.zone ? daemons.ownZone : daemons.otherZones[zone];
+      group.push_back(record.address);
     }
   }
   insertInOrder(settings_.self, daemons.all);
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -59,13 +59,18 @@
                                  queryContext_.ownZone,
                                  queryContext_.exchanges,
                                  nullptr,
-                                 {}},
-                    sendFrame) {
+                                 {},
+                                 nullptr},
+                    sendFrame),
+      mergeClient_(context, queryContext_, mergers_, sendFrame),
+      mergeService_(context, names, pool_, sender_, queryContext_, sendFrame) {
   queryContext_.owners = &owners_;
+  queryContext_.mergers = &mergers_;
 }
 
 void RequestGateway::setDaemons(const DaemonGroup& daemons, std::size_t planned, bool settled) {
   owners_.setDaemons(daemons.ownZone);
+  mergers_.setDaemons(daemons.otherZones);
   daemons_ = SharingDaemons{planned, daemons.zones};
   settled_ = settled;
   onView();
@@ -81,12 +86,20 @@
     ownerClient_.onResults(sender, envelope.owner_results());
   } else if (envelope.has_owner_cancel()) {
     ownerService_.onCancel(sender, envelope.owner_cancel());
+  } else if (envelope.has_merge_work()) {
+    mergeService_.onWork(sender, envelope.merge_work());
+  } else if (envelope.has_merge_results()) {
+    mergeClient_.onResults(sender, envelope.merge_results());
+  } else if (envelope.has_merge_cancel()) {
+    mergeService_.onCancel(sender, envelope.merge_cancel());
   }
 }
 
 void RequestGateway::onUndeliverable(const PeerEnvelope& envelope) {
   if (envelope.has_owner_work()) {
     ownerClient_.onUndeliverable(envelope.owner_work());
+  } else if (envelope.has_merge_work()) {
+    mergeClient_.onUndeliverable(envelope.merge_work());
   }
 }
 
@@ -179,8 +192,17 @@
     pool_.abandon(exchange);
   }
   ownerClient_.cancel(actions.abandons);
+  mergeClient_.cancel(actions.abandons);
+  std::vector<SendAction> merged;
   for (const SendAction& action : actions.sends) {
-    send(active, action);
+    if (action.merger) {
+      merged.push_back(action);
+    } else {
+      send(active, action);
+    }
+  }
+  if (!merged.empty()) {
+    sendMerged(active, merged);
   }
   if (!actions.relays.empty()) {
     relay(active, actions.relays);
@@ -225,6 +247,26 @@
   ownerClient_.send(relays, order);
 }
 
+void RequestGateway::sendMerged(const ActivePointer& active, const std::vector<SendAction>& sends) {
+  MergeClient::Order order;
+  order.request = active->original;
+  order.route = std::shared_ptr<const Route>(active, &active->query->route());
+  order.leafDeadline = active->query->leafDeadline();
+  order.decidesAt = active->query->nextDecisionAt();
+  const std::weak_ptr<ActiveQuery> weak = active;
+  order.listener = std::make_shared<const MergeClient::Listener>(
+      [this, weak](const std::vector<ExchangeOutcome>& outcomes) {
+        const ActivePointer asking = weak.lock();
+        if (asking && !asking->query->finished()) {
+          apply(asking, asking->query->onOutcomes(outcomes, steadyNow()));
+        }
+      });
+  for (const SendAction& send : sends) {
+    active->query->onWritten(send.exchange);
+  }
+  mergeClient_.send(sends, order);
+}
+
 void RequestGateway::onOutcome(const ActivePointer& active, ExchangeId exchange, const LeafOutcome& outcome) {
   if (!active->query->finished()) {
     apply(active, active->query->onOutcome(exchange, outcome, steadyNow()));
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -14,6 +14,8 @@
 #include "programs/gateway/decision_timer.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/leaf_sender.h"
+#include "programs/gateway/merge_client.h"
+#include "programs/gateway/merge_service.h"
 #include "programs/gateway/owner_client.h"
 #include "programs/gateway/owner_service.h"
 #include "programs/gateway/request_log.h"
@@ -45,11 +47,13 @@
   /// A frame could not be handed to the network.
   void onUndeliverable(const PeerEnvelope& envelope);
   /// Requests of other daemons that this one works on.
-  std::size_t servedForOthers() const { return ownerService_.inProgress(); }
+  std::size_t servedForOthers() const { return ownerService_.inProgress() + mergeService_.inProgress(); }
   const RequestCounters& counters() const { return counters_; }
   const LeafPoolCounters& poolCounters() const { return pool_.counters(); }
   const OwnerClientCounters& ownerCounters() const { return ownerClient_.counters(); }
   std::uint64_t partsServed() const { return ownerService_.partsServed(); }
+  const MergeClientCounters& mergeCounters() const { return mergeClient_.counters(); }
+  std::uint64_t partsMerged() const { return mergeService_.partsMerged(); }
   std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut() + ownerService_.logLinesLeftOut(); }
 
  private:
@@ -59,6 +63,8 @@
   void apply(const ActivePointer& active, QueryActions actions);
   void send(const ActivePointer& active, const SendAction& action);
   void relay(const ActivePointer& active, const std::vector<RelayAction>& relays);
+  /// Sends by way of merging daemons.
+  void sendMerged(const ActivePointer& active, const std::vector<SendAction>& sends);
   void onOutcome(const ActivePointer& active, ExchangeId exchange, const LeafOutcome& outcome);
   void answer(const ActivePointer& active, const FinalAnswer& answer);
   void countDecisions(const RequestTrace& trace);
@@ -81,6 +87,9 @@
   ShardOwners owners_;
   OwnerClient ownerClient_;
   OwnerService ownerService_;
+  ZoneMergers mergers_;
+  MergeClient mergeClient_;
+  MergeService mergeService_;
   SharingDaemons daemons_{kUsualDaemons, 1};
   bool settled_ = false;
   RequestCounters counters_;
--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -1,11 +1,13 @@
 #include "transport/peer_transport.h"
 
+#include <poll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
 #include <array>
 #include <deque>
 #include <unordered_map>
+#include <utility>
 #include <zmq.hpp>
 
 #include "coordination/frame_age.h"
@@ -15,7 +17,7 @@
 
 namespace {
 
-constexpr int kIoThreads = 2;
+constexpr int kIoThreads = 1;
 /// Frames that ZeroMQ holds for one peer; more are refused at once.
 constexpr int kHighWaterMark = 1000;
 constexpr std::int64_t kMaxFrameBytes = std::int64_t{64} << 20U;
@@ -42,6 +44,9 @@
     case PeerEnvelope::kOwnerWork:
     case PeerEnvelope::kOwnerResults:
     case PeerEnvelope::kOwnerCancel:
+    case PeerEnvelope::kMergeWork:
+    case PeerEnvelope::kMergeResults:
+    case PeerEnvelope::kMergeCancel:
       return FrameKind::kWork;
     default:
       return FrameKind::kConfiguration;
@@ -59,6 +64,9 @@
     receiver_.set(zmq::sockopt::rcvhwm, kHighWaterMark * kIoThreads);
     receiver_.set(zmq::sockopt::maxmsgsize, kMaxFrameBytes);
     receiver_.bind("tcp://" + owner_.listen_.text());
+    receiverDescriptor_ = receiver_.get(zmq::sockopt::fd);
+    // Commands that are due already would not make the descriptor readable again.
+    receiveAgain_ = true;
   }
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
@@ -66,12 +74,14 @@
 
   void run() {
     while (!stopping_) {
-      std::array<zmq::pollitem_t, 2> items{
-          {{receiver_.handle(), 0, ZMQ_POLLIN, 0}, {nullptr, wake_, ZMQ_POLLIN, 0}}};
-      zmq::poll(items.data(), items.size(), waitingFrames_ == 0 ? kPollTime : kPollTimeWhileWaiting);
-      clearWake();
-      receiveFrames();
-      sendFrames();
+      const Readable readable = awaitReadable();
+      if (readable.wake) {
+        clearWake();
+        sendFrames();
+      }
+      if (readable.receiver) {
+        receiveFrames();
+      }
       const Moment now = steadyNow();
       retryWaiting(now);
       closeIdle(now);
@@ -109,6 +119,22 @@
     Moment usedAt{};
   };
 
+  /// What there is to do.
+  struct Readable {
+    bool receiver = false;
+    bool wake = false;
+  };
+
+  /// Waits on the descriptors themselves: `zmq::poll` asks every socket for its events several times a call.
+  /// The receiver's descriptor becomes readable once for what arrives, so all of it is taken each time.
+  Readable awaitReadable() {
+    std::array<pollfd, 2> items{{{receiverDescriptor_, POLLIN, 0}, {wake_, POLLIN, 0}}};
+    const auto timeout = waitingFrames_ == 0 ? kPollTime : kPollTimeWhileWaiting;
+    poll(items.data(), items.size(), static_cast<int>(timeout.count()));
+    return {(items[0].revents & POLLIN) != 0 || std::exchange(receiveAgain_, false),
+            (items[1].revents & POLLIN) != 0};
+  }
+
   void wake() const {
     const std::uint64_t one = 1;
     // A full counter means that a wake-up is pending already.
@@ -143,6 +169,7 @@
       owner_.counters_.framesStale += stale ? 1 : 0;
       owner_.handlers_.onEnvelope(std::move(envelope), stale);
     }
+    receiveAgain_ = true;
     wake();
   }
 
@@ -240,6 +267,9 @@
   PeerTransport& owner_;
   zmq::context_t context_;
   zmq::socket_t receiver_;
+  int receiverDescriptor_ = -1;
+  /// More may have arrived than was taken.
+  bool receiveAgain_ = false;
   int wake_;
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
--- /dev/null
+++ b/tests/serving/coordination/zone_mergers_test.cpp
@@ -0,0 +1,101 @@
+/// Which requests go by way of a daemon in the leafs' zone.
+
+#include "coordination/serving/zone_mergers.h"
+
+#include <catch2/catch.hpp>
+
+#include "serving/support/serving_fixtures.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+const Endpoint kNear(2, 9);
+const Endpoint kFar(3, 9);
+
+/// Sends to leafs of the zones, one each.
+std::vector<SendAction> sendsTo(const std::vector<std::string>& zones) {
+  std::vector<SendAction> sends;
+  for (const std::string& zone : zones) {
+    LeafEntry entry = leafEntry("leaf-" + std::to_string(sends.size()), "s", 1);
+    entry.zone = zone;
+    sends.push_back(SendAction{sends.size() + 1, std::make_shared<LeafStatus>(entry, at(0)), std::nullopt});
+  }
+  return sends;
+}
+
+}  // namespace
+
+TEST_CASE("leafs of another zone are asked by way of one daemon there", "[serving]") {
+  RandomEngine random(1);
+  ZoneMergers mergers;
+  mergers.setDaemons({{"b", {kNear, kFar}}});
+  auto sends = sendsTo({"a", "b", "b", "c"});
+  mergers.assign(sends, random, at(0));
+  REQUIRE_FALSE(sends[0].merger);
+  REQUIRE(sends[1].merger);
+  REQUIRE(sends[1].merger == sends[2].merger);
+  REQUIRE_FALSE(sends[3].merger);
+}
+
+TEST_CASE("a single leaf of a zone is asked directly", "[serving]") {
+  RandomEngine random(1);
+  ZoneMergers mergers;
+  mergers.setDaemons({{"b", {kNear}}, {"c", {kFar}}});
+  auto sends = sendsTo({"b", "c", "c"});
+  mergers.assign(sends, random, at(0));
+  REQUIRE_FALSE(sends[0].merger);
+  REQUIRE(sends[1].merger == kFar);
+}
+
+TEST_CASE("a leaf that looks troubled is asked directly", "[serving]") {
+  RandomEngine random(1);
+  ZoneMergers mergers;
+  mergers.setDaemons({{"b", {kNear}}});
+  const auto assigned = [&](auto&& trouble) {
+    auto sends = sendsTo({"b", "b", "b"});
+    trouble(*sends[0].leaf);
+    mergers.assign(sends, random, at(100));
+    REQUIRE(sends[1].merger == kNear);
+    return sends[0].merger.has_value();
+  };
+  REQUIRE(assigned([](LeafStatus&) {}));
+  REQUIRE_FALSE(assigned([](LeafStatus& leaf) { leaf.onStarted(1, std::chrono::milliseconds(20), at(0)); }));
+  REQUIRE_FALSE(assigned([](LeafStatus& leaf) { leaf.onLoad({2, 1, 2}, at(100)); }));
+  REQUIRE_FALSE(assigned([](LeafStatus& leaf) {
+    leaf.onStarted(1, std::chrono::milliseconds(20), at(0));
+    leaf.onFinished(1, LeafOutcome::Kind::kNotSent, at(90));
+  }));
+  REQUIRE_FALSE(assigned([](LeafStatus& leaf) {
+    leaf.onStarted(1, std::chrono::milliseconds(1), at(0));
+    leaf.onFinished(1, LeafOutcome::Kind::kAnswered, at(90));
+  }));
+}
+
+TEST_CASE("a daemon that leaves work unanswered is avoided and tried again once in a while", "[serving]") {
+  RandomEngine random(1);
+  ZoneMergers mergers;
+  mergers.setDaemons({{"b", {kNear}}});
+  mergers.onSent(kNear, at(0));
+  const auto mergerAt = [&](int milliseconds) {
+    auto sends = sendsTo({"b", "b"});
+    mergers.assign(sends, random, at(milliseconds));
+    return sends[0].merger;
+  };
+  REQUIRE(mergerAt(100) == kNear);
+  REQUIRE_FALSE(mergerAt(200));
+  REQUIRE(mergerAt(300) == kNear);
+  REQUIRE_FALSE(mergerAt(310));
+  mergers.onHeard(kNear);
+  REQUIRE(mergerAt(320) == kNear);
+}
+
+TEST_CASE("the zone that a query turns to is one of the others", "[serving]") {
+  RandomEngine random(1);
+  ZoneMergers mergers;
+  REQUIRE(mergers.drawZone(random).empty());
+  mergers.setDaemons({{"b", {kNear}}});
+  REQUIRE(mergers.drawZone(random) == "b");
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/programs/merge_test.cpp
@@ -0,0 +1,269 @@
+/// Merging in other zones: the asking daemon, the one that merges, and queries, with frames carried, held up
+/// and lost by the test.
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+
+#include "coordination/serving/merge_server.h"
+#include "coordination/serving/record_merge.h"
+#include "programs/gateway/merge_client.h"
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+#include "transport/steady_clock.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+using Kind = LeafOutcome::Kind;
+
+const Endpoint kAsker(1, 9);
+const Endpoint kMerger(2, 9);
+const std::vector<std::string> kShards{"s0", "s1", "s2", "s3"};
+constexpr std::size_t kTopRecords = 3;
+
+std::string record(char letter) { return std::string(kRecordBytes, letter); }
+
+/// One query at an asking daemon and the merging daemon that it uses.
+struct MergeWorld : QueryWorld {
+  MergeWorld()
+      : QueryWorld(viewOf({gatherRoute(kShards, 0.5)}, kShards, 1)),
+        mergerSide(viewOf({gatherRoute(kShards, 0.5)}, kShards, 1)),
+        server(*mergerSide.context),
+        client(io, *context, mergers, [this](const Endpoint& to, PeerEnvelope envelope) {
+          REQUIRE(to == kMerger);
+          toMerger.push_back(std::move(envelope));
+        }) {
+    order.request = std::make_shared<const HttpRequest>(HttpRequest{"GET", "/all/", {{"X-Id", "7"}}, "body"});
+    order.route = std::make_shared<const Route>(gatherRoute(kShards, 0.5));
+    const Moment now = steadyNow();
+    order.leafDeadline = now + std::chrono::seconds(60);
+    order.decidesAt = now + std::chrono::seconds(30);
+    order.listener =
+        std::make_shared<const MergeClient::Listener>([this](const std::vector<ExchangeOutcome>& outcomes) {
+          ++calls;
+          for (const ExchangeOutcome& each : outcomes) {
+            told[each.exchange] = each.outcome;
+          }
+        });
+  }
+
+  /// Sends to the first leaf of every shard, numbered from 1.
+  void sendAll() {
+    std::vector<SendAction> sends;
+    for (std::size_t number = 0; number < kShards.size(); ++number) {
+      const auto leaf = registry.leafsOf(kShards[number]).front();
+      leaf->onStarted(number + 1, std::chrono::milliseconds(20), steadyNow());
+      sends.push_back(SendAction{number + 1, leaf, kMerger});
+    }
+    client.send(sends, order);
+  }
+
+  /// The merging daemon takes the oldest frame; returns what it sends to leafs.
+  std::vector<MergeSend> deliverWork() {
+    const PeerEnvelope frame = std::move(toMerger.front());
+    toMerger.pop_front();
+    MergeServerActions actions = server.onWork(kAsker, frame.merge_work(), at(0));
+    take(actions);
+    return std::move(actions.sends);
+  }
+
+  void finishAtMerger(const MergeSend& send, const LeafOutcome& outcome, Moment now) {
+    MergeServerActions actions = server.onOutcome(send.action.exchange, outcome, now);
+    take(actions);
+  }
+
+  void take(MergeServerActions& actions) {
+    for (OutgoingMergeResults& outgoing : actions.results) {
+      REQUIRE(outgoing.to == kAsker);
+      toAsker.push_back(std::move(outgoing.results));
+    }
+  }
+
+  void deliverResults() {
+    while (!toAsker.empty()) {
+      client.onResults(kMerger, toAsker.front());
+      toAsker.pop_front();
+    }
+  }
+
+  QueryWorld mergerSide;
+  MergeServer server;
+  boost::asio::io_context io;
+  ZoneMergers mergers;
+  std::deque<PeerEnvelope> toMerger;
+  std::deque<MergeResults> toAsker;
+  std::map<ExchangeId, LeafOutcome> told;
+  unsigned calls = 0;
+  MergeClient client;
+  MergeClient::Order order;
+};
+
+constexpr int kWithinHold = 10;
+
+}  // namespace
+
+TEST_CASE("one frame carries all requests for a zone, one carries the greatest records back", "[serving]") {
+  MergeWorld world;
+  world.sendAll();
+  REQUIRE(world.toMerger.size() == 1);
+  const auto sends = world.deliverWork();
+  REQUIRE(sends.size() == kShards.size());
+  REQUIRE(sends[0].task->request.body == "body");
+  char letter = 'a';
+  for (const MergeSend& send : sends) {
+    REQUIRE(world.toAsker.empty());
+    world.finishAtMerger(send, outcomeOf(Kind::kAnswered, record(letter++)), at(kWithinHold));
+  }
+  REQUIRE(world.toAsker.size() == 1);
+  REQUIRE(world.toAsker.front().records() == record('d') + record('c') + record('b'));
+  world.deliverResults();
+  REQUIRE(world.calls == 1);
+  REQUIRE(world.told.size() == kShards.size());
+  for (const auto& [exchange, outcome] : world.told) {
+    REQUIRE(outcome.kind == Kind::kAnswered);
+    REQUIRE(outcome.merged);
+  }
+}
+
+TEST_CASE("what is not an answer is told at once, so that another leaf can be asked", "[serving]") {
+  MergeWorld world;
+  world.sendAll();
+  const auto sends = world.deliverWork();
+  world.finishAtMerger(sends[0], outcomeOf(Kind::kAnswered, record('a')), at(1));
+  REQUIRE(world.toAsker.empty());
+  world.finishAtMerger(sends[1], outcomeOf(Kind::kNotSent), at(2));
+  REQUIRE(world.toAsker.size() == 1);
+  world.deliverResults();
+  REQUIRE(world.told.at(1).kind == Kind::kAnswered);
+  REQUIRE(world.told.at(2).kind == Kind::kNotSent);
+}
+
+TEST_CASE("results wait only until the asking daemon has something to decide", "[serving]") {
+  MergeWorld world;
+  world.order.decidesAt = steadyNow() + std::chrono::milliseconds(50);
+  world.sendAll();
+  const auto sends = world.deliverWork();
+  world.finishAtMerger(sends[0], outcomeOf(Kind::kAnswered, record('a')), at(5));
+  const Moment due = world.server.nextDecisionAt();
+  REQUIRE(due > at(5));
+  REQUIRE(due < at(50));
+  MergeServerActions actions = world.server.onTime(due);
+  REQUIRE(actions.results.size() == 1);
+  world.finishAtMerger(sends[1], outcomeOf(Kind::kAnswered, record('b')), at(60));
+  REQUIRE(world.toAsker.size() == 1);
+}
+
+TEST_CASE("answers that rely on a lost frame are no answers", "[serving]") {
+  MergeWorld world;
+  world.order.decidesAt = steadyNow();
+  world.sendAll();
+  const auto sends = world.deliverWork();
+  world.finishAtMerger(sends[0], outcomeOf(Kind::kAnswered, record('d')), at(5));
+  REQUIRE(world.toAsker.size() == 1);
+  world.toAsker.clear();
+  world.finishAtMerger(sends[1], outcomeOf(Kind::kAnswered, record('c')), at(6));
+  world.deliverResults();
+  REQUIRE(world.told.at(2).kind == Kind::kNoAnswer);
+  REQUIRE(world.client.counters().incomplete == 1);
+}
+
+TEST_CASE("a withdrawn request is withdrawn at the leaf, and what came of it is still noted", "[serving]") {
+  MergeWorld world;
+  world.sendAll();
+  const auto sends = world.deliverWork();
+  world.client.cancel({1});
+  REQUIRE(world.toMerger.size() == 1);
+  const auto actions = world.server.onCancel(kAsker, world.toMerger.front().merge_cancel());
+  REQUIRE(actions.abandons == std::vector<ExchangeId>{sends[0].action.exchange});
+  const auto leaf = world.registry.leafsOf("s0").front();
+  REQUIRE(leaf->inProgress() == 1);
+  world.finishAtMerger(sends[0], outcomeOf(Kind::kWithdrawn), at(7));
+  world.deliverResults();
+  REQUIRE(leaf->inProgress() == 0);
+  REQUIRE(world.told.empty());
+}
+
+TEST_CASE("frames that were not handed to the network have run nowhere", "[serving]") {
+  MergeWorld world;
+  world.sendAll();
+  world.client.onUndeliverable(world.toMerger.front().merge_work());
+  REQUIRE(world.told.size() == kShards.size());
+  REQUIRE(world.told.at(1).kind == Kind::kNotSent);
+  REQUIRE(world.registry.leafsOf("s0").front()->inProgress() == 0);
+}
+
+TEST_CASE("a leaf that the merging daemon does not know is not asked", "[serving]") {
+  MergeWorld world;
+  world.mergerSide.registry.reconcile({}, at(0));
+  world.sendAll();
+  REQUIRE(world.deliverWork().empty());
+  world.deliverResults();
+  REQUIRE(world.told.at(4).kind == Kind::kNotSent);
+  REQUIRE(world.server.inProgress() == 0);
+}
+
+TEST_CASE("results for an earlier process at the address are not taken", "[serving]") {
+  MergeWorld world;
+  world.sendAll();
+  const auto sends = world.deliverWork();
+  world.finishAtMerger(sends[0], outcomeOf(Kind::kNotSent), at(5));
+  MergeResults results = world.toAsker.front();
+  results.set_receiver_run(results.receiver_run() + 1);
+  world.client.onResults(kMerger, results);
+  REQUIRE(world.told.empty());
+}
+
+TEST_CASE("a merged answer replaces that of the leaf that was asked as well", "[serving]") {
+  const auto view = viewOf({gatherRoute(kShards, 0.5)}, kShards, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  const QueryActions hedged = query.onTime(query.nextDecisionAt());
+  REQUIRE(hedged.sends.size() == kShards.size());
+  query.onOutcome(hedged.sends[0].exchange, outcomeOf(Kind::kAnswered, record('x')), at(70));
+  query.onOutcome(started.sends[2].exchange, outcomeOf(Kind::kAnswered, record('a')), at(70));
+  query.onOutcome(started.sends[3].exchange, outcomeOf(Kind::kAnswered, record('a')), at(70));
+  // Both answers were merged: the second part's records of rank below the first part's are left out.
+  LeafOutcome first = outcomeOf(Kind::kAnswered, record('m'));
+  LeafOutcome second = outcomeOf(Kind::kAnswered, "");
+  first.merged = second.merged = true;
+  const auto last =
+      query.onOutcomes({{started.sends[1].exchange, second}, {started.sends[0].exchange, first}}, at(80));
+  REQUIRE(std::get<MergedAnswer>(*last.answer).records == record('m') + record('a') + record('a'));
+}
+
+TEST_CASE("merged in any order and in any frames, the records are the greatest", "[serving]") {
+  OAKPIER_PROPERTY("merged records", [] {
+    MergeWorld world;
+    const bool hold = *rc::gen::arbitrary<bool>();
+    world.order.decidesAt = steadyNow() + std::chrono::seconds(hold ? 30 : 0);
+    world.sendAll();
+    auto sends = world.deliverWork();
+    std::vector<std::string> bodies;
+    std::vector<std::size_t> open{0, 1, 2, 3};
+    while (!open.empty()) {
+      const auto place = *rc::gen::inRange<std::size_t>(0, open.size());
+      std::string body;
+      const auto count = *rc::gen::inRange(0, 6);
+      for (int number = 0; number < count; ++number) {
+        body += record(*rc::gen::inRange('a', 'h'));
+      }
+      bodies.push_back(body);
+      world.finishAtMerger(sends[open[place]], outcomeOf(Kind::kAnswered, body), at(kWithinHold));
+      open.erase(open.begin() + static_cast<std::ptrdiff_t>(place));
+    }
+    world.deliverResults();
+    std::vector<std::string_view> merged;
+    std::vector<std::string_view> whole(bodies.begin(), bodies.end());
+    for (const auto& [exchange, outcome] : world.told) {
+      RC_ASSERT(outcome.kind == Kind::kAnswered);
+      merged.emplace_back(outcome.reply->body);
+    }
+    RC_ASSERT(greatestRecords(merged, kTopRecords) == greatestRecords(whole, kTopRecords));
+  });
+}
+
+}  // namespace oakpier::serving
--- a/tests/serving/support/serving_fixtures.h
+++ b/tests/serving/support/serving_fixtures.h
@@ -94,7 +94,7 @@
         budgets(ExtraSendBounds{savedSends, savedSends, std::chrono::hours(1), {}}, at(0), random) {
     registry.reconcile(*view->leafs, at(0));
     context = std::make_unique<QueryContext>(
-        QueryContext{registry, budgets, random, QueryPolicy{}, "a", exchanges, nullptr, {}});
+        QueryContext{registry, budgets, random, QueryPolicy{}, "a", exchanges, nullptr, {}, nullptr});
   }
 
   LeafRegistry registry;
