Ask a second owner only where nothing of the first arrived at a leaf

Cause: an owner whose leaf turned a request away, and whose extra sends were used up, said "not run", and the asking daemon took that as leave to ask the second owner, whose first send nobody paid for; rejected arrivals count. Ruled out: merging, which the grown deployment does not use for owned shards. Change: owners tell "not sent" from "not run"; only the first leads to a second owner. The test that allowed the second owner after a rejection was wrong by the rule on arrivals; it is replaced by one that forbids it, and the generated hop now also checks that leafs see a shard's request from one owner only; both, and the statuses, were seen failing first.

--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -95,11 +95,7 @@
   if (!mayTryAgain()) {
     return false;
   }
-  // One that still waits to be written may arrive as well.
-  const bool mayArrive = std::any_of(attempts_.begin(), attempts_.end(), [](const Attempt& attempt) {
-    return attempt.written || !attempt.finished;
-  });
-  if (mayArrive && !context_.budgets.spend(service_, now)) {
+  if (mayHaveArrived() && !context_.budgets.spend(service_, now)) {
     note(Decision::kBudgetEmpty, nullptr, now);
     return false;
   }
@@ -183,6 +179,12 @@
                      [](const Attempt& attempt) { return attempt.written && !attempt.knownNotRun; });
 }
 
+bool PartExchange::mayHaveArrived() const {
+  // One that still waits to be written may arrive as well.
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [](const Attempt& attempt) { return attempt.written || !attempt.finished; });
+}
+
 void PartExchange::close(QueryActions& actions) {
   for (const Attempt& attempt : attempts_) {
     if (!attempt.finished) {
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -28,6 +28,8 @@
   void close(QueryActions& actions) override;
   Moment nextDecisionAt() const override;
   bool mayHaveRun() const override;
+  /// A leaf may have seen the request, if only to turn it away.
+  bool mayHaveArrived() const;
   std::size_t sendCount() const { return attempts_.size(); }
 
  private:
--- a/src/coordination/serving/relayed_part.cpp
+++ b/src/coordination/serving/relayed_part.cpp
@@ -60,9 +60,9 @@
     state_ = State::kAnswered;
     return;
   }
-  last.knownNotRun =
-      outcome.kind == LeafOutcome::Kind::kNotSent || outcome.kind == LeafOutcome::Kind::kNotExecuted;
-  if (!last.knownNotRun || !delegate(now, actions)) {
+  const bool notSent = outcome.kind == LeafOutcome::Kind::kNotSent;
+  last.knownNotRun = notSent || outcome.kind == LeafOutcome::Kind::kNotExecuted;
+  if (!notSent || !delegate(now, actions)) {
     state_ = State::kExhausted;
   }
 }
--- a/src/coordination/serving/relayed_part.h
+++ b/src/coordination/serving/relayed_part.h
@@ -4,7 +4,8 @@
 /// retries among the leafs.
 ///
 /// Invariant: a second owner is asked only when the first is known to have sent nothing to any leaf, so that
-/// the owners together never use more attempts than the route allows. So an owner that falls silent costs the
+/// the owners together never use more attempts than the route allows, and no extra send that is not paid for:
+/// what a leaf turned away has arrived there too. So an owner that falls silent costs the
 /// query the part, at once; `ShardOwners` keeps later queries away from it.
 
 #include <string>
--- a/src/coordination/serving/shard_server.cpp
+++ b/src/coordination/serving/shard_server.cpp
@@ -34,7 +34,10 @@
   if (part.state() == QueryPart::State::kAnswered) {
     return OWNER_ANSWERED;
   }
-  return part.mayHaveRun() ? OWNER_NO_ANSWER : OWNER_NOT_RUN;
+  if (part.mayHaveRun()) {
+    return OWNER_NO_ANSWER;
+  }
+  return part.mayHaveArrived() ? OWNER_NOT_RUN : OWNER_NOT_SENT;
 }
 
 OwnerResult& addResult(const ServedWork& work, ShardServerActions& out) {
--- a/src/programs/gateway/owner_client.cpp
+++ b/src/programs/gateway/owner_client.cpp
@@ -56,6 +56,9 @@
     case OWNER_NOT_RUN:
       outcome.kind = LeafOutcome::Kind::kNotExecuted;
       break;
+    case OWNER_NOT_SENT:
+      outcome.kind = LeafOutcome::Kind::kNotSent;
+      break;
     default:
       outcome.kind = LeafOutcome::Kind::kNoAnswer;
       break;
--- a/tests/serving/coordination/shard_server_test.cpp
+++ b/tests/serving/coordination/shard_server_test.cpp
@@ -95,7 +95,13 @@
 TEST_CASE("an owner says not run only when no leaf can have run the request", "[serving]") {
   ServerWorld unknown;
   const auto nowhere = unknown.server.onWork(kAsker, workOf({"nowhere"}), at(0));
-  REQUIRE(nowhere.results[0].results.results(0).status() == OWNER_NOT_RUN);
+  REQUIRE(nowhere.results[0].results.results(0).status() == OWNER_NOT_SENT);
+
+  ServerWorld unreachable(1);
+  const auto tried = unreachable.server.onWork(kAsker, workOf({"s"}), at(0));
+  const auto unsent =
+      unreachable.server.onOutcome(tried.sends[0].action.exchange, outcomeOf(Kind::kNotSent), at(5));
+  REQUIRE(unsent.results[0].results.results(0).status() == OWNER_NOT_SENT);
 
   ServerWorld refused(1);
   const auto started = refused.server.onWork(kAsker, workOf({"s"}), at(0));
@@ -170,6 +176,12 @@
       REQUIRE(std::holds_alternative<Failure>(*next.answer));
       continue;
     }
+    if (kind == Kind::kNotExecuted) {
+      // A leaf turned it away: what a second owner sends would be an extra send that nobody paid for.
+      REQUIRE(next.relays.empty());
+      REQUIRE(std::holds_alternative<Refusal>(*next.answer));
+      continue;
+    }
     REQUIRE(next.relays.size() == 1);
     REQUIRE_FALSE(next.relays[0].owner == started.relays[0].owner);
     const auto& events = world.query->trace().events();
@@ -279,6 +291,7 @@
     ShardServer& server = owners_[ended.owner]->server;
     if (kind != Kind::kNotSent) {
       server.onWritten(ended.action.exchange);
+      arrivedFrom_[ended.action.leaf->entry().service].insert(ended.owner);
     }
     if (kind == Kind::kNotExecuted || kind == Kind::kNotSent) {
       const LeafEntry& leaf = ended.action.leaf->entry();
@@ -293,6 +306,15 @@
     }
   }
 
+  /// The most owners whose sends of one shard's request arrived at leafs.
+  std::size_t mostOwners() const {
+    std::size_t most = 0;
+    for (const auto& [shard, owners] : arrivedFrom_) {
+      most = std::max(most, owners.size());
+    }
+    return most;
+  }
+
   /// The most leafs that may have run one shard's request.
   std::size_t mostLeafs() const {
     std::size_t most = 0;
@@ -332,6 +354,9 @@
     if (result.status() == OWNER_ANSWERED) {
       return Kind::kAnswered;
     }
+    if (result.status() == OWNER_NOT_SENT) {
+      return Kind::kNotSent;
+    }
     return result.status() == OWNER_NOT_RUN ? Kind::kNotExecuted : Kind::kNoAnswer;
   }
 
@@ -342,6 +367,8 @@
   std::vector<Running> running_;
   /// By shard: leafs that may have run the request.
   std::map<std::string, std::set<std::string>> ranAt_;
+  /// By shard: owners that a leaf has seen the request from.
+  std::map<std::string, std::set<Endpoint>> arrivedFrom_;
 };
 
 }  // namespace
@@ -363,6 +390,7 @@
           break;
       }
       RC_ASSERT(simulation.mostLeafs() <= 2U);
+      RC_ASSERT(simulation.mostOwners() <= 1U);
     }
   });
 }
