Send no request whose time cannot hold the leaf's usual work

Cause: a part that ended without an answer was retried whatever was left of the leafs' deadline, and requests that waited for a connection past it were sent with 1 ms: no leaf can run those, and each used up an extra send. Ruled out: hedges and first sends of their own; first sends have their full time.

Change: the choice of a leaf leaves out those that usually take longer than what is left (typical latency times the leaf's slowness, at most half of the target latency, so that a slow leaf can still be tried); the pool drops waiting requests by the same measure as "expired": did not run, no penalty for the leaf, no ejection, and an extra send that was spent on it is given back. The 1 ms floor is gone.

Seen failing with the four mechanisms switched off one by one in a scratch edit: 5 test cases of query_test and leaf_pool_test; passing after.

--- a/src/coordination/serving/extra_send_budget.h
+++ b/src/coordination/serving/extra_send_budget.h
@@ -97,6 +97,9 @@
     return std::bernoulli_distribution(odds)(random);
   }
 
+  /// An extra send that was paid for did not reach a leaf.
+  void giveBack(const ExtraSendBounds& bounds) { tokens_ = std::min(bounds.saved, tokens_ + 1.0); }
+
   /// Called before each use. `processStartedAt`: what an earlier process used is unknown.
   void refresh(const ExtraSendBounds& bounds, Moment processStartedAt, Moment now) {
     const bool windowPassed = now - processStartedAt >= bounds.window;
@@ -149,6 +152,7 @@
   bool spend(const std::string& service, Moment now) {
     return budgetOf(service, now).spend(bounds_, random_);
   }
+  void giveBack(const std::string& service, Moment now) { budgetOf(service, now).giveBack(bounds_); }
   /// The services whose owner this daemon is, all others not.
   void setHeld(const std::unordered_set<std::string>& services, Moment now) {
     for (const std::string& service : services) {
--- a/src/coordination/serving/leaf_outcome.h
+++ b/src/coordination/serving/leaf_outcome.h
@@ -29,8 +29,11 @@
     kWrongInstance,
     /// The request was sent, whole or in part, and no usable answer came; it may have run.
     kNoAnswer,
-    /// No byte of the request was written.
+    /// No byte of the request was written, as the leaf could not be reached.
     kNotSent,
+    /// No byte of the request was written: what was left of its time could no longer hold the leaf's usual
+    /// work. Says nothing of the leaf.
+    kExpired,
     /// The query no longer wanted the answer; the request was taken back or cut off.
     kWithdrawn,
   };
--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -24,6 +24,12 @@
 
 }  // namespace
 
+Duration leastAnswerTime(const LeafStatus& leaf, Duration typicalLatency, Duration alwaysWorthTrying) {
+  const double factor = std::max(1.0, leaf.slowness());
+  const auto usual = Duration(static_cast<std::int64_t>(typicalLatency.count() * factor));
+  return std::min(usual, alwaysWorthTrying);
+}
+
 Duration queueingLatency(const LeafStatus& leaf, Duration typicalLatency, Moment now) {
   const double slots = std::max(1U, leaf.entry().slots);
   const double waiting = std::max(0.0, leaf.queueLength(now) + 1.0 - slots);
@@ -55,6 +61,9 @@
     if (!leaf->usable() || std::find(tried.begin(), tried.end(), leaf->entry().id) != tried.end()) {
       continue;
     }
+    if (request.timeLeft < leastAnswerTime(*leaf, request.typicalLatency, request.alwaysWorthTrying)) {
+      continue;
+    }
     const auto tieBreak = Duration(static_cast<std::int64_t>(drawBelow(kTieBreakMicroseconds, random)));
     const Duration expected = expectedLatency(*leaf, request, now) + tieBreak;
     if (!best || expected < bestExpected) {
--- a/src/coordination/serving/leaf_selection.h
+++ b/src/coordination/serving/leaf_selection.h
@@ -21,8 +21,15 @@
   const std::string& ownZone;
   /// The other zone that costs least; may be empty.
   std::string_view preferredZone = {};
+  /// Until the leaf's deadline; leafs that usually take longer are left out.
+  Duration timeLeft = Duration::max();
+  /// With this much time left no leaf is left out.
+  Duration alwaysWorthTrying = Duration::max();
 };
 
+/// The least time in which the leaf usually answers, its queue aside, the way there and back included.
+Duration leastAnswerTime(const LeafStatus& leaf, Duration typicalLatency, Duration alwaysWorthTrying);
+
 /// The time to an answer that the leaf's speed and queue let expect.
 Duration queueingLatency(const LeafStatus& leaf, Duration typicalLatency, Moment now);
 
--- a/src/coordination/serving/leaf_status.cpp
+++ b/src/coordination/serving/leaf_status.cpp
@@ -66,6 +66,8 @@
     case LeafOutcome::Kind::kNotSent:
       onFailure(true, now);
       break;
+    case LeafOutcome::Kind::kExpired:
+      break;
     case LeafOutcome::Kind::kWithdrawn: {
       const Moment quietSince = std::max(finished.startedAt, lastAnswerAt_);
       if (now - quietSince > finished.expected * kSilenceFactor + kSilenceFloor) {
--- a/src/coordination/serving/merge_server.cpp
+++ b/src/coordination/serving/merge_server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/serving/leaf_selection.h"
 #include "coordination/serving/record_merge.h"
 
 namespace oakpier::serving {
@@ -45,6 +46,8 @@
       return MERGE_WRONG_INSTANCE;
     case LeafOutcome::Kind::kNotSent:
       return MERGE_NOT_SENT;
+    case LeafOutcome::Kind::kExpired:
+      return MERGE_EXPIRED;
     case LeafOutcome::Kind::kWithdrawn:
       return MERGE_WITHDRAWN;
     default:
@@ -100,7 +103,8 @@
   MergeServerActions out;
   const TaskPointer task = taskFor(asker, work, now);
 
-  const Duration expected = context_.latencyOf(task->route).high();
+  const RouteLatency& latency = context_.latencyOf(task->route);
+  const Duration expected = latency.high();
   for (const MergePart& part : work.parts()) {
     const std::shared_ptr<LeafStatus> leaf = findLeaf(part);
     if (!leaf) {
@@ -110,6 +114,8 @@
     SendAction send;
     send.exchange = context_.exchanges.next++;
     send.leaf = leaf;
+    send.deadline = task->deadline;
+    send.leastTime = leastAnswerTime(*leaf, latency.typical(), latency.alwaysWorthTrying());
     leaf->onStarted(send.exchange, expected, now);
     ++task->openParts;
     parts_.emplace(send.exchange, Part{task, leaf, part.exchange()});
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -34,17 +34,20 @@
   trace_.add(std::move(event));
 }
 
-void PartExchange::start(Moment now, Moment usefulUntil, QueryActions& actions) {
+void PartExchange::start(Moment now, const PartTimes& times, QueryActions& actions) {
   context_.budgets.earn(service_, now);
-  hedgeBy_ = usefulUntil;
-  if (!send(Decision::kSend, now, actions)) {
+  times_ = times;
+  if (!send(Decision::kSend, false, now, actions)) {
     state_ = State::kExhausted;
   }
 }
 
-bool PartExchange::send(Decision decision, Moment now, QueryActions& actions) {
+bool PartExchange::send(Decision decision, bool paid, Moment now, QueryActions& actions) {
   RouteLatency& latency = context_.latencyOf(route_);
-  const SelectionRequest request{triedLeafs_, latency.typical(), context_.ownZone, context_.preferredZone};
+  const Duration timeLeft = times_.leafDeadline == kNever ? Duration::max() : times_.leafDeadline - now;
+  const SelectionRequest request{triedLeafs_,      latency.typical(),
+                                 context_.ownZone, context_.preferredZone,
+                                 timeLeft,         latency.alwaysWorthTrying()};
   auto leaf = selectLeaf(context_.leafs.leafsOf(service_), request, context_.random, now);
   note(leaf ? decision : Decision::kNoLeaf, leaf, now);
   if (!leaf) {
@@ -54,9 +57,11 @@
   attempt.exchange = context_.exchanges.next++;
   attempt.leaf = leaf;
   attempt.startedAt = now;
+  attempt.paid = paid;
   leaf->onStarted(attempt.exchange, latency.high(), now);
   triedLeafs_.push_back(leaf->entry().id);
-  actions.sends.push_back(SendAction{attempt.exchange, leaf, std::nullopt});
+  const Duration leastTime = leastAnswerTime(*leaf, request.typicalLatency, request.alwaysWorthTrying);
+  actions.sends.push_back(SendAction{attempt.exchange, leaf, std::nullopt, times_.leafDeadline, leastTime});
   attempts_.push_back(std::move(attempt));
   if (route_.repeatable) {
     hedgeAt_ = now + hedgeDelay(latency, now);
@@ -66,11 +71,11 @@
 
 Duration PartExchange::hedgeDelay(const RouteLatency& latency, Moment now) {
   const Duration early = std::max(kShortestHedgeDelay, latency.high());
-  if (hedgeBy_ == kNever) {
+  if (times_.usefulUntil == kNever) {
     return early;
   }
   // The latest moment from which the other leaf can still be expected to answer in time.
-  const Duration late = hedgeBy_ - now - latency.high() - kHedgeMargin;
+  const Duration late = times_.usefulUntil - now - latency.high() - kHedgeMargin;
   if (late <= early) {
     return std::max(latency.typical() * 3 / 2, late);
   }
@@ -95,11 +100,16 @@
   if (!mayTryAgain()) {
     return false;
   }
-  if (mayHaveArrived() && !context_.budgets.spend(service_, now)) {
+  const bool paid = mayHaveArrived();
+  if (paid && !context_.budgets.spend(service_, now)) {
     note(Decision::kBudgetEmpty, nullptr, now);
     return false;
   }
-  return send(decision, now, actions);
+  const bool sent = send(decision, paid, now, actions);
+  if (paid && !sent) {
+    context_.budgets.giveBack(service_, now);
+  }
+  return sent;
 }
 
 PartExchange::Attempt* PartExchange::find(ExchangeId exchange) {
@@ -138,11 +148,15 @@
     state_ = State::kAnswered;
     return;
   }
-  attempt->knownNotRun = outcome.kind == LeafOutcome::Kind::kNotExecuted ||
-                         outcome.kind == LeafOutcome::Kind::kWrongInstance ||
-                         outcome.kind == LeafOutcome::Kind::kNotSent;
-  if (outcome.kind == LeafOutcome::Kind::kNotSent) {
+  const bool unsent =
+      outcome.kind == LeafOutcome::Kind::kNotSent || outcome.kind == LeafOutcome::Kind::kExpired;
+  attempt->knownNotRun = unsent || outcome.kind == LeafOutcome::Kind::kNotExecuted ||
+                         outcome.kind == LeafOutcome::Kind::kWrongInstance;
+  if (unsent) {
     attempt->written = false;
+    if (attempt->paid) {
+      context_.budgets.giveBack(service_, now);
+    }
   }
   if (outcome.kind == LeafOutcome::Kind::kLeafFailed) {
     outcome_ = outcome;
@@ -166,7 +180,7 @@
     return;
   }
   hedgeAt_ = kNever;
-  const bool worthIt = hedgeBy_ == kNever || now < hedgeBy_;
+  const bool worthIt = now < times_.usefulUntil;
   if (worthIt && mayTryAgain() && !sendAgain(Decision::kHedge, now, actions)) {
     hedgeAt_ = now + kHedgeRetry;
   }
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -4,7 +4,7 @@
 ///
 /// Invariants: at most `attempts` leafs get the request; a request that is not repeatable goes to a second
 /// leaf only after every earlier one is known not to have run it; each send after the first is paid for from
-/// the service's budget.
+/// the service's budget; nothing is sent to a leaf that usually takes longer than what is left of the time.
 
 #include <string>
 #include <vector>
@@ -20,7 +20,7 @@
   /// `trace` outlives the part.
   PartExchange(std::string service, const Route& route, QueryContext& context, RequestTrace& trace);
 
-  void start(Moment now, Moment usefulUntil, QueryActions& actions) override;
+  void start(Moment now, const PartTimes& times, QueryActions& actions) override;
   bool owns(ExchangeId exchange) const override;
   void onWritten(ExchangeId exchange) override;
   void onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now, QueryActions& actions) override;
@@ -41,9 +41,11 @@
     bool finished = false;
     /// The leaf said, or it is certain, that the request did not run there.
     bool knownNotRun = false;
+    /// An extra send was spent on it.
+    bool paid = false;
   };
 
-  bool send(Decision decision, Moment now, QueryActions& actions);
+  bool send(Decision decision, bool paid, Moment now, QueryActions& actions);
   /// Early while the budget is full, later the less is left of it.
   Duration hedgeDelay(const RouteLatency& latency, Moment now);
   bool mayTryAgain() const;
@@ -61,7 +63,7 @@
   std::vector<Attempt> attempts_;
   std::vector<std::string> triedLeafs_;
   Moment hedgeAt_ = kNever;
-  Moment hedgeBy_ = kNever;
+  PartTimes times_;
 };
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -48,12 +48,13 @@
   const std::vector<std::string> services =
       isGather() ? gather_->shards : std::vector<std::string>{chooseService()};
   parts_.reserve(services.size());
+  const PartTimes times{answerBy_, leafDeadline_};
   if (context_.mergers != nullptr) {
     context_.preferredZone = context_.mergers->drawZone(context_.random);
   }
   for (const std::string& service : services) {
     parts_.push_back(newPart(service));
-    parts_.back()->start(now, answerBy_, actions);
+    parts_.back()->start(now, times, actions);
   }
   if (isGather() && context_.mergers != nullptr) {
     context_.mergers->assign(actions.sends, context_.random, now);
--- a/src/coordination/serving/query_actions.h
+++ b/src/coordination/serving/query_actions.h
@@ -31,6 +31,10 @@
   std::shared_ptr<LeafStatus> leaf;
   /// The daemon by way of which the request goes; none where it goes directly.
   std::optional<Endpoint> merger;
+  /// The leaf may work on the request until then.
+  Moment deadline{};
+  /// With less time than this left the request is not sent any more.
+  Duration leastTime{};
 };
 
 /// Leave one shard to its owner.
--- a/src/coordination/serving/query_part.h
+++ b/src/coordination/serving/query_part.h
@@ -10,6 +10,14 @@
 
 namespace oakpier::serving {
 
+/// Until when what can be done for a part.
+struct PartTimes {
+  /// An answer that could only come later is not worth an extra send.
+  Moment usefulUntil = kNever;
+  /// Leafs may work on the request until then.
+  Moment leafDeadline = kNever;
+};
+
 class QueryPart {
  public:
   enum class State { kOpen, kAnswered, kExhausted };
@@ -17,8 +25,7 @@
   explicit QueryPart(std::string service) : service_(std::move(service)) {}
   virtual ~QueryPart() = default;
 
-  /// `usefulUntil`: an answer that could only come later is not worth an extra send.
-  virtual void start(Moment now, Moment usefulUntil, QueryActions& actions) = 0;
+  virtual void start(Moment now, const PartTimes& times, QueryActions& actions) = 0;
   virtual bool owns(ExchangeId exchange) const = 0;
   /// The first byte of the request is about to go to a leaf.
   virtual void onWritten(ExchangeId exchange) = 0;
--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -39,6 +39,9 @@
     high_.record(latency, now);
   }
   Duration typical() const { return typical_.estimate().value_or(targetLatency_ / 5); }
+  /// With this much time left a request may be sent to any leaf, however slow it was: what is known of it may
+  /// be out of date. Half of the target latency, so that a first send always may.
+  Duration alwaysWorthTrying() const { return targetLatency_ / 2; }
   /// Most answers of healthy leafs are in by then. The high quantile alone is not enough: when more than its
   /// rest of the leafs pause or are slow, it tells of those.
   Duration high() const { return std::min(high_.estimate().value_or(targetLatency_ / 3), typical() * 5 / 2); }
--- a/src/coordination/serving/relayed_part.cpp
+++ b/src/coordination/serving/relayed_part.cpp
@@ -21,7 +21,8 @@
   trace_.add(TraceEvent{now, decision, service_, nullptr, 0, 0, {}, outcome, owner});
 }
 
-void RelayedPart::start(Moment now, Moment, QueryActions& actions) {
+void RelayedPart::start(Moment now, const PartTimes& times, QueryActions& actions) {
+  times_ = times;
   owners_ = context_.owners->ownersOf(service_, now);
   if (!delegate(now, actions)) {
     state_ = State::kExhausted;
@@ -62,7 +63,8 @@
   }
   const bool notSent = outcome.kind == LeafOutcome::Kind::kNotSent;
   last.knownNotRun = notSent || outcome.kind == LeafOutcome::Kind::kNotExecuted;
-  if (!notSent || !delegate(now, actions)) {
+  const bool timeIsLeft = now < times_.leafDeadline;
+  if (!notSent || !timeIsLeft || !delegate(now, actions)) {
     state_ = State::kExhausted;
   }
 }
--- a/src/coordination/serving/relayed_part.h
+++ b/src/coordination/serving/relayed_part.h
@@ -22,7 +22,7 @@
   /// `context.owners` is set; `trace` outlives the part.
   RelayedPart(std::string service, const Route& route, QueryContext& context, RequestTrace& trace);
 
-  void start(Moment now, Moment usefulUntil, QueryActions& actions) override;
+  void start(Moment now, const PartTimes& times, QueryActions& actions) override;
   bool owns(ExchangeId exchange) const override;
   void onWritten(ExchangeId) override {}
   void onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now, QueryActions& actions) override;
@@ -47,6 +47,7 @@
   const Route& route_;
   QueryContext& context_;
   RequestTrace& trace_;
+  PartTimes times_;
   std::vector<Endpoint> owners_;
   std::vector<Delegation> delegations_;
   /// When to see whether the owner is silent.
--- a/src/coordination/serving/shard_server.cpp
+++ b/src/coordination/serving/shard_server.cpp
@@ -61,13 +61,13 @@
   served->deadline = now + microseconds(work.remaining_us());
   served->request = requestOf(work);
   works_.push_back(served);
-  const Moment usefulUntil = now + microseconds(work.useful_us());
+  const PartTimes times{now + microseconds(work.useful_us()), served->deadline};
   for (const OwnerPart& asked : work.parts()) {
     auto exchange = std::make_unique<PartExchange>(asked.service(), served->route, context_, served->trace);
     served->parts.push_back(ServedWork::Part{asked.exchange(), std::move(exchange)});
     PartExchange& part = *served->parts.back().exchange;
     QueryActions actions;
-    part.start(now, usefulUntil, actions);
+    part.start(now, times, actions);
     settle(served, served->parts.size() - 1, std::move(actions), out);
   }
   forgetFinished();
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -126,6 +126,8 @@
                figures.pool.connectionsFailed);
   list.counter("leaf_requests_cut_off_total", "Abandoned requests cut off at work",
                figures.pool.abandonedAtWork);
+  list.counter("leaf_requests_expired_total", "Dropped unsent, as too little of their time was left",
+               figures.pool.expiredUnsent);
   list.counter("leaf_connections_expired_total", "Idle connections closed before the leaf does so",
                figures.pool.expiredIdle);
   list.counter("leaf_connections_surplus_total", "Idle connections closed as more than this daemon may hold",
--- a/src/programs/gateway/leaf_sender.cpp
+++ b/src/programs/gateway/leaf_sender.cpp
@@ -17,7 +17,8 @@
   order.exchange = send.action.exchange;
   order.request = send.request;
   order.rank = send.route->rank;
-  order.deadline = send.deadline;
+  order.deadline = send.action.deadline;
+  order.leastTime = send.action.leastTime;
   order.listener.onWritten = std::move(listener.onWritten);
   order.listener.onOutcome = [&context, action = send.action, route = send.route, started = steadyNow(),
                               notify = std::move(listener.onOutcome)](const LeafOutcome& outcome) {
--- a/src/programs/gateway/leaf_sender.h
+++ b/src/programs/gateway/leaf_sender.h
@@ -18,7 +18,6 @@
   std::shared_ptr<const LeafRequestTemplate> request;
   /// Kept until the outcome is known.
   std::shared_ptr<const Route> route;
-  Moment deadline{};
 };
 
 class LeafSender {
--- a/src/programs/gateway/merge_client.cpp
+++ b/src/programs/gateway/merge_client.cpp
@@ -50,6 +50,8 @@
       return LeafOutcome::Kind::kWrongInstance;
     case MERGE_NOT_SENT:
       return LeafOutcome::Kind::kNotSent;
+    case MERGE_EXPIRED:
+      return LeafOutcome::Kind::kExpired;
     case MERGE_WITHDRAWN:
       return LeafOutcome::Kind::kWithdrawn;
     default:
--- a/src/programs/gateway/merge_service.cpp
+++ b/src/programs/gateway/merge_service.cpp
@@ -50,7 +50,6 @@
   send.action = merge.action;
   send.request = std::move(request);
   send.route = std::shared_ptr<const Route>(merge.task, &merge.task->route);
-  send.deadline = merge.task->deadline;
   LeafPool::Listener listener;
   const ExchangeId exchange = merge.action.exchange;
   listener.onOutcome = [this, exchange](const LeafOutcome& outcome) {
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -218,7 +218,6 @@
   send.action = action;
   send.request = active->request;
   send.route = std::shared_ptr<const Route>(active, &active->query->route());
-  send.deadline = active->query->leafDeadline();
   LeafPool::Listener listener;
   const ExchangeId exchange = action.exchange;
   listener.onWritten = [active, exchange] { active->query->onWritten(exchange); };
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -46,6 +46,8 @@
       return "no usable answer";
     case LeafOutcome::Kind::kNotSent:
       return "not sent";
+    case LeafOutcome::Kind::kExpired:
+      return "not sent: too little time was left";
     default:
       return "withdrawn";
   }
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -1,6 +1,8 @@
 #include "transport/serving/leaf_pool.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -13,6 +15,8 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(1500);
 /// An abandoned exchange may still end by itself for this long, so that the connection can be kept.
 constexpr Duration kAbandonGrace = std::chrono::milliseconds(320);
+/// Deadlines travel in whole milliseconds; a shorter one would tell a leaf to stop before it begins.
+constexpr Duration kShortestDeadline = std::chrono::milliseconds(2);
 constexpr Duration kDefaultIdle = std::chrono::seconds(20);
 /// An idle connection is not used in the last part of the time that the leaf keeps it.
 constexpr Duration kIdleReserve = std::chrono::milliseconds(900);
@@ -101,6 +105,7 @@
 
 void LeafPool::dispatch(const ChannelPointer& channel) {
   const Moment now = steadyNow();
+  dropExpired(*channel, now);
   while (!channel->waiting.empty()) {
     const std::shared_ptr<LeafConnection> free = channel->idleConnection(now);
     if (!free) {
@@ -128,10 +133,31 @@
   }
 }
 
+void LeafPool::dropExpired(Channel& channel, Moment now) {
+  auto dropped = std::make_shared<std::list<Order>>();
+  for (auto order = channel.waiting.begin(); order != channel.waiting.end();) {
+    const auto next = std::next(order);
+    if (order->deadline - now < std::max(order->leastTime, kShortestDeadline)) {
+      exchanges_.erase(order->exchange);
+      dropped->splice(dropped->end(), channel.waiting, order);
+    }
+    order = next;
+  }
+  if (dropped->empty()) {
+    return;
+  }
+  counters_.expiredUnsent += dropped->size();
+  boost::asio::post(context_, [dropped] {
+    for (const Order& order : *dropped) {
+      order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kExpired));
+    }
+  });
+}
+
 void LeafPool::start(const ChannelPointer& channel, const std::shared_ptr<LeafConnection>& connection,
                      Order order) {
   const auto remaining = std::chrono::duration_cast<Duration>(order.deadline - steadyNow());
-  const std::string bytes = order.request->bytesFor(channel->leaf.id, std::max(remaining, Duration(1000)));
+  const std::string bytes = order.request->bytesFor(channel->leaf.id, remaining);
   ++counters_.exchanges;
   if (order.listener.onWritten) {
     order.listener.onWritten();
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -22,6 +22,8 @@
   std::uint64_t connectionsOpened = 0;
   std::uint64_t connectionsFailed = 0;
   std::uint64_t abandonedAtWork = 0;
+  /// Dropped unsent, as too little of their time was left.
+  std::uint64_t expiredUnsent = 0;
   /// Why connections ended, beside those of abandoned requests.
   std::uint64_t expiredIdle = 0;
   std::uint64_t surplus = 0;
@@ -42,6 +44,8 @@
     std::shared_ptr<const LeafRequestTemplate> request;
     unsigned rank = 0;
     Moment deadline{};
+    /// The request is dropped unsent when less than this is left until the deadline.
+    Duration leastTime{};
     Listener listener;
   };
 
@@ -68,6 +72,9 @@
   ChannelPointer channelOf(const LeafEntry& leaf, std::size_t maximum);
   void open(const ChannelPointer& channel);
   void dispatch(const ChannelPointer& channel);
+  /// Drops waiting requests whose time can no longer hold the leaf's work. Their listeners are told later, as
+  /// one that sends may not be called in turn.
+  void dropExpired(Channel& channel, Moment now);
   void start(const ChannelPointer& channel, const std::shared_ptr<LeafConnection>& connection, Order order);
   void onEvent(const std::weak_ptr<Channel>& weak, LeafConnection& connection, LeafConnection::Event event,
                const std::shared_ptr<const HttpReply>& reply);
--- a/tests/serving/coordination/query_test.cpp
+++ b/tests/serving/coordination/query_test.cpp
@@ -112,6 +112,69 @@
   REQUIRE(std::get<MergedAnswer>(*last.answer).records == record('x'));
 }
 
+TEST_CASE("nothing is sent with less time than a leaf usually takes", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s0"}, 1.0)}, {"s0"}, 3);
+  QueryWorld world(view);
+  const Route& route = view->configuration->routes[0];
+  for (int answers = 0; answers < 100; ++answers) {
+    world.context->latencyOf(route).record(std::chrono::milliseconds(40), at(answers));
+  }
+  Query query(view, route, *world.context, at(1000), at(3000));
+  const QueryActions started = query.start(at(1000));
+  REQUIRE(started.sends[0].deadline == at(1200));
+  REQUIRE(started.sends[0].leastTime == std::chrono::milliseconds(40));
+  query.onWritten(started.sends[0].exchange);
+  SECTION("a retry goes out while the time holds the usual answer") {
+    const auto retried = query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kNoAnswer), at(1159));
+    REQUIRE(retried.sends.size() == 1);
+  }
+  SECTION("a retry does not go out later, and uses up no extra send") {
+    const double before = world.budgets.fill("s0", at(1161));
+    const auto retried = query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kNoAnswer), at(1161));
+    REQUIRE(retried.sends.empty());
+    REQUIRE(world.budgets.fill("s0", at(1161)) == before);
+  }
+  SECTION("nor does a hedge") {
+    const QueryActions late = query.onTime(at(1165));
+    REQUIRE(late.sends.empty());
+  }
+}
+
+TEST_CASE("a request dropped unsent for lack of time did not run and says nothing of the leaf", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s0"}, 1.0)}, {"s0"}, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  QueryActions actions = query.start(at(0));
+  std::size_t sends = 0;
+  while (!actions.answer) {
+    REQUIRE(actions.sends.size() == 1);
+    ++sends;
+    const SendAction send = actions.sends[0];
+    send.leaf->onFinished(send.exchange, Kind::kExpired, at(10));
+    REQUIRE_FALSE(send.leaf->ejected(at(10)));
+    REQUIRE(send.leaf->inProgress() == 0);
+    actions = query.onOutcome(send.exchange, outcomeOf(Kind::kExpired), at(10));
+  }
+  REQUIRE(sends == 2);
+  REQUIRE(std::holds_alternative<Refusal>(*actions.answer));
+  REQUIRE(world.budgets.fill("s0", at(10)) > 0);
+}
+
+TEST_CASE("an extra send that never reached a leaf is given back", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s0"}, 1.0)}, {"s0"}, 3);
+  QueryWorld world(view, 4);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  query.onWritten(started.sends[0].exchange);
+  const double before = world.budgets.fill("s0", at(1));
+  const QueryActions hedged = query.onTime(query.nextDecisionAt());
+  REQUIRE(hedged.sends.size() == 1);
+  REQUIRE(world.budgets.fill("s0", at(1)) < before);
+  const Kind unsent = GENERATE(Kind::kExpired, Kind::kNotSent);
+  query.onOutcome(hedged.sends[0].exchange, outcomeOf(unsent), at(100));
+  REQUIRE(world.budgets.fill("s0", at(100)) == before);
+}
+
 TEST_CASE("a request that no leaf could take is refused with a time to come back", "[serving]") {
   const auto view = viewOf({singleRoute("s", false, 2)}, {"s"}, 2);
   QueryWorld world(view);
@@ -205,8 +268,9 @@
   void finish(const Sent& sent) {
     const Kind kind = sent.written ? *rc::gen::element(Kind::kAnswered, Kind::kLeafFailed, Kind::kNotExecuted,
                                                        Kind::kWrongInstance, Kind::kNoAnswer)
-                                   : Kind::kNotSent;
-    if (kind != Kind::kNotSent && kind != Kind::kNotExecuted && kind != Kind::kWrongInstance) {
+                                   : *rc::gen::element(Kind::kNotSent, Kind::kExpired);
+    if (kind != Kind::kNotSent && kind != Kind::kExpired && kind != Kind::kNotExecuted &&
+        kind != Kind::kWrongInstance) {
       ++mayHaveRun_;
       const LeafEntry& leaf = sent.action.leaf->entry();
       ranAt_[leaf.service].insert(leaf.id);
--- a/tests/serving/transport/leaf_pool_test.cpp
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -18,12 +18,14 @@
     leaf.address = server.address();
   }
 
-  void send(ExchangeId exchange, const std::string& requestId, const std::string& body = "") {
+  void send(ExchangeId exchange, const std::string& requestId, const std::string& body = "",
+            Duration timeLeft = std::chrono::seconds(30), Duration leastTime = Duration(0)) {
     HttpRequest request{"GET", "/x", {{"Host", "h"}, {names.requestId, requestId}}, body};
     LeafPool::Order order;
     order.exchange = exchange;
     order.request = std::make_shared<const LeafRequestTemplate>(request, names);
-    order.deadline = steadyNow() + std::chrono::seconds(30);
+    order.deadline = steadyNow() + timeLeft;
+    order.leastTime = leastTime;
     order.listener.onWritten = [this] { ++written; };
     order.listener.onOutcome = [this](const LeafOutcome& outcome) { outcomes.push_back(outcome); };
     pool.send(leaf, 1, std::move(order));
@@ -183,6 +185,30 @@
   REQUIRE(world.server.requests() == 1);
 }
 
+TEST_CASE("a request that waited too long for a connection is never sent", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.awaitRequests(1);
+  world.send(2, "two", "", std::chrono::milliseconds(500), std::chrono::milliseconds(400));
+  const Moment tooLate = steadyNow() + std::chrono::milliseconds(101);
+  runUntil(world.context, [&] { return steadyNow() >= tooLate; });
+  world.connection(0).write(world.reply("one", ""));
+  world.awaitOutcomes(2);
+  REQUIRE(world.outcomes[0].kind == Kind::kAnswered);
+  REQUIRE(world.outcomes[1].kind == Kind::kExpired);
+  REQUIRE(world.written == 1);
+  REQUIRE(world.server.requests() == 1);
+  REQUIRE(world.pool.counters().expiredUnsent == 1);
+}
+
+TEST_CASE("nothing is sent after its deadline", "[serving]") {
+  PoolWorld world;
+  world.send(1, "one", "", Duration(-1));
+  world.awaitOutcomes(1);
+  REQUIRE(world.outcomes[0].kind == Kind::kExpired);
+  REQUIRE(world.written == 0);
+}
+
 TEST_CASE("an abandoned request that stays at work is cut off", "[serving]") {
   PoolWorld world;
   world.send(1, "one");
