Ask for missing shards once more, with time anew, while a query lacks too many

Cause: with one target latency for leafs a query that lacked more shards than the route allows failed at the target; its caller came back with a whole new query, all shards again.

Change: an open part of such a query is sent once more at the leafs' deadline, paid for like any extra send, with one target latency of time; the late answer goes out as soon as enough shards are in. Queries with enough shards end before that and are as they were; they do not wait for parts that could only come late. Owners are told until when they may do so.

Tests: three cases of query_test (new behaviour; the old code has no such send).

--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -44,7 +44,7 @@
 
 bool PartExchange::send(Decision decision, bool paid, Moment now, QueryActions& actions) {
   RouteLatency& latency = context_.latencyOf(route_);
-  const Duration timeLeft = times_.leafDeadline == kNever ? Duration::max() : times_.leafDeadline - now;
+  const Duration timeLeft = times_.leafDeadline - now;
   const SelectionRequest request{triedLeafs_,      latency.typical(),
                                  context_.ownZone, context_.preferredZone,
                                  timeLeft,         latency.alwaysWorthTrying()};
@@ -165,17 +165,45 @@
 }
 
 void PartExchange::concludeIfExhausted(Moment now, QueryActions& actions) {
-  const bool anyOut = std::any_of(attempts_.begin(), attempts_.end(),
-                                  [](const Attempt& attempt) { return !attempt.finished; });
-  if (anyOut) {
+  if (anyOut() || awaitsRenewal_ || sendAgain(Decision::kRetry, now, actions)) {
     return;
   }
-  if (!sendAgain(Decision::kRetry, now, actions)) {
+  if (renewable()) {
+    awaitsRenewal_ = true;
+    return;
+  }
+  state_ = State::kExhausted;
+}
+
+bool PartExchange::anyOut() const {
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [](const Attempt& attempt) { return !attempt.finished; });
+}
+
+bool PartExchange::renewable() const {
+  return !renewed_ && times_.lastDeadline > times_.leafDeadline && mayTryAgain();
+}
+
+void PartExchange::renew(Moment now, QueryActions& actions) {
+  renewed_ = true;
+  awaitsRenewal_ = false;
+  times_.leafDeadline = std::min(times_.lastDeadline, now + route_.targetLatency);
+  // A leaf that was asked before may be asked again once nothing of it is out.
+  triedLeafs_.clear();
+  for (const Attempt& attempt : attempts_) {
+    if (!attempt.finished) {
+      triedLeafs_.push_back(attempt.leaf->entry().id);
+    }
+  }
+  if (!sendAgain(Decision::kRenew, now, actions) && !anyOut()) {
     state_ = State::kExhausted;
   }
 }
 
 void PartExchange::onTime(Moment now, QueryActions& actions) {
+  if (state_ == State::kOpen && now >= times_.leafDeadline && renewable()) {
+    renew(now, actions);
+  }
   if (state_ != State::kOpen || now < hedgeAt_) {
     return;
   }
@@ -186,7 +214,12 @@
   }
 }
 
-Moment PartExchange::nextDecisionAt() const { return state_ == State::kOpen ? hedgeAt_ : kNever; }
+Moment PartExchange::nextDecisionAt() const {
+  if (state_ != State::kOpen) {
+    return kNever;
+  }
+  return renewable() ? std::min(hedgeAt_, times_.leafDeadline) : hedgeAt_;
+}
 
 bool PartExchange::mayHaveRun() const {
   return std::any_of(attempts_.begin(), attempts_.end(),
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -4,7 +4,8 @@
 ///
 /// Invariants: at most `attempts` leafs get the request; a request that is not repeatable goes to a second
 /// leaf only after every earlier one is known not to have run it; each send after the first is paid for from
-/// the service's budget; nothing is sent to a leaf that usually takes longer than what is left of the time.
+/// the service's budget; nothing is sent to a leaf that usually takes longer than what is left of the time;
+/// after the leafs' deadline an unanswered part gets time anew at most once.
 
 #include <string>
 #include <vector>
@@ -52,6 +53,11 @@
   /// Sends again if that is allowed, and pays for it.
   bool sendAgain(Decision decision, Moment now, QueryActions& actions);
   void concludeIfExhausted(Moment now, QueryActions& actions);
+  bool anyOut() const;
+  /// The part may be sent once more after the leafs' deadline.
+  bool renewable() const;
+  /// Sends once more, with one target latency of time anew.
+  void renew(Moment now, QueryActions& actions);
   std::size_t countedAttempts() const;
   Attempt* find(ExchangeId exchange);
   void note(Decision decision, const std::shared_ptr<LeafStatus>& leaf, Moment now,
@@ -64,6 +70,7 @@
   std::vector<std::string> triedLeafs_;
   Moment hedgeAt_ = kNever;
   PartTimes times_;
+  bool renewed_ = false;
 };
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -48,7 +48,7 @@
   const std::vector<std::string> services =
       isGather() ? gather_->shards : std::vector<std::string>{chooseService()};
   parts_.reserve(services.size());
-  const PartTimes times{answerBy_, leafDeadline_};
+  const PartTimes times{answerBy_, leafDeadline_, deadline_};
   if (context_.mergers != nullptr) {
     context_.preferredZone = context_.mergers->drawZone(context_.random);
   }
@@ -157,6 +157,10 @@
                      [](const auto& part) { return part->state() != QueryPart::State::kOpen; });
 }
 
+bool Query::allSettledInTime() const {
+  return std::all_of(parts_.begin(), parts_.end(), [](const auto& part) { return part->settledInTime(); });
+}
+
 bool Query::mayHaveRun() const {
   return std::any_of(parts_.begin(), parts_.end(), [](const auto& part) { return part->mayHaveRun(); });
 }
@@ -183,7 +187,7 @@
     finish(merge(), actions);
     return;
   }
-  if (enoughParts() && (allSettled() || answerDue_ || now >= deadline_)) {
+  if (enoughParts() && (allSettledInTime() || answerDue_ || now >= deadline_)) {
     finish(merge(), actions);
     return;
   }
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -35,6 +35,8 @@
   /// Leafs may work on their requests until then. Later answers of shards would be of little worth to the
   /// caller, and the work would keep the leafs from newer requests.
   Moment leafDeadline() const { return leafDeadline_; }
+  /// The query ends then at the latest.
+  Moment deadline() const { return deadline_; }
   /// A gather query answers with what is in from then on.
   Moment answerBy() const { return answerBy_; }
   bool finished() const { return finished_; }
@@ -52,6 +54,8 @@
   QueryPart* partOf(ExchangeId exchange);
   std::size_t answeredParts() const;
   bool allSettled() const;
+  /// No further part can come within the target latency.
+  bool allSettledInTime() const;
   bool mayHaveRun() const;
   bool enoughParts() const;
   /// Answers if the time or the parts that are in decide it.
--- a/src/coordination/serving/query_part.h
+++ b/src/coordination/serving/query_part.h
@@ -16,6 +16,9 @@
   Moment usefulUntil = kNever;
   /// Leafs may work on the request until then.
   Moment leafDeadline = kNever;
+  /// A query that still lacks too many shards at `leafDeadline` waits on until then: its open parts may be
+  /// sent once more, with one target latency for the leaf. Not before `leafDeadline`.
+  Moment lastDeadline = kNever;
 };
 
 class QueryPart {
@@ -40,6 +43,8 @@
   virtual bool mayHaveRun() const = 0;
 
   State state() const { return state_; }
+  /// Nothing more can come within the target latency.
+  bool settledInTime() const { return state_ != State::kOpen || awaitsRenewal_; }
   /// The answer, or when exhausted the leaf's own failure if there was one.
   const LeafOutcome& outcome() const { return outcome_; }
   const std::string& service() const { return service_; }
@@ -47,6 +52,8 @@
  protected:
   std::string service_;
   State state_ = State::kOpen;
+  /// Open only because it may be sent once more after the leafs' deadline.
+  bool awaitsRenewal_ = false;
   LeafOutcome outcome_;
 };
 
--- a/src/coordination/serving/request_trace.h
+++ b/src/coordination/serving/request_trace.h
@@ -19,6 +19,8 @@
   kSend,
   kHedge,
   kRetry,
+  /// Sent once more after the leafs' deadline, as too few shards were in.
+  kRenew,
   /// No usable leaf was left.
   kNoLeaf,
   /// A further send would have been made, but the budget of extra sends was used up.
--- a/src/coordination/serving/shard_server.cpp
+++ b/src/coordination/serving/shard_server.cpp
@@ -58,10 +58,11 @@
   served->route = routeOf(work);
   served->topRecords = work.top_records();
   served->receivedAt = now;
-  served->deadline = now + microseconds(work.remaining_us());
+  const Moment leafDeadline = now + microseconds(work.remaining_us());
+  served->deadline = std::max(leafDeadline, now + microseconds(work.renewable_us()));
   served->request = requestOf(work);
   works_.push_back(served);
-  const PartTimes times{now + microseconds(work.useful_us()), served->deadline};
+  const PartTimes times{now + microseconds(work.useful_us()), leafDeadline, served->deadline};
   for (const OwnerPart& asked : work.parts()) {
     auto exchange = std::make_unique<PartExchange>(asked.service(), served->route, context_, served->trace);
     served->parts.push_back(ServedWork::Part{asked.exchange(), std::move(exchange)});
--- a/src/coordination/serving/shard_server.h
+++ b/src/coordination/serving/shard_server.h
@@ -32,6 +32,7 @@
   Route route;
   std::size_t topRecords = 0;
   Moment receivedAt{};
+  /// The parts that are open then are given up.
   Moment deadline{};
   HttpRequest request;
   RequestTrace trace;
--- a/src/programs/gateway/owner_client.cpp
+++ b/src/programs/gateway/owner_client.cpp
@@ -36,6 +36,7 @@
   work.set_rank(order.route->rank);
   work.set_target_latency_us(static_cast<std::uint64_t>(order.route->targetLatency.count()));
   work.set_remaining_us(microsecondsUntil(order.leafDeadline, now));
+  work.set_renewable_us(microsecondsUntil(order.lastDeadline, now));
   work.set_useful_us(microsecondsUntil(order.usefulUntil - kReturnMargin, now));
   work.set_top_records(static_cast<std::uint32_t>(std::get<GatherTarget>(order.route->target).topRecords));
   work.set_attempts(attempts);
--- a/src/programs/gateway/owner_client.h
+++ b/src/programs/gateway/owner_client.h
@@ -37,6 +37,8 @@
     /// Kept until the last result.
     std::shared_ptr<const Route> route;
     Moment leafDeadline{};
+    /// As in `PartTimes`.
+    Moment lastDeadline{};
     Moment usefulUntil{};
     std::shared_ptr<const Listener> listener;
   };
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -241,6 +241,7 @@
   order.request = active->original;
   order.route = std::shared_ptr<const Route>(active, &active->query->route());
   order.leafDeadline = active->query->leafDeadline();
+  order.lastDeadline = active->query->deadline();
   order.usefulUntil = active->query->answerBy();
   order.listener = active->ownerListener;
   ownerClient_.send(relays, order);
@@ -296,7 +297,8 @@
   for (const TraceEvent& event : trace.events()) {
     counters_.sends += event.decision == Decision::kSend ? 1 : 0;
     counters_.hedges += event.decision == Decision::kHedge ? 1 : 0;
-    counters_.retries += event.decision == Decision::kRetry ? 1 : 0;
+    const bool retry = event.decision == Decision::kRetry || event.decision == Decision::kRenew;
+    counters_.retries += retry ? 1 : 0;
     counters_.budgetEmpty += event.decision == Decision::kBudgetEmpty ? 1 : 0;
   }
 }
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -17,6 +17,8 @@
       return "hedge";
     case Decision::kRetry:
       return "retry";
+    case Decision::kRenew:
+      return "retry with time anew";
     case Decision::kNoLeaf:
       return "no usable leaf";
     case Decision::kBudgetEmpty:
--- a/tests/serving/coordination/query_test.cpp
+++ b/tests/serving/coordination/query_test.cpp
@@ -85,6 +85,67 @@
   REQUIRE(std::get<Failure>(*query.onTime(at(500)).answer).timedOut);
 }
 
+TEST_CASE("a query that lacks too many shards asks for them once more, with time anew", "[serving]") {
+  const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  for (const SendAction& send : started.sends) {
+    query.onWritten(send.exchange);
+  }
+  query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kAnswered, record('a')), at(10));
+  query.onOutcome(started.sends[1].exchange, outcomeOf(Kind::kAnswered, record('b')), at(10));
+  // Too late for a further send within the target; the other part stays out.
+  REQUIRE(query.onOutcome(started.sends[2].exchange, outcomeOf(Kind::kNotExecuted), at(199)).sends.empty());
+  REQUIRE_FALSE(query.onTime(at(199)).answer);
+  REQUIRE(query.nextDecisionAt() <= at(200));
+  const QueryActions renewed = query.onTime(at(200));
+  REQUIRE(renewed.sends.size() == 2);
+  for (const SendAction& send : renewed.sends) {
+    REQUIRE(send.deadline == at(400));
+    query.onWritten(send.exchange);
+  }
+  REQUIRE(query.onTime(at(210)).sends.empty());
+  const QueryActions last =
+      query.onOutcome(renewed.sends[0].exchange, outcomeOf(Kind::kAnswered, record('c')), at(230));
+  REQUIRE(std::get<MergedAnswer>(*last.answer).missingShards == 1);
+  REQUIRE_FALSE(last.abandons.empty());
+}
+
+TEST_CASE("a query with enough shards does not wait for one that could only come late", "[serving]") {
+  const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  for (const SendAction& send : started.sends) {
+    query.onWritten(send.exchange);
+  }
+  const Moment late = at(170);
+  REQUIRE(query.onOutcome(started.sends[3].exchange, outcomeOf(Kind::kNoAnswer), late).sends.empty());
+  for (std::size_t place = 0; place < 2; ++place) {
+    REQUIRE_FALSE(query.onOutcome(started.sends[place].exchange, outcomeOf(Kind::kAnswered), late).answer);
+  }
+  const QueryActions last = query.onOutcome(started.sends[2].exchange, outcomeOf(Kind::kAnswered), late);
+  REQUIRE(std::get<MergedAnswer>(*last.answer).missingShards == 1);
+}
+
+TEST_CASE("a part without an answer is sent with time anew at most once", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s0"}, 1.0)}, {"s0"}, 4);
+  QueryWorld world(view);
+  Route route = view->configuration->routes[0];
+  route.attempts = 4;
+  Query query(view, route, *world.context, at(0), at(2000));
+  const QueryActions started = query.start(at(0));
+  query.onWritten(started.sends[0].exchange);
+  query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kNoAnswer), at(190));
+  const QueryActions renewed = query.onTime(at(200));
+  REQUIRE(renewed.sends.size() == 1);
+  query.onWritten(renewed.sends[0].exchange);
+  const QueryActions last = query.onOutcome(renewed.sends[0].exchange, outcomeOf(Kind::kNoAnswer), at(395));
+  REQUIRE(last.sends.empty());
+  REQUIRE(std::holds_alternative<Failure>(*last.answer));
+}
+
 TEST_CASE("leafs are not asked to work on shards beyond the target latency", "[serving]") {
   const auto view = viewOf({gatherRoute(kShards, 0.75), singleRoute("s0", true, 2)}, kShards, 1);
   QueryWorld world(view);
@@ -141,7 +202,7 @@
 }
 
 TEST_CASE("a request dropped unsent for lack of time did not run and says nothing of the leaf", "[serving]") {
-  const auto view = viewOf({gatherRoute({"s0"}, 1.0)}, {"s0"}, 2);
+  const auto view = viewOf({singleRoute("s0", true, 2)}, {"s0"}, 2);
   QueryWorld world(view);
   Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
   QueryActions actions = query.start(at(0));
