Let one daemon read the source for all at any size, and learn from peers at a start

Cause, found by a generated fleet of followers in simulated time (source_fleet_test, written first): - word that nothing has changed reached only the reader's own children, since a revision was forwarded once; so at 295 daemons all others found news overdue and called for themselves: 42, 354, 1,761 and 5,979 calls in ten quiet seconds at 7, 60, 295 and 1,000 daemons; - where two daemons read one revision at the same time, each daemon forwarded only the news that came first, along that reader's tree: parts of both trees were told by neither; - a first reader that the source refuses held versions back for more than 2.9 s at 8 of 60 daemons; - every daemon listed the source at its start. Ruled out: gaps in the records themselves (the generated test of followers found none).

Change: news is forwarded for a newer revision, for newer word, or when it is from an earlier reader; a daemon that finds news overdue asks for an answer at once, tells all, and goes on until it hears a reader before it (reading_turn); the next four in order step in one after the other, all others by timers of which few are short (suppression_delay); a reader whose call fails leaves reading to others. A daemon that starts asks peers for everything, seeds first, and lists by itself only without an answer (peer_recovery); whole states are packed once and told to a bounded number in a time. Records of a known revision are not read again.

The test of "only the first daemon goes on reading" was wrong by the new rule and is replaced by one as strict: one that steps in goes on, and stops when it hears an earlier reader.

--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -9,12 +9,36 @@
 
 SourceFollower::SourceFollower(const Endpoint& self, const FollowerSettings& settings, Interpreter interpret,
                                RandomEngine random)
-    : settings_(settings),
-      interpret_(std::move(interpret)),
-      reader_(settings.reader, random),
+    : interpret_(std::move(interpret)),
+      random_(random()),
+      reader_(settings.reader, RandomEngine(random())),
+      turn_(self, settings.turn),
+      recovery_(self, settings.recovery),
       knowledge_(settings.knowledge),
       relay_(self) {}
 
+void SourceFollower::start(const std::vector<Endpoint>& seeds, Moment now) {
+  recovery_.start(seeds, now, random_);
+  turn_.start(!recovery_.readsFirst(), now);
+  reader_.holdUntil(recovery_.listAt());
+}
+
+void SourceFollower::setMembers(const std::vector<Endpoint>& members) {
+  relay_.setMembers(members);
+  turn_.setMembers(members);
+  recovery_.setMembers(members);
+}
+
+FollowerActions SourceFollower::onTime(Moment now) {
+  FollowerActions actions;
+  knowledge_.onTime(now);
+  if (reader_.knownRevision() == 0) {
+    actions.ask = recovery_.takeAsk(now, random_);
+    counters_.newsAsked += actions.ask ? 1 : 0;
+  }
+  return actions;
+}
+
 std::optional<SourceCall> SourceFollower::takeCall(Moment now) {
   auto call = reader_.takeCall(now);
   counters_.calls += call ? 1 : 0;
@@ -22,15 +46,18 @@
 }
 
 Moment SourceFollower::nextDueAt() const {
-  return std::min(reader_.nextCallAt(), knowledge_.nextRemovalAt());
+  const Moment next = std::min(reader_.nextCallAt(), knowledge_.nextRemovalAt());
+  return reader_.knownRevision() == 0 ? std::min(next, recovery_.nextAskAt()) : next;
 }
 
 FollowerActions SourceFollower::onAnswer(const SourceCall& call, const SourceAnswer& answer, Moment now) {
   FollowerActions actions;
   if (const auto* failure = std::get_if<SourceFailure>(&answer)) {
     ++counters_.failures;
-    reader_.onFailure(*failure, now);
+    turn_.onFailure();
+    reader_.onFailure(*failure, turn_.longestBackoff(), now);
   } else {
+    turn_.onAnswer();
     onPage(call, std::get<SourcePage>(answer), now, actions);
   }
   return actions;
@@ -47,7 +74,7 @@
       actions.news = relay_.onRead(call.afterRevision, page.revision, newest, now).news;
     }
     reader_.onPage(page, now);
-    leaveReadingToOthers(now);
+    turn_.stepIn();
     return;
   }
   if (call.afterKey.empty()) {
@@ -65,12 +92,16 @@
     relay_.setFreshAt(now);
   }
   listing_.clear();
-  leaveReadingToOthers(now);
+  actions.news = relay_.answerWaiting(reader_.knownRevision(), now);
+  if (recovery_.readsFirst()) {
+    turn_.stepIn();
+  }
+  leaveReadingToOthers(now, now);
 }
 
-void SourceFollower::leaveReadingToOthers(Moment now) {
-  if (relay_.place() > 0) {
-    reader_.onNews(reader_.knownRevision(), now, stagger());
+void SourceFollower::leaveReadingToOthers(Moment freshAt, Moment now) {
+  if (!turn_.reads(now)) {
+    reader_.leaveToOther(freshAt, turn_.stagger(now, random_));
   }
 }
 
@@ -144,35 +175,42 @@
   RelayActions relayed = relay_.onNews(sender, news, reader_.knownRevision(), now);
   if (relayed.accepted) {
     ++counters_.newsAccepted;
-    if (news.whole()) {
-      takeOverListing(recordsOf(news), news.revision(), now, actions);
-    } else {
-      takeOver(recordsOf(news), now, actions);
+    takeOverNews(news, now, actions);
+    if (const auto reader = Endpoint::parse(news.reader())) {
+      turn_.onNews(*reader);
     }
-    reader_.onNews(news.revision(), relay_.freshAt(), stagger());
+    leaveReadingToOthers(relay_.freshAt(), now);
   }
-  actions.news = std::move(relayed.news);
+  actions.news.insert(actions.news.end(), relayed.news.begin(), relayed.news.end());
   actions.ask = relayed.ask;
   counters_.newsAsked += actions.ask ? 1 : 0;
   return actions;
 }
 
+void SourceFollower::takeOverNews(const SourceNews& news, Moment now, FollowerActions& actions) {
+  const bool newlyKnown = reader_.knownRevision() == 0;
+  if (news.revision() == reader_.knownRevision()) {
+    // All of its records are known already; it only shows that nothing has changed since.
+    return;
+  }
+  if (news.whole()) {
+    takeOverListing(recordsOf(news), news.revision(), now, actions);
+  } else {
+    takeOver(recordsOf(news), now, actions);
+  }
+  reader_.onNews(news.revision());
+  if (newlyKnown) {
+    actions.news = relay_.answerWaiting(reader_.knownRevision(), now);
+  }
+}
+
 std::optional<OutgoingNews> SourceFollower::onNewsRequest(const Endpoint& sender,
-                                                          const SourceNewsRequest& request,
-                                                          Moment now) const {
+                                                          const SourceNewsRequest& request, Moment now) {
   if (reader_.knownRevision() == 0) {
+    relay_.keepWaiting(sender);
     return std::nullopt;
   }
   return relay_.missedBy(sender, request.known_revision(), reader_.knownRevision(), now);
 }
 
-Duration SourceFollower::stagger() const {
-  const std::size_t place = relay_.place();
-  if (place == 0) {
-    return {};
-  }
-  return settings_.newsGrace +
-         settings_.staggerStep * static_cast<int>(std::min(place, settings_.mostStaggerSteps));
-}
-
 }  // namespace oakpier::serving
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -13,6 +13,8 @@
 #include <string>
 #include <vector>
 
+#include "coordination/serving/peer_recovery.h"
+#include "coordination/serving/reading_turn.h"
 #include "coordination/serving/serving_knowledge.h"
 #include "coordination/serving/source_reader.h"
 #include "coordination/serving/source_relay.h"
@@ -22,10 +24,8 @@
 struct FollowerSettings {
   SourceReaderSettings reader;
   KnowledgeSettings knowledge;
-  /// A daemon that usually does not read waits this long for overdue news, and longer for each place.
-  Duration newsGrace = std::chrono::milliseconds(100);
-  Duration staggerStep = std::chrono::milliseconds(120);
-  std::size_t mostStaggerSteps = 4;
+  ReadingTurnSettings turn;
+  PeerRecoverySettings recovery;
 };
 
 struct FollowerActions {
@@ -51,18 +51,21 @@
   SourceFollower(const Endpoint& self, const FollowerSettings& settings, Interpreter interpret,
                  RandomEngine random);
 
+  /// `seeds`: daemons to learn from first; this one may be among them. Without this call the source is listed
+  /// at once.
+  void start(const std::vector<Endpoint>& seeds, Moment now);
   /// The call to make now, if one is due.
   std::optional<SourceCall> takeCall(Moment now);
   FollowerActions onAnswer(const SourceCall& call, const SourceAnswer& answer, Moment now);
   FollowerActions onNews(const Endpoint& sender, const SourceNews& news, Moment now);
-  /// What a daemon that asked is to be told; empty while nothing is known.
+  /// What a daemon that asked is to be told; empty while nothing is known, or when it is to ask another one.
   std::optional<OutgoingNews> onNewsRequest(const Endpoint& sender, const SourceNewsRequest& request,
-                                            Moment now) const;
-  void onTime(Moment now) { knowledge_.onTime(now); }
+                                            Moment now);
+  FollowerActions onTime(Moment now);
   /// When `onTime` or `takeCall` has something to do.
   Moment nextDueAt() const;
   /// Serving daemons in rising order.
-  void setMembers(std::vector<Endpoint> members) { relay_.setMembers(std::move(members)); }
+  void setMembers(const std::vector<Endpoint>& members);
 
   /// The newest view if it has changed since the last call; else null.
   std::shared_ptr<const ServingView> takeChangedView() { return knowledge_.takeChangedView(); }
@@ -72,7 +75,7 @@
   std::uint64_t knownRevision() const { return reader_.knownRevision(); }
   /// The source has not answered this daemon's last calls.
   bool sourceLost() const { return reader_.failuresInRow() > 0; }
-  std::size_t place() const { return relay_.place(); }
+  std::size_t place() const { return turn_.place(); }
   const FollowerCounters& counters() const { return counters_; }
 
  private:
@@ -85,14 +88,16 @@
   void takeOver(const std::vector<SourceRecord>& records, Moment now, FollowerActions& actions);
   /// Returns the id when the record lists a leaf.
   std::optional<std::string> takeOver(const SourceRecord& record, Moment now, FollowerActions& actions);
+  void takeOverNews(const SourceNews& news, Moment now, FollowerActions& actions);
   void takeOverConfiguration(ServingConfiguration configuration, FollowerActions& actions);
-  /// Unless this daemon is the one that reads first, its next call waits for overdue news.
-  void leaveReadingToOthers(Moment now);
-  Duration stagger() const;
+  /// Unless this daemon is the one that reads, its next call waits for overdue news.
+  void leaveReadingToOthers(Moment freshAt, Moment now);
 
-  FollowerSettings settings_;
   Interpreter interpret_;
+  RandomEngine random_;
   SourceReader reader_;
+  ReadingTurn turn_;
+  PeerRecovery recovery_;
   ServingKnowledge knowledge_;
   SourceRelay relay_;
   /// The listing in progress; it is taken over when it is whole.
--- a/src/coordination/serving/source_reader.cpp
+++ b/src/coordination/serving/source_reader.cpp
@@ -28,7 +28,7 @@
   listingComplete_ = false;
   if (current_.kind == SourceCall::Kind::kChanges) {
     knownRevision_ = std::max(knownRevision_, page.revision);
-    next_.afterRevision = knownRevision_;
+    next_ = SourceCall{SourceCall::Kind::kChanges, "", knownRevision_, settings_.wait};
     nextCallAt_ = now + settings_.pace;
     return;
   }
@@ -46,16 +46,21 @@
   nextCallAt_ = now + settings_.pace;
 }
 
-void SourceReader::onNews(std::uint64_t revision, Moment freshAt, Duration stagger) {
+void SourceReader::onNews(std::uint64_t revision) {
   if (revision < knownRevision_) {
     return;
   }
   knownRevision_ = revision;
-  next_ = SourceCall{SourceCall::Kind::kChanges, "", revision, settings_.wait};
+  const Duration wait = next_.kind == SourceCall::Kind::kChanges ? next_.wait : settings_.wait;
+  next_ = SourceCall{SourceCall::Kind::kChanges, "", revision, wait};
+}
+
+void SourceReader::leaveToOther(Moment freshAt, Duration stagger) {
+  next_ = SourceCall{SourceCall::Kind::kChanges, "", knownRevision_, Duration(0)};
   nextCallAt_ = freshAt + settings_.pace + settings_.wait + stagger;
 }
 
-void SourceReader::onFailure(SourceFailure failure, Moment now) {
+void SourceReader::onFailure(SourceFailure failure, Duration longestBackoff, Moment now) {
   inProgress_ = false;
   listingComplete_ = false;
   if (failure == SourceFailure::kHistoryGone) {
@@ -63,7 +68,7 @@
   }
   const unsigned doublings = std::min(failuresInRow_, kMostDoublings);
   ++failuresInRow_;
-  const Duration longest = std::min(settings_.longestBackoff, settings_.shortestBackoff * (1U << doublings));
+  const Duration longest = std::min(longestBackoff, settings_.shortestBackoff * (1U << doublings));
   // Evenly spread, so that daemons that failed together do not come back together.
   const auto half = static_cast<std::size_t>(longest.count() / 2);
   nextCallAt_ = now + longest / 2 + Duration(static_cast<std::int64_t>(drawBelow(half + 1, random_)));
--- a/src/coordination/serving/source_reader.h
+++ b/src/coordination/serving/source_reader.h
@@ -6,6 +6,7 @@
 /// followed by the changes since its first page, as its pages are no snapshot; the known revision never
 /// goes back.
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,10 +32,9 @@
   /// together.
   Duration pace = std::chrono::milliseconds(250);
   /// How long the source may wait for a change. Bounds how long a lost answer, or the loss of the daemon that
-  /// reads for the others, stays unnoticed.
-  Duration wait = std::chrono::milliseconds(1500);
+  /// reads for the others, stays unnoticed; one daemon calls about once in this time.
+  Duration wait = std::chrono::milliseconds(1000);
   Duration shortestBackoff = std::chrono::milliseconds(150);
-  Duration longestBackoff = std::chrono::milliseconds(1000);
 };
 
 class SourceReader {
@@ -46,12 +46,17 @@
   Moment nextCallAt() const { return inProgress_ ? kNever : nextCallAt_; }
 
   void onPage(const SourcePage& page, Moment now);
-  void onFailure(SourceFailure failure, Moment now);
+  /// `longestBackoff`: the next call waits no longer.
+  void onFailure(SourceFailure failure, Duration longestBackoff, Moment now);
 
-  /// Another daemon has told everything up to `revision`, as the source said it at `freshAt`. This daemon's
-  /// own next call waits until the other's next news is overdue by `stagger`, so that the other goes on
-  /// reading.
-  void onNews(std::uint64_t revision, Moment freshAt, Duration stagger);
+  /// No call before that moment.
+  void holdUntil(Moment moment) { nextCallAt_ = std::max(nextCallAt_, moment); }
+  /// Another daemon has told everything up to `revision`.
+  void onNews(std::uint64_t revision);
+  /// Another daemon goes on reading and last did so at `freshAt`: this daemon's own next call waits until the
+  /// other's next news is overdue by `stagger`. It then asks for an answer at once, as others wait for it
+  /// too.
+  void leaveToOther(Moment freshAt, Duration stagger);
 
   /// The page that was just handed in ends a whole listing.
   bool listingComplete() const { return listingComplete_; }
--- a/src/coordination/serving/source_relay.cpp
+++ b/src/coordination/serving/source_relay.cpp
@@ -10,6 +10,13 @@
 
 /// A daemon asks for what it missed no more often than this.
 constexpr Duration kAskPeriod = std::chrono::milliseconds(300);
+/// Word from the source that is newer by less is not passed on: several daemons may read at once.
+constexpr Duration kFreshnessStep = std::chrono::milliseconds(100);
+/// A whole state is some ten kilobytes, compressed once: no more than this many are told in this time, so
+/// that a start of many daemons neither fills a small link nor a tenth of a processor. Those that were told
+/// help.
+constexpr std::size_t kMostWholeStates = 16;
+constexpr Duration kWholeStatePeriod = std::chrono::milliseconds(200);
 /// Ends of records that are remembered for daemons that missed them.
 constexpr std::size_t kMostGone = 4096;
 
@@ -31,11 +38,6 @@
   return records;
 }
 
-std::size_t SourceRelay::place() const {
-  return static_cast<std::size_t>(std::lower_bound(members_.begin(), members_.end(), self_) -
-                                  members_.begin());
-}
-
 std::uint64_t SourceRelay::ageAt(Moment now) const {
   return static_cast<std::uint64_t>(std::max<std::int64_t>(0, (now - freshAt_).count()));
 }
@@ -70,6 +72,8 @@
                                  const std::vector<SourceRecord>& records, Moment now) {
   RelayActions actions;
   forwardedRevision_ = std::max(forwardedRevision_, revision);
+  forwardedFreshAt_ = std::max(forwardedFreshAt_, freshAt_);
+  forwardedReader_ = self_;
   SourceNews news;
   news.set_after_revision(afterRevision);
   news.set_revision(revision);
@@ -101,18 +105,57 @@
     actions.accepted = true;
     freshAt_ = std::max(freshAt_, now - Duration(static_cast<std::int64_t>(news.age_us())));
   }
+  if (!news.whole()) {
+    forward(news, now, actions);
+  }
+  return actions;
+}
+
+void SourceRelay::forward(const SourceNews& news, Moment now, RelayActions& actions) {
   const auto reader = Endpoint::parse(news.reader());
-  if (!news.whole() && reader && news.revision() > forwardedRevision_) {
-    forwardedRevision_ = news.revision();
-    for (const Endpoint& child : forwardTo(members_, *reader, self_)) {
-      actions.news.push_back(OutgoingNews{child, news});
+  const Moment freshAt = now - Duration(static_cast<std::int64_t>(news.age_us()));
+  const bool newRevision = news.revision() > forwardedRevision_;
+  const bool sameRevision = news.revision() == forwardedRevision_;
+  const bool newWord = sameRevision && freshAt > forwardedFreshAt_ + kFreshnessStep;
+  const bool earlierReader = sameRevision && reader && *reader < forwardedReader_;
+  if (!reader || !(newRevision || newWord || earlierReader)) {
+    return;
+  }
+  forwardedRevision_ = news.revision();
+  forwardedFreshAt_ = std::max(forwardedFreshAt_, freshAt);
+  forwardedReader_ = *reader;
+  for (const Endpoint& child : forwardTo(members_, *reader, self_)) {
+    actions.news.push_back(OutgoingNews{child, news});
+  }
+}
+
+bool SourceRelay::takeWholeTurn(Moment now) {
+  if (now - wholeSince_ >= kWholeStatePeriod) {
+    wholeSince_ = now;
+    wholeTold_ = 0;
+  }
+  return ++wholeTold_ <= kMostWholeStates;
+}
+
+void SourceRelay::keepWaiting(const Endpoint& asker) {
+  if (waiting_.size() < kMostWholeStates) {
+    waiting_.insert(asker);
+  }
+}
+
+std::vector<OutgoingNews> SourceRelay::answerWaiting(std::uint64_t knownRevision, Moment now) {
+  std::vector<OutgoingNews> answers;
+  for (const Endpoint& asker : waiting_) {
+    if (auto answer = missedBy(asker, 0, knownRevision, now)) {
+      answers.push_back(std::move(*answer));
     }
   }
-  return actions;
+  waiting_.clear();
+  return answers;
 }
 
-OutgoingNews SourceRelay::missedBy(const Endpoint& to, std::uint64_t askersRevision,
-                                   std::uint64_t knownRevision, Moment now) const {
+std::optional<OutgoingNews> SourceRelay::missedBy(const Endpoint& to, std::uint64_t askersRevision,
+                                                  std::uint64_t knownRevision, Moment now) {
   OutgoingNews outgoing{to, {}};
   outgoing.news.set_revision(knownRevision);
   outgoing.news.set_age_us(ageAt(now));
@@ -121,6 +164,9 @@
     addChangesSince(askersRevision, outgoing.news);
     return outgoing;
   }
+  if (!takeWholeTurn(now)) {
+    return std::nullopt;
+  }
   outgoing.news.set_whole(true);
   for (const auto& [key, record] : records_) {
     addRecord(record, outgoing.news);
--- a/src/coordination/serving/source_relay.h
+++ b/src/coordination/serving/source_relay.h
@@ -4,7 +4,9 @@
 /// know, and a daemon that the source refuses still learns.
 ///
 /// Invariants: news is taken over only when nothing before it is missing; a daemon that misses something asks
-/// for what it has missed; news of one revision is forwarded at most once by each daemon.
+/// for what it has missed; a daemon forwards news only if it brings a newer revision, or word from the source
+/// that is newer by `kFreshnessStep`, than what it has forwarded; whole states are told to a bounded number
+/// of daemons in a time.
 
 #include <map>
 #include <optional>
@@ -38,8 +40,6 @@
 
   /// `members`: serving daemons in rising order, as for `forwardTo`.
   void setMembers(std::vector<Endpoint> members) { members_ = std::move(members); }
-  /// This daemon's place among the members; the one of place 0 reads first.
-  std::size_t place() const;
 
   /// This daemon has read the changes between two revisions; `records` are those worth passing on.
   RelayActions onRead(std::uint64_t afterRevision, std::uint64_t revision,
@@ -48,9 +48,13 @@
   RelayActions onNews(const Endpoint& sender, const SourceNews& news, std::uint64_t knownRevision,
                       Moment now);
   /// What a daemon that knows everything up to `askersRevision` has missed; everything when that cannot be
-  /// told any more.
-  OutgoingNews missedBy(const Endpoint& to, std::uint64_t askersRevision, std::uint64_t knownRevision,
-                        Moment now) const;
+  /// told any more. Empty when too many were told everything just now: they ask another daemon.
+  std::optional<OutgoingNews> missedBy(const Endpoint& to, std::uint64_t askersRevision,
+                                       std::uint64_t knownRevision, Moment now);
+  /// A daemon asks while nothing is known here; it is told once something is.
+  void keepWaiting(const Endpoint& asker);
+  /// For those who asked while nothing was known.
+  std::vector<OutgoingNews> answerWaiting(std::uint64_t knownRevision, Moment now);
 
   /// Keeps a record, or its end, for daemons that ask.
   void keep(const SourceRecord& record);
@@ -62,11 +66,14 @@
 
  private:
   std::uint64_t ageAt(Moment now) const;
+  void addChangesSince(std::uint64_t revision, SourceNews& news) const;
+  /// Whether one more daemon may be told everything now.
+  bool takeWholeTurn(Moment now);
+  /// Passes on what nobody here has passed on yet.
+  void forward(const SourceNews& news, Moment now, RelayActions& actions);
 
   Endpoint self_;
   std::vector<Endpoint> members_;
-  void addChangesSince(std::uint64_t revision, SourceNews& news) const;
-
   std::map<std::string, SourceRecord> records_;
   /// Keys of records that are gone, by the revision at which they went.
   std::map<std::uint64_t, std::string> gone_;
@@ -74,7 +81,13 @@
   std::uint64_t goneSince_ = 0;
   Moment freshAt_{};
   std::uint64_t forwardedRevision_ = 0;
+  Moment forwardedFreshAt_{};
+  Endpoint forwardedReader_;
   Moment askedAt_{};
+  std::set<Endpoint> waiting_;
+  /// Daemons that were told everything since `wholeSince_`.
+  std::size_t wholeTold_ = 0;
+  Moment wholeSince_{};
 };
 
 std::vector<SourceRecord> recordsOf(const SourceNews& news);
--- /dev/null
+++ b/src/coordination/serving/suppression_delay.h
@@ -0,0 +1,23 @@
+#pragma once
+
+/// Random delays for something that one of many daemons should do: of any number of daemons only a few draw a
+/// short delay, so that the others hear of it in time to leave it (timer-based feedback suppression with
+/// exponentially distributed timers, as used for reliable multicast).
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+#include "state/random.h"
+#include "state/time.h"
+
+namespace oakpier::serving {
+
+/// From zero to `longest`; of `count` daemons about one draws zero.
+inline Duration suppressionDelay(Duration longest, std::size_t count, RandomEngine& random) {
+  const double drawn = std::uniform_real_distribution<double>(1e-9, 1.0)(random);
+  const double share = 1.0 + std::log(drawn) / std::log(static_cast<double>(std::max<std::size_t>(2, count)));
+  return Duration(static_cast<std::int64_t>(static_cast<double>(longest.count()) * std::max(0.0, share)));
+}
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -152,7 +152,7 @@
 
 void PeerLink::sendNews(const Endpoint& to, const SourceNews& news) {
   PeerEnvelope envelope;
-  packNews(news, envelope);
+  newsPacker_.pack(news, envelope);
   send(to, std::move(envelope));
 }
 
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -13,6 +13,7 @@
 
 #include "coordination/membership.h"
 #include "coordination/serving/shard_owners.h"
+#include "protocol/serving/news_codec.h"
 #include "transport/peer_transport.h"
 
 namespace oakpier::serving {
@@ -67,6 +68,7 @@
   /// The incarnation of `membership_`, for other threads.
   std::atomic<std::uint64_t> incarnation_{0};
   PeerTransport transport_;
+  NewsPacker newsPacker_;
   boost::asio::steady_timer tick_;
   Moment lastTickAt_{};
   std::uint64_t publishedVersion_ = 0;
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -38,6 +38,7 @@
       follower_(
           peers.self, follower, [&dialect](const SourceRecord& record) { return dialect.interpret(record); },
           RandomEngine(std::random_device{}())),
+      seeds_(peers.seeds),
       peers_(context, peers,
              {[this](const Endpoint& sender, const SourceNews& news) { onNews(sender, news); },
               [this](const Endpoint& sender, const SourceNewsRequest& request) {
@@ -48,8 +49,12 @@
       timer_(context) {}
 
 std::string SourceLoop::start() {
-  step();
-  return peers_.start();
+  std::string problem = peers_.start();
+  if (problem.empty()) {
+    follower_.start(seeds_, steadyNow());
+    step();
+  }
+  return problem;
 }
 
 void SourceLoop::reload(const Endpoint& source, const std::vector<Endpoint>& seeds) {
@@ -73,7 +78,7 @@
 
 void SourceLoop::step() {
   const Moment now = steadyNow();
-  follower_.onTime(now);
+  askAndSend(follower_.onTime(now));
   if (const auto call = follower_.takeCall(now)) {
     client_.call(dialect_.requestFor(*call), call->wait + kCallTimeout,
                  [this, call = *call](std::optional<HttpReply> reply) {
@@ -109,6 +114,7 @@
 
 void SourceLoop::onMembers(const DaemonGroup& daemons) {
   follower_.setMembers(daemons.all);
+  schedule();
   log(LogLevel::kInfo, "members changed",
       {{"serving", daemons.all.size()},
        {"own_zone", daemons.ownZone.size()},
@@ -121,14 +127,18 @@
   for (const std::string& problem : actions.problems) {
     log(LogLevel::kError, "record refused", {{"problem", problem}});
   }
+  askAndSend(actions);
+  publish();
+  schedule();
+}
+
+void SourceLoop::askAndSend(const FollowerActions& actions) {
   for (const OutgoingNews& outgoing : actions.news) {
     peers_.sendNews(outgoing.to, outgoing.news);
   }
   if (actions.ask) {
     peers_.askForNews(*actions.ask, follower_.knownRevision());
   }
-  publish();
-  schedule();
 }
 
 void SourceLoop::publish() {
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -56,6 +56,7 @@
   void onNewsRequest(const Endpoint& sender, const SourceNewsRequest& request);
   void onMembers(const DaemonGroup& daemons);
   void carryOut(const FollowerActions& actions);
+  void askAndSend(const FollowerActions& actions);
   void publish();
 
   const SourceDialect& dialect_;
@@ -63,6 +64,7 @@
   Handlers handlers_;
   SourceClient client_;
   SourceFollower follower_;
+  std::vector<Endpoint> seeds_;
   PeerLink peers_;
   boost::asio::steady_timer timer_;
 };
--- a/src/protocol/serving/news_codec.cpp
+++ b/src/protocol/serving/news_codec.cpp
@@ -3,6 +3,7 @@
 #include <zlib.h>
 
 #include <string>
+#include <utility>
 
 namespace oakpier::serving {
 
@@ -15,7 +16,10 @@
 /// Of 1 (fastest) to 9.
 constexpr int kCompressionLevel = 3;
 
-std::optional<PackedSourceNews> compress(const SourceNews& news) {
+std::optional<PackedSourceNews> compress(SourceNews news) {
+  PackedSourceNews packed;
+  packed.set_age_us(news.age_us());
+  news.clear_age_us();
   const std::string plain = news.SerializeAsString();
   uLongf size = compressBound(plain.size());
   std::string bytes(size, '\0');
@@ -25,7 +29,6 @@
     return std::nullopt;
   }
   bytes.resize(size);
-  PackedSourceNews packed;
   packed.set_bytes(bytes);
   packed.set_size(static_cast<std::uint32_t>(plain.size()));
   return packed;
@@ -43,6 +46,7 @@
   if (result != Z_OK || size != plain.size() || !news.ParseFromString(plain)) {
     return std::nullopt;
   }
+  news.set_age_us(news.age_us() + packed.age_us());
   return news;
 }
 
@@ -58,6 +62,31 @@
   *envelope.mutable_source_news() = news;
 }
 
+NewsPacker::Identity NewsPacker::identityOf(const SourceNews& news) {
+  return {news.whole(), news.after_revision(), news.revision(), news.records_size(), news.reader()};
+}
+
+bool NewsPacker::sameAsLast(const Identity& identity) const {
+  return identity.whole == last_.whole && identity.afterRevision == last_.afterRevision &&
+         identity.revision == last_.revision && identity.records == last_.records &&
+         identity.reader == last_.reader;
+}
+
+void NewsPacker::pack(const SourceNews& news, PeerEnvelope& envelope) {
+  Identity identity = identityOf(news);
+  if (packed_.size() > 0 && sameAsLast(identity)) {
+    *envelope.mutable_packed_source_news() = packed_;
+    envelope.mutable_packed_source_news()->set_age_us(news.age_us());
+    return;
+  }
+  packNews(news, envelope);
+  if (envelope.has_packed_source_news()) {
+    ++compressions_;
+    packed_ = envelope.packed_source_news();
+    last_ = std::move(identity);
+  }
+}
+
 std::optional<SourceNews> unpackNews(const PeerEnvelope& envelope) {
   if (envelope.has_source_news()) {
     return envelope.source_news();
--- /dev/null
+++ b/tests/serving/coordination/source_fleet_test.cpp
@@ -0,0 +1,245 @@
+#include "serving/support/source_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// From a change at the source to its being in force at a daemon for which nothing was disturbed.
+constexpr Duration kQuietBound = milliseconds(500);
+/// The same while readers die and the source refuses some; daemons in touch are bound by 3 s.
+constexpr Duration kTroubledBound = milliseconds(2900);
+/// A daemon counts as in touch when this much time has passed without trouble for it or the source.
+constexpr Duration kContact = seconds(4);
+
+SourceFleetSettings fleetOf(std::size_t daemons, std::uint64_t random = 1) {
+  SourceFleetSettings settings;
+  settings.daemons = daemons;
+  settings.random = random;
+  return settings;
+}
+
+/// Daemons that should have the version by now and do not.
+std::size_t laggards(const SourceFleet& fleet, std::uint64_t version) {
+  std::size_t count = 0;
+  for (std::size_t number = 0; number < fleet.size(); ++number) {
+    const bool inTouch = fleet.alive(number) && fleet.now() - fleet.aliveSince(number) >= kContact;
+    count += inTouch && fleet.versionOf(number) < version ? 1 : 0;
+  }
+  return count;
+}
+
+bool allComplete(const SourceFleet& fleet) {
+  for (std::size_t number = 0; number < fleet.size(); ++number) {
+    if (fleet.alive(number) && !fleet.complete(number)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+TEST_CASE("few daemons call the source and all know its changes soon", "[serving]") {
+  const auto daemons = GENERATE(1U, 7U, 60U, 295U, 1000U);
+  SourceFleetSettings settings = fleetOf(daemons);
+  settings.leafs = 1300;
+  SourceFleet fleet(settings);
+  fleet.runFor(seconds(3));
+  CAPTURE(daemons);
+  REQUIRE(allComplete(fleet));
+  fleet.runFor(seconds(7));
+  CAPTURE(fleet.calls());
+  REQUIRE(fleet.calls() <= 60 + daemons / 5);
+  const std::size_t before = fleet.calls();
+  for (int change = 0; change < 10; ++change) {
+    const std::uint64_t version = fleet.changeConfiguration();
+    fleet.runFor(kQuietBound);
+    REQUIRE(laggards(fleet, version) == 0);
+    fleet.runFor(milliseconds(2500));
+  }
+  // One daemon reads about once a second, and each change costs a call.
+  CAPTURE(fleet.calls() - before);
+  REQUIRE(fleet.calls() - before <= 60);
+}
+
+TEST_CASE("without a living seed every daemon comes to know the source", "[serving]") {
+  SourceFleetSettings settings = fleetOf(60);
+  settings.seeds = 0;
+  SourceFleet fleet(settings);
+  fleet.runFor(seconds(2));
+  REQUIRE(allComplete(fleet));
+}
+
+TEST_CASE("a daemon that starts among others learns from them at once", "[serving]") {
+  SourceFleet fleet(fleetOf(295));
+  fleet.runFor(seconds(12));
+  const std::size_t calls = fleet.calls();
+  for (std::size_t number = 100; number < 130; ++number) {
+    fleet.kill(number);
+  }
+  fleet.runFor(milliseconds(200));
+  for (std::size_t number = 100; number < 130; ++number) {
+    fleet.start(number);
+  }
+  fleet.runFor(milliseconds(1500));
+  REQUIRE(allComplete(fleet));
+  REQUIRE(fleet.calls() - calls <= 30);
+}
+
+TEST_CASE("the death of readers holds no version back", "[serving]") {
+  const auto daemons = GENERATE(7U, 60U, 295U);
+  SourceFleet fleet(fleetOf(daemons, 5));
+  fleet.runFor(seconds(12));
+  for (std::size_t dead = 0; dead < 5; ++dead) {
+    fleet.kill(dead);
+    const std::uint64_t version = fleet.changeConfiguration();
+    fleet.runFor(kTroubledBound);
+    CAPTURE(daemons, dead);
+    REQUIRE(laggards(fleet, version) == 0);
+  }
+}
+
+TEST_CASE("a source that refuses some daemons, the first readers among them, blinds nobody", "[serving]") {
+  SourceFleet fleet(fleetOf(60, 9));
+  fleet.runFor(seconds(12));
+  for (std::size_t number = 0; number < 20; ++number) {
+    fleet.setRefused(number, true);
+  }
+  for (int change = 0; change < 3; ++change) {
+    const std::uint64_t version = fleet.changeConfiguration();
+    fleet.runFor(kTroubledBound);
+    REQUIRE(laggards(fleet, version) == 0);
+  }
+}
+
+TEST_CASE("while the source is down few calls are made, and its return is noticed soon", "[serving]") {
+  SourceFleet fleet(fleetOf(295, 3));
+  fleet.runFor(seconds(12));
+  const std::size_t before = fleet.calls();
+  fleet.setSourceDown(true);
+  fleet.runFor(seconds(6));
+  CAPTURE(fleet.calls() - before);
+  REQUIRE(fleet.calls() - before <= 1200);
+  fleet.setSourceDown(false);
+  const std::uint64_t version = fleet.changeConfiguration();
+  fleet.runFor(kTroubledBound);
+  REQUIRE(laggards(fleet, version) == 0);
+}
+
+namespace {
+
+/// A fleet with generated deaths, starts, refusals and outages.
+class GeneratedFleet {
+ public:
+  explicit GeneratedFleet(const SourceFleetSettings& settings) : fleet_(settings) {}
+
+  void play(int steps) {
+    fleet_.runFor(seconds(5));
+    for (int step = 0; step < steps; ++step) {
+      disturb();
+      const std::uint64_t version = fleet_.changeConfiguration();
+      fleet_.runFor(milliseconds(*rc::gen::inRange(100, 1500)));
+      recover();
+      fleet_.runFor(kContact);
+      RC_ASSERT(laggards(fleet_, version) == 0U);
+    }
+    checkStillFollowing();
+  }
+
+ private:
+  std::size_t drawDaemon() const { return *rc::gen::inRange<std::size_t>(0, fleet_.size()); }
+
+  void disturb() {
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        fleet_.kill(*rc::gen::inRange<std::size_t>(0, std::min<std::size_t>(6, fleet_.size())));
+        break;
+      case 1:
+        killMany();
+        break;
+      case 2:
+        refuseMany();
+        break;
+      case 3:
+        fleet_.setSourceDown(true);
+        break;
+      case 4:
+        fleet_.forgetHistory();
+        break;
+      default:
+        fleet_.changeLeaf(drawDaemon());
+        break;
+    }
+  }
+
+  void killMany() {
+    const int share = *rc::gen::inRange(2, 10);
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      if (*rc::gen::inRange(0, 10) < share) {
+        fleet_.kill(number);
+      }
+    }
+  }
+
+  void refuseMany() {
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      fleet_.setRefused(number, *rc::gen::inRange(0, 3) == 0);
+    }
+  }
+
+  /// Dead daemons start again, and the source answers; it may go on refusing some.
+  void recover() {
+    fleet_.setSourceDown(false);
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      if (!fleet_.alive(number) && *rc::gen::inRange(0, 4) != 0) {
+        fleet_.start(number);
+      }
+    }
+    acceptSome();
+  }
+
+  /// Nobody can know what the source tells nobody.
+  void acceptSome() {
+    bool anyAccepted = false;
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      anyAccepted = anyAccepted || (fleet_.alive(number) && !fleet_.refused(number));
+    }
+    for (std::size_t number = 0; !anyAccepted && number < fleet_.size(); ++number) {
+      fleet_.setRefused(number, false);
+    }
+  }
+
+  /// Whatever has happened, somebody reads on.
+  void checkStillFollowing() {
+    fleet_.runFor(seconds(10));
+    const std::uint64_t version = fleet_.changeConfiguration();
+    fleet_.runFor(kTroubledBound);
+    RC_ASSERT(laggards(fleet_, version) == 0U);
+  }
+
+  SourceFleet fleet_;
+};
+
+}  // namespace
+
+TEST_CASE("whatever dies, is lost or refused, living daemons have the newest version within the bound",
+          "[serving]") {
+  OAKPIER_PROPERTY("fleet", [] {
+    SourceFleetSettings settings;
+    settings.daemons = *rc::gen::element<std::size_t>(1, 2, 7, 8, 30, 73, 120);
+    settings.seeds = *rc::gen::inRange<std::size_t>(0, 4);
+    settings.random = *rc::gen::arbitrary<std::uint64_t>();
+    settings.frameLoss = *rc::gen::element(0.0, 0.01, 0.05);
+    GeneratedFleet(settings).play(*rc::gen::inRange(1, 5));
+  });
+}
+
+}  // namespace oakpier::serving
--- a/tests/serving/coordination/source_follower_test.cpp
+++ b/tests/serving/coordination/source_follower_test.cpp
@@ -218,7 +218,7 @@
   });
 }
 
-TEST_CASE("only the first daemon in order goes on reading at its pace", "[serving]") {
+TEST_CASE("the first daemon in order reads; one that steps in stops when it hears the first", "[serving]") {
   const FollowerSettings settings;
   const std::vector<Endpoint> members{Endpoint(1, 1), Endpoint(2, 1)};
   for (const Endpoint& self : members) {
@@ -235,8 +235,33 @@
     }
     const auto changes = follower.takeCall(next);
     follower.onAnswer(*changes, source.answer(*changes), next);
-    REQUIRE((follower.nextDueAt() == next + settings.reader.pace) == (self == members[0]));
+    REQUIRE(follower.nextDueAt() == next + settings.reader.pace);
+    SourceNews news;
+    news.set_after_revision(follower.knownRevision());
+    news.set_revision(follower.knownRevision());
+    news.set_reader(Endpoint(0, 1).text());
+    follower.onNews(Endpoint(0, 1), news, next);
+    const bool stops = follower.nextDueAt() > next + settings.reader.pace + settings.reader.wait;
+    REQUIRE(stops == (self != members[0]));
   }
 }
 
+TEST_CASE("a reader whose calls fail leaves reading to one that succeeds", "[serving]") {
+  const std::vector<Endpoint> members{Endpoint(1, 1), Endpoint(2, 1)};
+  SourceFollower follower(members[0], FollowerSettings{}, interpret, RandomEngine(1));
+  follower.setMembers(members);
+  SourceModel source;
+  const auto listing = follower.takeCall(at(1));
+  follower.onAnswer(*listing, source.answer(*listing), at(1));
+  const Moment next = follower.nextDueAt();
+  follower.onAnswer(*follower.takeCall(next), SourceFailure::kUnavailable, next);
+  REQUIRE(follower.sourceLost());
+  SourceNews news;
+  news.set_after_revision(follower.knownRevision());
+  news.set_revision(follower.knownRevision());
+  news.set_reader(members[1].text());
+  follower.onNews(members[1], news, next);
+  REQUIRE(follower.nextDueAt() > next + FollowerSettings{}.reader.wait);
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -94,13 +94,13 @@
   reader.onPage(pageOf(10), at(0));
   Moment now = reader.nextCallAt();
   REQUIRE(reader.takeCall(now));
-  reader.onFailure(SourceFailure::kHistoryGone, now);
+  reader.onFailure(SourceFailure::kHistoryGone, std::chrono::milliseconds(1000), now);
   for (int failures = 0; failures < 20; ++failures) {
     REQUIRE(reader.nextCallAt() - now <= std::chrono::milliseconds(1000));
     REQUIRE(reader.nextCallAt() - now >= std::chrono::milliseconds(75));
     now = reader.nextCallAt();
     REQUIRE(reader.takeCall(now)->kind == SourceCall::Kind::kList);
-    reader.onFailure(SourceFailure::kUnavailable, now);
+    reader.onFailure(SourceFailure::kUnavailable, std::chrono::milliseconds(1000), now);
   }
 }
 
@@ -109,10 +109,16 @@
   reader.takeCall(at(0));
   reader.onPage(pageOf(10), at(0));
   const SourceReaderSettings settings;
-  reader.onNews(20, at(100), std::chrono::milliseconds(200));
+  reader.onNews(20);
+  reader.leaveToOther(at(100), std::chrono::milliseconds(200));
   REQUIRE(reader.nextCallAt() == at(300) + settings.pace + settings.wait);
-  REQUIRE(reader.takeCall(reader.nextCallAt())->afterRevision == 20);
-  reader.onNews(15, at(9000), {});
+  const auto overdue = reader.takeCall(reader.nextCallAt());
+  REQUIRE(overdue->afterRevision == 20);
+  // Others wait for the answer too, so the source is not given time.
+  REQUIRE(overdue->wait.count() == 0);
+  reader.onPage(pageOf(20), at(2000));
+  REQUIRE(reader.takeCall(reader.nextCallAt())->wait == settings.wait);
+  reader.onNews(15);
   REQUIRE(reader.knownRevision() == 20);
 }
 
@@ -140,6 +146,39 @@
   });
 }
 
+TEST_CASE("word that nothing has changed is passed on as well, but not twice", "[serving]") {
+  const Endpoint root(1, 1);
+  std::vector<Endpoint> members;
+  for (std::uint32_t number = 1; number <= 100; ++number) {
+    members.emplace_back(number, 1);
+  }
+  SourceRelay relay(members[1]);
+  relay.setMembers(members);
+  SourceNews news;
+  news.set_after_revision(8);
+  news.set_revision(8);
+  news.set_reader(root.text());
+  const std::size_t children = forwardTo(members, root, members[1]).size();
+  REQUIRE(children > 0);
+  REQUIRE(relay.onNews(root, news, 8, at(1000)).news.size() == children);
+  REQUIRE(relay.onNews(root, news, 8, at(1001)).news.empty());
+  REQUIRE(relay.onNews(root, news, 8, at(2000)).news.size() == children);
+  REQUIRE(relay.freshAt() == at(2000));
+}
+
+TEST_CASE("whole states are told to a bounded number of daemons in a time", "[serving]") {
+  SourceRelay relay(Endpoint(1, 1));
+  std::size_t told = 0;
+  for (std::uint32_t number = 2; number < 102; ++number) {
+    told += relay.missedBy(Endpoint(number, 1), 0, 8, at(1000)) ? 1 : 0;
+  }
+  REQUIRE(told > 0);
+  REQUIRE(told < 30);
+  REQUIRE(relay.missedBy(Endpoint(200, 1), 0, 8, at(2000)));
+  // Changes are small, so whoever missed some is told them.
+  REQUIRE(relay.missedBy(Endpoint(201, 1), 7, 8, at(1001)));
+}
+
 TEST_CASE("a daemon that misses news asks for everything and then knows it", "[serving]") {
   const Endpoint one(1, 1);
   const Endpoint other(2, 1);
@@ -164,9 +203,9 @@
     REQUIRE_FALSE(refused.accepted);
     REQUIRE(*refused.ask == one);
     const auto whole = reader.missedBy(other, 0, 8, at(1200));
-    REQUIRE(whole.news.whole());
-    REQUIRE(receiver.onNews(one, whole.news, 3, at(5100)).accepted);
-    REQUIRE(recordsOf(whole.news).size() == 1);
+    REQUIRE(whole->news.whole());
+    REQUIRE(receiver.onNews(one, whole->news, 3, at(5100)).accepted);
+    REQUIRE(recordsOf(whole->news).size() == 1);
   }
   SECTION("it is older than what is known") {
     REQUIRE_FALSE(receiver.onNews(one, news, 9, at(5000)).accepted);
@@ -210,7 +249,7 @@
   relay.keep({"servers/8", "", 102, true});
   relay.keep({"servers/8", "again", 103, false});
 
-  const SourceNews missed = relay.missedBy(asker, 99, 103, at(1000)).news;
+  const SourceNews missed = relay.missedBy(asker, 99, 103, at(1000))->news;
   REQUIRE_FALSE(missed.whole());
   REQUIRE(missed.after_revision() == 99);
   REQUIRE(missed.revision() == 103);
@@ -223,8 +262,8 @@
 
   // After a listing nobody knows what went before it.
   relay.dropUnlisted({"servers/100"}, 103);
-  REQUIRE(relay.missedBy(asker, 99, 104, at(1000)).news.whole());
-  REQUIRE_FALSE(relay.missedBy(asker, 103, 104, at(1000)).news.whole());
+  REQUIRE(relay.missedBy(asker, 99, 104, at(1000))->news.whole());
+  REQUIRE_FALSE(relay.missedBy(asker, 103, 104, at(1000))->news.whole());
 }
 
 TEST_CASE("news of one revision is forwarded once", "[serving]") {
--- a/tests/serving/protocol/news_codec_test.cpp
+++ b/tests/serving/protocol/news_codec_test.cpp
@@ -45,6 +45,23 @@
   REQUIRE(envelope.ByteSizeLong() * 5 < newsOf(600).ByteSizeLong());
 }
 
+TEST_CASE("the same news for several daemons is compressed once", "[serving]") {
+  NewsPacker packer;
+  SourceNews news = newsOf(600);
+  for (const std::uint64_t age : {5U, 70U, 900U}) {
+    news.set_age_us(age);
+    PeerEnvelope envelope;
+    packer.pack(news, envelope);
+    REQUIRE(google::protobuf::util::MessageDifferencer::Equals(*unpackNews(envelope), news));
+  }
+  REQUIRE(packer.compressions() == 1);
+  news.set_revision(901);
+  PeerEnvelope other;
+  packer.pack(news, other);
+  REQUIRE(packer.compressions() == 2);
+  REQUIRE(unpackNews(other)->revision() == 901);
+}
+
 TEST_CASE("damaged news never say anything else", "[serving]") {
   OAKPIER_PROPERTY("damage", [] {
     PeerEnvelope envelope;
