Say by command what requests lost and why; measure a send's least time by work without a queue

oakpierctl causes LOG... adds up, by route, cause and second, what requests lost. The gateway keeps a ledger and writes it once a second, a line a route and cause, so that nothing is left out under load. Parts know their own cause, so no trace has to be searched.

The quickest quarter of answers is taken instead.

--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -24,10 +24,10 @@
 
 }  // namespace
 
-Duration leastAnswerTime(const LeafStatus& leaf, Duration typicalLatency, Duration alwaysWorthTrying) {
+Duration leastAnswerTime(const LeafStatus& leaf, const AnswerTime& time) {
   const double factor = std::max(1.0, leaf.slowness());
-  const auto usual = Duration(static_cast<std::int64_t>(typicalLatency.count() * factor));
-  return std::min(usual, alwaysWorthTrying);
+  const auto usual = Duration(static_cast<std::int64_t>(time.withoutQueue.count() * factor));
+  return std::min(usual, time.alwaysWorthTrying);
 }
 
 Duration queueingLatency(const LeafStatus& leaf, Duration typicalLatency, Moment now) {
@@ -61,7 +61,7 @@
     if (!leaf->usable() || std::find(tried.begin(), tried.end(), leaf->entry().id) != tried.end()) {
       continue;
     }
-    if (request.timeLeft < leastAnswerTime(*leaf, request.typicalLatency, request.alwaysWorthTrying)) {
+    if (request.timeLeft < leastAnswerTime(*leaf, request.answerTime)) {
       continue;
     }
     const auto tieBreak = Duration(static_cast<std::int64_t>(drawBelow(kTieBreakMicroseconds, random)));
--- a/src/coordination/serving/leaf_selection.h
+++ b/src/coordination/serving/leaf_selection.h
@@ -12,6 +12,14 @@
 
 namespace oakpier::serving {
 
+/// What an answer of one kind of request needs at an ordinary leaf.
+struct AnswerTime {
+  /// Work and the ways there and back.
+  Duration withoutQueue{};
+  /// With this much time left a request may go to any leaf.
+  Duration alwaysWorthTrying{};
+};
+
 struct SelectionRequest {
   /// Leafs that were already tried for the request.
   const std::vector<std::string>& triedLeafs;
@@ -21,14 +29,13 @@
   const std::string& ownZone;
   /// The other zone that costs least; may be empty.
   std::string_view preferredZone = {};
-  /// Until the leaf's deadline; leafs that usually take longer are left out.
+  /// Until the leaf's deadline; leafs that usually need longer are left out.
   Duration timeLeft = Duration::max();
-  /// With this much time left no leaf is left out.
-  Duration alwaysWorthTrying = Duration::max();
+  AnswerTime answerTime = {};
 };
 
-/// The least time in which the leaf usually answers, its queue aside, the way there and back included.
-Duration leastAnswerTime(const LeafStatus& leaf, Duration typicalLatency, Duration alwaysWorthTrying);
+/// The least time that the leaf usually needs for an answer, its queue aside.
+Duration leastAnswerTime(const LeafStatus& leaf, const AnswerTime& time);
 
 /// The time to an answer that the leaf's speed and queue let expect.
 Duration queueingLatency(const LeafStatus& leaf, Duration typicalLatency, Moment now);
--- /dev/null
+++ b/src/coordination/serving/loss_causes.cpp
@@ -0,0 +1,44 @@
+#include "coordination/serving/loss_causes.h"
+
+#include <numeric>
+
+namespace oakpier::serving {
+
+const char* textOf(LossCause cause) {
+  switch (cause) {
+    case LossCause::kNoConfiguration:
+      return "no configuration known yet";
+    case LossCause::kLeafsTooBusy:
+      return "leafs too busy";
+    case LossCause::kNoUsableLeaf:
+      return "no usable leaf";
+    case LossCause::kTurnedAway:
+      return "turned away by leafs";
+    case LossCause::kLeafUnreachable:
+      return "leaf unreachable";
+    case LossCause::kLeafFailed:
+      return "leaf's own failure";
+    case LossCause::kConnectionBroken:
+      return "connection broken";
+    case LossCause::kWaitedForConnection:
+      return "waited for a connection";
+    case LossCause::kOneLeafSlow:
+      return "one leaf slow, no other asked";
+    case LossCause::kEveryLeafSlow:
+      return "every leaf asked slow";
+    case LossCause::kNoExtraSendLeft:
+      return "no extra send left";
+    case LossCause::kOwnerSilent:
+      return "owner silent";
+    case LossCause::kOwnerLate:
+      return "owner late";
+    case LossCause::kOwnerFailed:
+      return "owner has no answer";
+    default:
+      return "unknown";
+  }
+}
+
+double Loss::total() const { return std::accumulate(lost_.begin(), lost_.end(), 0.0); }
+
+}  // namespace oakpier::serving
--- a/src/coordination/serving/merge_server.cpp
+++ b/src/coordination/serving/merge_server.cpp
@@ -115,7 +115,7 @@
     send.exchange = context_.exchanges.next++;
     send.leaf = leaf;
     send.deadline = task->deadline;
-    send.leastTime = leastAnswerTime(*leaf, latency.typical(), latency.alwaysWorthTrying());
+    send.leastTime = leastAnswerTime(*leaf, {latency.withoutQueue(), latency.alwaysWorthTrying()});
     leaf->onStarted(send.exchange, expected, now);
     ++task->openParts;
     parts_.emplace(send.exchange, Part{task, leaf, part.exchange()});
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -45,9 +45,9 @@
 bool PartExchange::send(Decision decision, bool paid, Moment now, QueryActions& actions) {
   RouteLatency& latency = context_.latencyOf(route_);
   const Duration timeLeft = times_.leafDeadline - now;
-  const SelectionRequest request{triedLeafs_,      latency.typical(),
-                                 context_.ownZone, context_.preferredZone,
-                                 timeLeft,         latency.alwaysWorthTrying()};
+  const AnswerTime answerTime{latency.withoutQueue(), latency.alwaysWorthTrying()};
+  const SelectionRequest request{triedLeafs_, latency.typical(), context_.ownZone, context_.preferredZone,
+                                 timeLeft,    answerTime};
   auto leaf = selectLeaf(context_.leafs.leafsOf(service_), request, context_.random, now);
   note(leaf ? decision : Decision::kNoLeaf, leaf, now);
   if (!leaf) {
@@ -60,7 +60,7 @@
   attempt.paid = paid;
   leaf->onStarted(attempt.exchange, latency.high(), now);
   triedLeafs_.push_back(leaf->entry().id);
-  const Duration leastTime = leastAnswerTime(*leaf, request.typicalLatency, request.alwaysWorthTrying);
+  const Duration leastTime = leastAnswerTime(*leaf, answerTime);
   actions.sends.push_back(SendAction{attempt.exchange, leaf, std::nullopt, times_.leafDeadline, leastTime});
   attempts_.push_back(std::move(attempt));
   if (route_.repeatable) {
@@ -101,7 +101,8 @@
     return false;
   }
   const bool paid = mayHaveArrived();
-  if (paid && !context_.budgets.spend(service_, now)) {
+  extraSendDenied_ = paid && !context_.budgets.spend(service_, now);
+  if (extraSendDenied_) {
     note(Decision::kBudgetEmpty, nullptr, now);
     return false;
   }
@@ -148,6 +149,7 @@
     state_ = State::kAnswered;
     return;
   }
+  lastFailure_ = outcome.kind;
   const bool unsent =
       outcome.kind == LeafOutcome::Kind::kNotSent || outcome.kind == LeafOutcome::Kind::kExpired;
   attempt->knownNotRun = unsent || outcome.kind == LeafOutcome::Kind::kNotExecuted ||
@@ -232,6 +234,31 @@
                      [](const Attempt& attempt) { return attempt.written || !attempt.finished; });
 }
 
+LossCause PartExchange::lossCause() const {
+  if (attempts_.empty()) {
+    return LossCause::kNoUsableLeaf;
+  }
+  if (state_ == State::kAnswered || anyOut()) {
+    if (extraSendDenied_) {
+      return LossCause::kNoExtraSendLeft;
+    }
+    return attempts_.size() == 1 ? LossCause::kOneLeafSlow : LossCause::kEveryLeafSlow;
+  }
+  switch (lastFailure_.value_or(LeafOutcome::Kind::kNoAnswer)) {
+    case LeafOutcome::Kind::kNotExecuted:
+    case LeafOutcome::Kind::kWrongInstance:
+      return LossCause::kTurnedAway;
+    case LeafOutcome::Kind::kNotSent:
+      return LossCause::kLeafUnreachable;
+    case LeafOutcome::Kind::kExpired:
+      return LossCause::kWaitedForConnection;
+    case LeafOutcome::Kind::kLeafFailed:
+      return LossCause::kLeafFailed;
+    default:
+      return LossCause::kConnectionBroken;
+  }
+}
+
 void PartExchange::close(QueryActions& actions) {
   for (const Attempt& attempt : attempts_) {
     if (!attempt.finished) {
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -7,6 +7,7 @@
 /// the service's budget; nothing is sent to a leaf that usually takes longer than what is left of the time;
 /// after the leafs' deadline an unanswered part gets time anew at most once.
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
   void close(QueryActions& actions) override;
   Moment nextDecisionAt() const override;
   bool mayHaveRun() const override;
+  LossCause lossCause() const override;
   /// A leaf may have seen the request, if only to turn it away.
   bool mayHaveArrived() const;
   std::size_t sendCount() const { return attempts_.size(); }
@@ -71,6 +73,10 @@
   Moment hedgeAt_ = kNever;
   PartTimes times_;
   bool renewed_ = false;
+  /// The last extra send that was wanted could not be paid for.
+  bool extraSendDenied_ = false;
+  /// How the last exchange that brought no answer ended.
+  std::optional<LeafOutcome::Kind> lastFailure_;
 };
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -11,6 +11,13 @@
 
 namespace oakpier::serving {
 
+namespace {
+
+/// Statuses from this on are failures.
+constexpr unsigned kFirstFailure = 400;
+
+}  // namespace
+
 Query::Query(std::shared_ptr<const ServingView> view, const Route& route, QueryContext& context,
              Moment receivedAt, Moment deadline)
     : view_(std::move(view)),
@@ -94,6 +101,7 @@
   for (const auto& [exchange, outcome] : outcomes) {
     if (QueryPart* part = partOf(exchange)) {
       part->onOutcome(exchange, outcome, now, actions);
+      lastAnswered_ = part->state() == QueryPart::State::kAnswered ? part : lastAnswered_;
     }
   }
   decide(now, actions);
@@ -215,6 +223,40 @@
   }
 }
 
+Loss Query::lossOf(const FinalAnswer& answer, Moment now) const {
+  Loss loss;
+  const bool late = now - receivedAt_ > route_.targetLatency;
+  const auto* forwarded = std::get_if<ForwardedAnswer>(&answer);
+  const bool answered = std::holds_alternative<MergedAnswer>(answer) ||
+                        (forwarded != nullptr && forwarded->reply->status < kFirstFailure);
+  if (answered && late) {
+    loss.add(lastAnswered_ == nullptr ? LossCause::kOneLeafSlow : lastAnswered_->lossCause(), 1.0);
+    return loss;
+  }
+  if (forwarded != nullptr) {
+    loss.add(LossCause::kLeafFailed, answered ? 0.0 : 1.0);
+    return loss;
+  }
+  double share = 0;
+  if (answered && !parts_.empty()) {
+    share = static_cast<double>(answeredParts()) / static_cast<double>(parts_.size());
+  }
+  addMissing(1.0 - share * share, loss);
+  return loss;
+}
+
+void Query::addMissing(double lost, Loss& loss) const {
+  const std::size_t missing = parts_.size() - answeredParts();
+  if (missing == 0) {
+    return;
+  }
+  for (const auto& part : parts_) {
+    if (part->state() != QueryPart::State::kAnswered) {
+      loss.add(part->lossCause(), lost / static_cast<double>(missing));
+    }
+  }
+}
+
 void Query::finishWithoutAnswer(Moment now, QueryActions& actions) {
   if (mayHaveRun()) {
     finish(Failure{now >= deadline_}, actions);
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -44,6 +44,8 @@
   std::uint64_t configurationVersion() const { return view_->configuration->version; }
   Moment receivedAt() const { return receivedAt_; }
   const RequestTrace& trace() const { return *trace_; }
+  /// What the caller has lost with this final answer, given at `now`.
+  Loss lossOf(const FinalAnswer& answer, Moment now) const;
   /// Shards without an answer.
   std::vector<std::string> missingServices() const;
 
@@ -65,6 +67,8 @@
   void finish(FinalAnswer answer, QueryActions& actions);
   void finishWithoutAnswer(Moment now, QueryActions& actions);
   MergedAnswer merge() const;
+  /// Adds `lost` in equal shares for the parts without an answer.
+  void addMissing(double lost, Loss& loss) const;
 
   std::shared_ptr<const ServingView> view_;
   const Route& route_;
@@ -78,6 +82,8 @@
   /// Has its own place, as the parts refer to it.
   std::unique_ptr<RequestTrace> trace_ = std::make_unique<RequestTrace>();
   std::vector<std::unique_ptr<QueryPart>> parts_;
+  /// The one that was last answered.
+  const QueryPart* lastAnswered_ = nullptr;
   bool answerDue_ = false;
   bool finished_ = false;
 };
--- a/src/coordination/serving/query_part.h
+++ b/src/coordination/serving/query_part.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "coordination/serving/loss_causes.h"
 #include "coordination/serving/query_actions.h"
 
 namespace oakpier::serving {
@@ -41,6 +42,8 @@
   virtual Moment nextDecisionAt() const = 0;
   /// A leaf may have begun to work on the request.
   virtual bool mayHaveRun() const = 0;
+  /// Why there is no answer yet, or why it came late.
+  virtual LossCause lossCause() const = 0;
 
   State state() const { return state_; }
   /// Nothing more can come within the target latency.
--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -35,10 +35,13 @@
   explicit RouteLatency(Duration targetLatency) : targetLatency_(targetLatency) {}
 
   void record(Duration latency, Moment now) {
+    quick_.record(latency, now);
     typical_.record(latency, now);
     high_.record(latency, now);
   }
   Duration typical() const { return typical_.estimate().value_or(targetLatency_ / 5); }
+  /// Work and ways alone: the quickest quarter of answers met no queue.
+  Duration withoutQueue() const { return quick_.estimate().value_or(targetLatency_ / 5); }
   /// With this much time left a request may be sent to any leaf, however slow it was: what is known of it may
   /// be out of date. Half of the target latency, so that a first send always may.
   Duration alwaysWorthTrying() const { return targetLatency_ / 2; }
@@ -48,6 +51,7 @@
 
  private:
   Duration targetLatency_;
+  LatencyTracker quick_{0.25};
   LatencyTracker typical_{0.5};
   LatencyTracker high_{0.95};
 };
--- a/src/coordination/serving/relayed_part.cpp
+++ b/src/coordination/serving/relayed_part.cpp
@@ -77,6 +77,7 @@
   const Endpoint& owner = delegations_.back().owner;
   if (context_.owners->silent(owner, now)) {
     note(Decision::kOwnerSilent, owner, now);
+    ownerSilent_ = true;
     state_ = State::kExhausted;
   }
 }
@@ -89,6 +90,16 @@
   }
 }
 
+LossCause RelayedPart::lossCause() const {
+  if (delegations_.empty()) {
+    return LossCause::kNoUsableLeaf;
+  }
+  if (ownerSilent_) {
+    return LossCause::kOwnerSilent;
+  }
+  return state_ == State::kExhausted ? LossCause::kOwnerFailed : LossCause::kOwnerLate;
+}
+
 bool RelayedPart::mayHaveRun() const {
   return std::any_of(delegations_.begin(), delegations_.end(),
                      [](const Delegation& delegation) { return !delegation.knownNotRun; });
--- a/src/coordination/serving/relayed_part.h
+++ b/src/coordination/serving/relayed_part.h
@@ -30,6 +30,7 @@
   void close(QueryActions& actions) override;
   Moment nextDecisionAt() const override { return state_ == State::kOpen ? checkAt_ : kNever; }
   bool mayHaveRun() const override;
+  LossCause lossCause() const override;
 
  private:
   struct Delegation {
@@ -50,6 +51,7 @@
   PartTimes times_;
   std::vector<Endpoint> owners_;
   std::vector<Delegation> delegations_;
+  bool ownerSilent_ = false;
   /// When to see whether the owner is silent.
   Moment checkAt_ = kNever;
 };
--- a/src/coordination/serving/shard_server.cpp
+++ b/src/coordination/serving/shard_server.cpp
@@ -101,7 +101,8 @@
 
 void ShardServer::giveUp(const WorkPointer& work, ServedWork::Part& part, UnansweredPart::Reason reason,
                          ShardServerActions& out) {
-  out.unanswered.push_back(UnansweredPart{work, part.exchange->service(), reason});
+  out.unanswered.push_back(
+      UnansweredPart{work, part.exchange->service(), reason, part.exchange->lossCause()});
   finish(part, out);
 }
 
--- a/src/coordination/serving/shard_server.h
+++ b/src/coordination/serving/shard_server.h
@@ -57,6 +57,8 @@
   std::shared_ptr<const ServedWork> work;
   std::string service;
   Reason reason = Reason::kNoAnswer;
+  /// What kept the answer away.
+  LossCause cause = LossCause::kOneLeafSlow;
 };
 
 struct ShardServerActions {
--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -1,13 +1,46 @@
 /// oakpierctl: the command line of operators.
 
 #include <CLI/CLI.hpp>
+#include <fstream>
 #include <iostream>
+#include <string>
+#include <vector>
 
 #include "programs/common/exit_codes.h"
 #include "programs/common/flags.h"
+#include "programs/control/causes.h"
 #include "programs/control/commands.h"
 #include "programs/control/explain.h"
 
+namespace {
+
+int showCauses(const std::vector<std::string>& logs, bool bySecond, bool json) {
+  oakpier::LossReport report;
+  if (logs.empty()) {
+    oakpier::addLosses(std::cin, report);
+  }
+  for (const std::string& log : logs) {
+    std::ifstream lines(log);
+    if (!lines) {
+      std::cerr << "cannot read " << log << "\n";
+      return oakpier::kExitFailure;
+    }
+    oakpier::addLosses(lines, report);
+  }
+  if (report.routes.empty()) {
+    std::cerr << "no line tells of requests; are these logs of oakpier-gateway?\n";
+    return oakpier::kExitFailure;
+  }
+  if (json) {
+    oakpier::printLossesAsJson(report, std::cout);
+  } else {
+    oakpier::printLosses(report, bySecond, std::cout);
+  }
+  return oakpier::kExitOk;
+}
+
+}  // namespace
+
 int main(int argumentCount, char** arguments) {
   CLI::App app("Reads and changes the configuration of a running oakpier, through any of its daemons.",
                "oakpierctl");
@@ -38,6 +71,12 @@
       "explain", "Tell from gateways' log lines on standard input why a request ended as it did");
   std::string id;
   explain->add_option("id", id, "The request's id")->required();
+  CLI::App* causes = app.add_subcommand(
+      "causes", "Add up from gateways' log lines what requests lost and why, by route and cause");
+  std::vector<std::string> logs;
+  bool bySecond = false;
+  causes->add_option("log", logs, "Log files; standard input when none is given")->check(CLI::ExistingFile);
+  causes->add_flag("--by-second", bySecond, "Also show the losses of each second");
   try {
     app.parse(argumentCount, arguments);
   } catch (const CLI::ParseError& problem) {
@@ -50,6 +89,9 @@
     }
     return oakpier::kExitOk;
   }
+  if (causes->parsed()) {
+    return showCauses(logs, bySecond, output == "json");
+  }
   if (daemon.empty()) {
     std::cerr << "--daemon is required\n";
     return oakpier::kExitUsage;
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -145,24 +145,26 @@
   const std::string* host = findHeader(request.headers, "Host");
   if (!view_->configuration) {
     ++counters_.refused;
-    reject(writer, requestId, refusalReply(kStartingRetryAfter, "not run: no configuration is known yet"),
-           "refused: no configuration is known yet");
+    const HttpReply reply = refusalReply(kStartingRetryAfter, "not run: no configuration is known yet");
+    writer.write(reply);
+    log_.onRefused(requestId, "", LossCause::kNoConfiguration, reply.status, now);
     return nullptr;
   }
   const Route* route = host == nullptr ? nullptr : view_->routes->find(*host, request.target);
   if (route == nullptr) {
     ++counters_.noRoute;
-    reject(writer, requestId,
-           host == nullptr ? ownReply(kBadRequest, "the request names no host")
-                           : ownReply(kNotFound, "no route for this host and path"),
-           "no route");
+    const HttpReply reply = host == nullptr ? ownReply(kBadRequest, "the request names no host")
+                                            : ownReply(kNotFound, "no route for this host and path");
+    writer.write(reply);
+    log_.onUnrouted(requestId, reply.status, now);
     return nullptr;
   }
   if (const auto refusal = refuseWhenBusy(*route, queryContext_, now)) {
     ++counters_.refused;
     ++counters_.refusedBusy;
-    reject(writer, requestId, refusalReply(refusal->retryAfter, "not run: the leafs are too busy"),
-           "refused: the leafs are too busy");
+    const HttpReply reply = refusalReply(refusal->retryAfter, "not run: the leafs are too busy");
+    writer.write(reply);
+    log_.onRefused(requestId, route->name, LossCause::kLeafsTooBusy, reply.status, now);
     return nullptr;
   }
   Moment deadline = now + route->timeout;
@@ -303,12 +305,6 @@
   }
 }
 
-void RequestGateway::reject(const ResponseWriter& writer, const std::string& requestId,
-                            const HttpReply& reply, const std::string& reason) {
-  writer.write(reply);
-  log_.onRefused(requestId, reason, reply.status, steadyNow());
-}
-
 void RequestGateway::armTimer(const ActivePointer& active) {
   active->timer.arm(active->query->nextDecisionAt(), [this, active] {
     if (!active->query->finished()) {
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -69,8 +69,6 @@
   void answer(const ActivePointer& active, const FinalAnswer& answer);
   void countDecisions(const RequestTrace& trace);
   /// An answer of the gateway's own before any query.
-  void reject(const ResponseWriter& writer, const std::string& requestId, const HttpReply& reply,
-              const std::string& reason);
   void armTimer(const ActivePointer& active);
   /// Opens the first connections to leafs before requests need them.
   void openAhead(const LeafAssignment& assignment);
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -111,15 +111,28 @@
   return true;
 }
 
-void RequestLog::onRefused(const std::string& requestId, const std::string& reason, unsigned status,
-                           Moment now) {
+void RequestLog::onUnrouted(const std::string& requestId, unsigned status, Moment now) {
+  writeRefusal(requestId, "no route", status, now);
+}
+
+void RequestLog::onRefused(const std::string& requestId, const std::string& route, LossCause cause,
+                           unsigned status, Moment now) {
+  Loss loss;
+  loss.add(cause, 1.0);
+  losses_.add(route, loss, now);
+  writeRefusal(requestId, std::string("refused: ") + textOf(cause), status, now);
+}
+
+void RequestLog::writeRefusal(const std::string& requestId, const std::string& outcome, unsigned status,
+                              Moment now) {
   if (takeRoom(now)) {
-    log(LogLevel::kWarning, "request", {{"id", requestId}, {"outcome", reason}, {"status", status}});
+    log(LogLevel::kWarning, "request", {{"id", requestId}, {"outcome", outcome}, {"status", status}});
   }
 }
 
 void RequestLog::onAnswer(const std::string& requestId, const Query& query, const FinalAnswer& answer,
                           Moment now) {
+  losses_.add(query.route().name, query.lossOf(answer, now), now);
   const bool late = now - query.receivedAt() > query.route().targetLatency;
   if (std::holds_alternative<Refusal>(answer)) {
     write(requestId, query, "refused: not run", false, now);
@@ -141,6 +154,7 @@
 
 void RequestLog::onUnanswered(const std::string& requestId, const UnansweredPart& part, Moment now) {
   const ServedWork& work = *part.work;
+  losses_.addServed(work.route.name, part.cause, now);
   if (!takeRoom(now)) {
     return;
   }
--- a/src/programs/gateway/request_log.h
+++ b/src/programs/gateway/request_log.h
@@ -9,6 +9,7 @@
 
 #include "coordination/serving/query.h"
 #include "coordination/serving/shard_server.h"
+#include "programs/gateway/loss_ledger.h"
 
 namespace oakpier::serving {
 
@@ -25,8 +26,11 @@
   explicit RequestLog(const RequestLogSettings& settings)
       : settings_(settings), room_(settings.linesPerSecond) {}
 
-  /// A request that ended without a query: refused, or without a route.
-  void onRefused(const std::string& requestId, const std::string& reason, unsigned status, Moment now);
+  /// A request that ended without a query and without a route.
+  void onUnrouted(const std::string& requestId, unsigned status, Moment now);
+  /// A request that was refused before there was a query. `route`: empty when no configuration is known.
+  void onRefused(const std::string& requestId, const std::string& route, LossCause cause, unsigned status,
+                 Moment now);
   void onAnswer(const std::string& requestId, const Query& query, const FinalAnswer& answer, Moment now);
   void onCallerGone(const std::string& requestId, const Query& query, Moment now);
   /// A shard that this daemon served for another one and that ended without an answer.
@@ -34,12 +38,14 @@
   std::uint64_t linesLeftOut() const { return leftOut_; }
 
  private:
+  void writeRefusal(const std::string& requestId, const std::string& outcome, unsigned status, Moment now);
   bool takeRoom(Moment now);
   void write(const std::string& requestId, const Query& query, const std::string& outcome, bool ordinary,
              Moment now);
   void writeDecisions(const std::string& requestId, const Query& query, Moment now);
 
   RequestLogSettings settings_;
+  LossLedger losses_;
   double room_;
   Moment filledAt_{};
   std::uint64_t ordinary_ = 0;
