--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -119,11 +119,6 @@
   return found == attempts_.end() ? nullptr : &*found;
 }
 
-bool PartExchange::owns(ExchangeId exchange) const {
-  return std::any_of(attempts_.begin(), attempts_.end(),
-                     [&](const Attempt& attempt) { return attempt.exchange == exchange; });
-}
-
 void PartExchange::onWritten(ExchangeId exchange) {
   if (Attempt* attempt = find(exchange)) {
     attempt->written = true;
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -61,7 +61,9 @@
   }
   for (const std::string& service : services) {
     parts_.push_back(newPart(service));
-    parts_.back()->start(now, times, actions);
+    QueryPart& part = *parts_.back();
+    count(part, 1);
+    advance(part, actions, [&] { part.start(now, times, actions); });
   }
   if (isGather() && context_.mergers != nullptr) {
     context_.mergers->assign(actions.sends, context_.random, now);
@@ -77,15 +79,31 @@
   return std::make_unique<PartExchange>(service, route_, context_, *trace_);
 }
 
-QueryPart* Query::partOf(ExchangeId exchange) {
-  const auto found =
-      std::find_if(parts_.begin(), parts_.end(), [&](const auto& part) { return part->owns(exchange); });
-  return found == parts_.end() ? nullptr : found->get();
+void Query::count(const QueryPart& part, std::ptrdiff_t change) {
+  tally_.answered += part.state() == QueryPart::State::kAnswered ? change : 0;
+  tally_.settled += part.state() != QueryPart::State::kOpen ? change : 0;
+  tally_.settledInTime += part.settledInTime() ? change : 0;
+}
+
+template <typename Step>
+void Query::advance(QueryPart& part, QueryActions& actions, Step step) {
+  const std::size_t sends = actions.sends.size();
+  const std::size_t relays = actions.relays.size();
+  count(part, -1);
+  step();
+  count(part, 1);
+  for (std::size_t number = sends; number < actions.sends.size(); ++number) {
+    exchanges_[actions.sends[number].exchange] = &part;
+  }
+  for (std::size_t number = relays; number < actions.relays.size(); ++number) {
+    exchanges_[actions.relays[number].exchange] = &part;
+  }
 }
 
 void Query::onWritten(ExchangeId exchange) {
-  if (QueryPart* part = partOf(exchange)) {
-    part->onWritten(exchange);
+  const auto found = exchanges_.find(exchange);
+  if (found != exchanges_.end()) {
+    found->second->onWritten(exchange);
   }
 }
 
@@ -99,10 +117,15 @@
     return actions;
   }
   for (const auto& [exchange, outcome] : outcomes) {
-    if (QueryPart* part = partOf(exchange)) {
-      part->onOutcome(exchange, outcome, now, actions);
-      lastAnswered_ = part->state() == QueryPart::State::kAnswered ? part : lastAnswered_;
+    const auto found = exchanges_.find(exchange);
+    if (found == exchanges_.end()) {
+      continue;
     }
+    QueryPart& part = *found->second;
+    const ExchangeId ended = exchange;
+    const LeafOutcome& how = outcome;
+    advance(part, actions, [&] { part.onOutcome(ended, how, now, actions); });
+    lastAnswered_ = part.state() == QueryPart::State::kAnswered ? &part : lastAnswered_;
   }
   decide(now, actions);
   return actions;
@@ -115,7 +138,7 @@
   }
   answerDue_ = answerDue_ || now >= answerBy_;
   for (const auto& part : parts_) {
-    part->onTime(now, actions);
+    advance(*part, actions, [&] { part->onTime(now, actions); });
   }
   decide(now, actions);
   return actions;
@@ -144,12 +167,6 @@
   return next;
 }
 
-std::size_t Query::answeredParts() const {
-  return static_cast<std::size_t>(std::count_if(parts_.begin(), parts_.end(), [](const auto& part) {
-    return part->state() == QueryPart::State::kAnswered;
-  }));
-}
-
 std::vector<std::string> Query::missingServices() const {
   std::vector<std::string> missing;
   for (const auto& part : parts_) {
@@ -160,15 +177,6 @@
   return missing;
 }
 
-bool Query::allSettled() const {
-  return std::all_of(parts_.begin(), parts_.end(),
-                     [](const auto& part) { return part->state() != QueryPart::State::kOpen; });
-}
-
-bool Query::allSettledInTime() const {
-  return std::all_of(parts_.begin(), parts_.end(), [](const auto& part) { return part->settledInTime(); });
-}
-
 bool Query::mayHaveRun() const {
   return std::any_of(parts_.begin(), parts_.end(), [](const auto& part) { return part->mayHaveRun(); });
 }
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -5,7 +5,9 @@
 /// Invariants: exactly one answer; all parts come from the configuration the query started with; "did not
 /// run" is said only when no leaf may have run it.
 
+#include <cstddef>
 #include <memory>
+#include <unordered_map>
 #include <vector>
 
 #include "coordination/serving/query_part.h"
@@ -53,11 +55,21 @@
   bool isGather() const { return gather_ != nullptr; }
   std::string chooseService() const;
   std::unique_ptr<QueryPart> newPart(const std::string& service);
-  QueryPart* partOf(ExchangeId exchange);
-  std::size_t answeredParts() const;
-  bool allSettled() const;
-  /// No further part can come within the target latency.
-  bool allSettledInTime() const;
+  /// How many parts are in which state; kept in step, as a query may have hundreds of parts.
+  struct Tally {
+    std::ptrdiff_t answered = 0;
+    std::ptrdiff_t settled = 0;
+    /// No further answer of these can come within the target latency.
+    std::ptrdiff_t settledInTime = 0;
+  };
+  /// Lets the part do something, and takes over what it sends and what becomes of it.
+  template <typename Step>
+  void advance(QueryPart& part, QueryActions& actions, Step step);
+  /// `change`: 1 to count the part in its present state, -1 to take it out.
+  void count(const QueryPart& part, std::ptrdiff_t change);
+  std::size_t answeredParts() const { return static_cast<std::size_t>(tally_.answered); }
+  bool allSettled() const { return static_cast<std::size_t>(tally_.settled) == parts_.size(); }
+  bool allSettledInTime() const { return static_cast<std::size_t>(tally_.settledInTime) == parts_.size(); }
   bool mayHaveRun() const;
   bool enoughParts() const;
   /// Answers if the time or the parts that are in decide it.
@@ -82,6 +94,9 @@
   /// Has its own place, as the parts refer to it.
   std::unique_ptr<RequestTrace> trace_ = std::make_unique<RequestTrace>();
   std::vector<std::unique_ptr<QueryPart>> parts_;
+  /// The part of each exchange.
+  std::unordered_map<ExchangeId, QueryPart*> exchanges_;
+  Tally tally_;
   /// The one that was last answered.
   const QueryPart* lastAnswered_ = nullptr;
   bool answerDue_ = false;
--- a/src/coordination/serving/query_part.h
+++ b/src/coordination/serving/query_part.h
@@ -30,7 +30,6 @@
   virtual ~QueryPart() = default;
 
   virtual void start(Moment now, const PartTimes& times, QueryActions& actions) = 0;
-  virtual bool owns(ExchangeId exchange) const = 0;
   /// The first byte of the request is about to go to a leaf.
   virtual void onWritten(ExchangeId exchange) = 0;
   virtual void onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now,
--- a/src/coordination/serving/relayed_part.cpp
+++ b/src/coordination/serving/relayed_part.cpp
@@ -43,11 +43,6 @@
   return true;
 }
 
-bool RelayedPart::owns(ExchangeId exchange) const {
-  return std::any_of(delegations_.begin(), delegations_.end(),
-                     [&](const Delegation& delegation) { return delegation.exchange == exchange; });
-}
-
 void RelayedPart::onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now,
                             QueryActions& actions) {
   Delegation& last = delegations_.back();
--- a/src/coordination/serving/relayed_part.h
+++ b/src/coordination/serving/relayed_part.h
@@ -23,7 +23,6 @@
   RelayedPart(std::string service, const Route& route, QueryContext& context, RequestTrace& trace);
 
   void start(Moment now, const PartTimes& times, QueryActions& actions) override;
-  bool owns(ExchangeId exchange) const override;
   void onWritten(ExchangeId) override {}
   void onOutcome(ExchangeId exchange, const LeafOutcome& outcome, Moment now, QueryActions& actions) override;
   void onTime(Moment now, QueryActions& actions) override;
--- a/src/coordination/serving/request_trace.h
+++ b/src/coordination/serving/request_trace.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 #include <optional>
-#include <string>
+#include <string_view>
 #include <vector>
 
 #include "coordination/serving/leaf_outcome.h"
@@ -37,7 +37,8 @@
 struct TraceEvent {
   Moment at;
   Decision decision = Decision::kSend;
-  std::string service;
+  /// Of the part that decided; lives as long as the request.
+  std::string_view service;
   /// Null for kNoLeaf, kBudgetEmpty and what concerns owners.
   std::shared_ptr<const LeafStatus> leaf;
   /// What the choice rested on: requests at the leaf, its smoothed slowness, how long it was overdue.
--- a/src/programs/gateway/owner_client.cpp
+++ b/src/programs/gateway/owner_client.cpp
@@ -147,37 +147,44 @@
   }
   const Moment now = steadyNow();
   owners_.onHeard(owner);
+  Listeners listeners;
   for (const OwnerResult& result : results.results()) {
-    onResult(result, now);
+    takeResult(result, now, listeners);
+  }
+  for (const auto& [listener, outcomes] : listeners) {
+    (*listener)(outcomes);
   }
 }
 
-void OwnerClient::onResult(const OwnerResult& result, Moment now) {
+void OwnerClient::takeResult(const OwnerResult& result, Moment now, Listeners& listeners) {
   const auto found = pending_.find(result.exchange());
   if (found == pending_.end()) {
     return;
   }
-  const Pending pending = found->second;
+  const Pending pending = std::move(found->second);
   pending_.erase(found);
-  const LeafOutcome outcome = outcomeOf(result);
+  LeafOutcome outcome = outcomeOf(result);
   if (outcome.kind == LeafOutcome::Kind::kAnswered) {
     context_.latencyOf(*pending.route).record(now - pending.startedAt, now);
   }
-  (*pending.listener)(result.exchange(), outcome);
+  listeners[pending.listener].push_back(ExchangeOutcome{result.exchange(), std::move(outcome)});
 }
 
 void OwnerClient::onUndeliverable(const OwnerWork& work) {
   ++counters_.undeliverable;
   LeafOutcome outcome;
   outcome.kind = LeafOutcome::Kind::kNotSent;
+  Listeners listeners;
   for (const OwnerPart& part : work.parts()) {
     const auto found = pending_.find(part.exchange());
     if (found == pending_.end()) {
       continue;
     }
-    const auto listener = found->second.listener;
+    listeners[found->second.listener].push_back(ExchangeOutcome{part.exchange(), outcome});
     pending_.erase(found);
-    (*listener)(part.exchange(), outcome);
+  }
+  for (const auto& [listener, outcomes] : listeners) {
+    (*listener)(outcomes);
   }
 }
 
--- a/src/programs/gateway/owner_client.h
+++ b/src/programs/gateway/owner_client.h
@@ -4,6 +4,7 @@
 /// their results to the queries. Runs on the request thread.
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -30,7 +31,8 @@
 
 class OwnerClient {
  public:
-  using Listener = std::function<void(ExchangeId, const LeafOutcome&)>;
+  /// Gets what came in one frame together.
+  using Listener = std::function<void(const std::vector<ExchangeOutcome>&)>;
   /// What the owners are told of a query.
   struct Order {
     std::shared_ptr<const HttpRequest> request;
@@ -65,7 +67,9 @@
 
   void askForSignOfLife(const Endpoint& owner);
   void probeSilentOwners(Moment now);
-  void onResult(const OwnerResult& result, Moment now);
+  using Listeners = std::map<std::shared_ptr<const Listener>, std::vector<ExchangeOutcome>>;
+  /// Adds what the result says to what its listener is told.
+  void takeResult(const OwnerResult& result, Moment now, Listeners& listeners);
 
   QueryContext& context_;
   ShardOwners& owners_;
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -233,9 +233,10 @@
   if (!active->ownerListener) {
     const std::weak_ptr<ActiveQuery> weak = active;
     active->ownerListener = std::make_shared<const OwnerClient::Listener>(
-        [this, weak](ExchangeId exchange, const LeafOutcome& outcome) {
-          if (const ActivePointer asking = weak.lock()) {
-            onOutcome(asking, exchange, outcome);
+        [this, weak](const std::vector<ExchangeOutcome>& outcomes) {
+          const ActivePointer asking = weak.lock();
+          if (asking && !asking->query->finished()) {
+            apply(asking, asking->query->onOutcomes(outcomes, steadyNow()));
           }
         });
   }
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/request_log.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 #include "programs/common/logging.h"
@@ -198,7 +199,7 @@
 void RequestLog::writeDecisions(const std::string& requestId, const Query& query, Moment now) {
   // With some parts missing, only what was decided for those explains the outcome.
   const auto missing = query.missingServices();
-  const std::set<std::string> explained(missing.begin(), missing.end());
+  const std::set<std::string, std::less<>> explained(missing.begin(), missing.end());
   for (const TraceEvent& event : query.trace().events()) {
     if ((explained.empty() || explained.count(event.service) != 0) && takeRoom(now)) {
       log(LogLevel::kWarning, "decision", fieldsOf(requestId, event, query.receivedAt()));
--- a/tests/serving/programs/owner_client_test.cpp
+++ b/tests/serving/programs/owner_client_test.cpp
@@ -26,9 +26,9 @@
     order.route = std::make_shared<const Route>(gatherRoute({"s", "t", "u"}, 0.5));
     order.leafDeadline = Moment::max();
     order.usefulUntil = Moment::max();
-    order.listener = std::make_shared<const OwnerClient::Listener>(
-        [this](ExchangeId exchange, const LeafOutcome& outcome) {
-          outcomes.emplace_back(exchange, outcome);
+    order.listener =
+        std::make_shared<const OwnerClient::Listener>([this](const std::vector<ExchangeOutcome>& told) {
+          outcomes.insert(outcomes.end(), told.begin(), told.end());
         });
   }
 
@@ -49,7 +49,7 @@
 
   ShardOwners owners;
   std::vector<std::pair<Endpoint, PeerEnvelope>> frames;
-  std::vector<std::pair<ExchangeId, LeafOutcome>> outcomes;
+  std::vector<ExchangeOutcome> outcomes;
   OwnerClient client;
   OwnerClient::Order order;
 };
@@ -82,9 +82,9 @@
   world.client.onResults(kFirstOwner, world.resultOf(1, run));
   world.client.onResults(kFirstOwner, world.resultOf(1, run));
   REQUIRE(world.outcomes.size() == 1);
-  REQUIRE(world.outcomes[0].first == 1);
-  REQUIRE(world.outcomes[0].second.kind == LeafOutcome::Kind::kAnswered);
-  REQUIRE(world.outcomes[0].second.reply->body == "records");
+  REQUIRE(world.outcomes[0].exchange == 1);
+  REQUIRE(world.outcomes[0].outcome.kind == LeafOutcome::Kind::kAnswered);
+  REQUIRE(world.outcomes[0].outcome.reply->body == "records");
 }
 
 TEST_CASE("two processes do not take each other's results", "[serving]") {
@@ -121,7 +121,7 @@
   const OwnerWork work = world.frames[0].second.owner_work();
   world.client.onUndeliverable(work);
   REQUIRE(world.outcomes.size() == 2);
-  REQUIRE(world.outcomes[0].second.kind == LeafOutcome::Kind::kNotSent);
+  REQUIRE(world.outcomes[0].outcome.kind == LeafOutcome::Kind::kNotSent);
   REQUIRE(world.client.counters().undeliverable == 1);
 }
 
