Serve a shard as its owner when another daemon takes this one for it

Ruled out: leafs unknown to the owner (its view held them).

Change: a daemon that is asked for a shard takes up its leafs, and serves it until nobody has asked for ten seconds. Connections fit, as each owner's share leaves room for two owners a zone. Seen in a test of the owners' table.

--- a/src/coordination/serving/leaf_status.cpp
+++ b/src/coordination/serving/leaf_status.cpp
@@ -139,6 +139,16 @@
   }
 }
 
+void LeafRegistry::add(const std::string& service, const std::vector<LeafEntry>& entries, Moment now) {
+  Leafs& leafs = services_[service];
+  if (!leafs.empty()) {
+    return;
+  }
+  for (const LeafEntry& entry : entries) {
+    leafs.push_back(std::make_shared<LeafStatus>(entry, now));
+  }
+}
+
 const LeafRegistry::Leafs& LeafRegistry::leafsOf(const std::string& service) const {
   static const Leafs kNone;
   const auto found = services_.find(service);
--- a/src/coordination/serving/leaf_status.h
+++ b/src/coordination/serving/leaf_status.h
@@ -68,6 +68,8 @@
 
   /// Leafs that are no longer listed are marked as gone and forgotten.
   void reconcile(const LeafsByService& directory, Moment now);
+  /// Adds the leafs of a service that has none yet.
+  void add(const std::string& service, const std::vector<LeafEntry>& entries, Moment now);
   const Leafs& leafsOf(const std::string& service) const;
 
  private:
--- a/src/coordination/serving/shard_owners.cpp
+++ b/src/coordination/serving/shard_owners.cpp
@@ -1,6 +1,7 @@
 #include "coordination/serving/shard_owners.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "state/hashing.h"
@@ -12,6 +13,8 @@
 /// Owners of one zone that may hold connections to a leaf at once: the first, its stand-in.
 constexpr std::size_t kOwnersAtOnce = 2;
 constexpr std::size_t kMostOwnerConnections = 6;
+/// Member tables become equal within some seconds; connections are kept a little longer.
+constexpr Duration kServedForOthers = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -76,7 +79,30 @@
   return owners;
 }
 
+bool ShardOwners::serveForOther(const std::string& service, Moment now) {
+  const auto served = servedForOthers_.find(service);
+  if (served != servedForOthers_.end()) {
+    served->second = now;
+    return false;
+  }
+  if (!owned(service) || isOwner(service)) {
+    return false;
+  }
+  servedForOthers_.emplace(service, now);
+  return true;
+}
+
+void ShardOwners::dropUnasked(Moment now) {
+  for (auto served = servedForOthers_.begin(); served != servedForOthers_.end();) {
+    const bool unasked = now - served->second > kServedForOthers;
+    served = unasked ? servedForOthers_.erase(served) : std::next(served);
+  }
+}
+
 bool ShardOwners::isOwner(const std::string& service) {
+  if (servedForOthers_.count(service) != 0) {
+    return true;
+  }
   const auto& owners = ranked(service);
   return std::find(owners.begin(), owners.end(), self_) != owners.end();
 }
--- a/src/coordination/serving/shard_owners.h
+++ b/src/coordination/serving/shard_owners.h
@@ -5,7 +5,8 @@
 /// are.
 ///
 /// Invariants: equal member tables give equal owners; a change of one daemon moves only the shards that it
-/// gains or loses; a daemon that leaves frames unanswered comes second until it is heard again.
+/// gains or loses; a daemon that leaves frames unanswered comes second until it is heard again; a daemon that
+/// is taken for an owner by one with another member table serves the shard for a while.
 
 #include <cstddef>
 #include <string>
@@ -56,8 +57,12 @@
   bool owned(const std::string& service) const { return services_.count(service) != 0; }
   /// In the order in which they are to be tried.
   std::vector<Endpoint> ownersOf(const std::string& service, Moment now);
-  /// This daemon is one of the shard's owners.
+  /// This daemon is one of the shard's owners, or serves it for daemons that take it for one.
   bool isOwner(const std::string& service);
+  /// Another daemon takes this one for an owner of the shard. True when this daemon did not serve it yet.
+  bool serveForOther(const std::string& service, Moment now);
+  /// Ends what nobody has asked for in a while.
+  void dropUnasked(Moment now);
   /// This daemon is the shard's first owner.
   bool isFirstOwner(const std::string& service);
 
@@ -75,6 +80,8 @@
   std::vector<Endpoint> daemons_;
   std::unordered_set<std::string> services_;
   std::unordered_map<std::string, std::vector<Endpoint>> ranked_;
+  /// Shards that only others take this daemon for an owner of, and when they last did.
+  std::unordered_map<std::string, Moment> servedForOthers_;
   PeerSilence silence_;
 };
 
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -81,6 +81,7 @@
 
 void RequestGateway::onFrame(const Endpoint& sender, const PeerEnvelope& envelope) {
   if (envelope.has_owner_work()) {
+    serveForOther(envelope.owner_work());
     ownerService_.onWork(sender, envelope.owner_work());
   } else if (envelope.has_owner_results()) {
     ownerClient_.onResults(sender, envelope.owner_results());
@@ -95,6 +96,19 @@
   }
 }
 
+void RequestGateway::serveForOther(const OwnerWork& work) {
+  const Moment now = steadyNow();
+  for (const OwnerPart& part : work.parts()) {
+    if (!owners_.serveForOther(part.service(), now)) {
+      continue;
+    }
+    const auto leafs = view_->leafs->find(part.service());
+    if (leafs != view_->leafs->end()) {
+      leafs_.add(part.service(), leafs->second, now);
+    }
+  }
+}
+
 void RequestGateway::onUndeliverable(const PeerEnvelope& envelope) {
   if (envelope.has_owner_work()) {
     ownerClient_.onUndeliverable(envelope.owner_work());
@@ -105,6 +119,7 @@
 
 void RequestGateway::onView() {
   view_ = published_.read();
+  owners_.dropUnasked(steadyNow());
   const LeafAssignment assignment = assignLeafs(*view_, daemons_, self_, owners_);
   ownerService_.setOwnedShards(assignment.firstOwned);
   sender_.setShares(assignment.shares);
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -57,6 +57,8 @@
   std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut() + ownerService_.logLinesLeftOut(); }
 
  private:
+  /// Takes up the shards that the asking daemon takes this one for the owner of: member tables may differ.
+  void serveForOther(const OwnerWork& work);
   struct ActiveQuery;
   using ActivePointer = std::shared_ptr<ActiveQuery>;
 
--- a/tests/serving/coordination/shard_owners_test.cpp
+++ b/tests/serving/coordination/shard_owners_test.cpp
@@ -31,6 +31,30 @@
 
 }  // namespace
 
+TEST_CASE("a daemon that others take for an owner serves the shard for a while", "[serving]") {
+  std::vector<Endpoint> daemons;
+  for (std::uint32_t number = 1; number <= 40; ++number) {
+    daemons.emplace_back(number, 1);
+  }
+  ShardOwners owners(daemons.front());
+  owners.setDaemons(daemons);
+  owners.setServices({"a", "b", "c", "d", "e", "f", "g", "h"});
+  std::string foreign;
+  for (const std::string service : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+    foreign = owners.isOwner(service) ? foreign : service;
+  }
+  REQUIRE_FALSE(foreign.empty());
+  REQUIRE(owners.serveForOther(foreign, at(0)));
+  REQUIRE_FALSE(owners.serveForOther(foreign, at(1)));
+  REQUIRE(owners.isOwner(foreign));
+  REQUIRE_FALSE(owners.isFirstOwner(foreign));
+  owners.dropUnasked(at(5000));
+  REQUIRE(owners.isOwner(foreign));
+  owners.dropUnasked(at(20000));
+  REQUIRE_FALSE(owners.isOwner(foreign));
+  REQUIRE_FALSE(owners.serveForOther("not left to owners", at(0)));
+}
+
 TEST_CASE("daemons that know the same others name the same owners", "[serving]") {
   const auto group = daemons(17);
   auto first = ownersSeenBy(group[0], group);
