--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -22,11 +22,6 @@
   return zone == request.preferredZone ? kOtherZonePenalty : kFurtherZonePenalty;
 }
 
-bool hasFreeSlot(const LeafStatus& leaf, Moment now) {
-  const double slots = std::max(1U, leaf.entry().slots);
-  return leaf.queueLength(now) + 1.0 <= slots && leaf.stalledFor(now).count() <= 0 && !leaf.ejected(now);
-}
-
 }  // namespace
 
 Duration leastAnswerTime(const LeafStatus& leaf, const AnswerTime& time) {
@@ -69,9 +64,6 @@
     if (request.timeLeft < leastAnswerTime(*leaf, request.answerTime)) {
       continue;
     }
-    if (request.freeOnly && !hasFreeSlot(*leaf, now)) {
-      continue;
-    }
     const auto tieBreak = Duration(static_cast<std::int64_t>(drawBelow(kTieBreakMicroseconds, random)));
     const Duration expected = expectedLatency(*leaf, request, now) + tieBreak;
     if (!best || expected < bestExpected) {
--- a/src/coordination/serving/leaf_selection.h
+++ b/src/coordination/serving/leaf_selection.h
@@ -32,8 +32,6 @@
   /// Until the leaf's deadline; leafs that usually need longer are left out.
   Duration timeLeft = Duration::max();
   AnswerTime answerTime = {};
-  /// Only leafs that are thought to have a free slot.
-  bool freeOnly = false;
 };
 
 /// The least time that the leaf usually needs for an answer, its queue aside.
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -37,21 +37,19 @@
 void PartExchange::start(Moment now, const PartTimes& times, QueryActions& actions) {
   context_.budgets.earn(service_, now);
   times_ = times;
-  if (!send(Decision::kSend, false, false, now, actions)) {
+  if (!send(Decision::kSend, false, now, actions)) {
     state_ = State::kExhausted;
   }
 }
 
-bool PartExchange::send(Decision decision, bool paid, bool freeOnly, Moment now, QueryActions& actions) {
+bool PartExchange::send(Decision decision, bool paid, Moment now, QueryActions& actions) {
   RouteLatency& latency = context_.latencyOf(route_);
   const Duration timeLeft = times_.leafDeadline - now;
   const AnswerTime answerTime{latency.withoutQueue(), latency.alwaysWorthTrying()};
   const SelectionRequest request{triedLeafs_, latency.typical(), context_.ownZone, context_.preferredZone,
-                                 timeLeft,    answerTime,        freeOnly};
+                                 timeLeft,    answerTime};
   auto leaf = selectLeaf(context_.leafs.leafsOf(service_), request, context_.random, now);
-  if (leaf || !freeOnly) {
-    note(leaf ? decision : Decision::kNoLeaf, leaf, now);
-  }
+  note(leaf ? decision : Decision::kNoLeaf, leaf, now);
   if (!leaf) {
     return false;
   }
@@ -67,7 +65,6 @@
   attempts_.push_back(std::move(attempt));
   if (route_.repeatable) {
     hedgeAt_ = now + hedgeDelay(latency, now);
-    hedgeAnywhereAt_ = now + std::max(kShortestHedgeDelay, latency.high());
   }
   return true;
 }
@@ -82,9 +79,8 @@
   if (late <= early) {
     return std::max(latency.typical() * 3 / 2, late);
   }
-  const Duration eager = std::min(early, latency.typical() * 3 / 2);
   const double spent = 1.0 - context_.budgets.fill(service_, now);
-  return eager + Duration(static_cast<std::int64_t>((late - eager).count() * spent));
+  return early + Duration(static_cast<std::int64_t>((late - early).count() * spent));
 }
 
 std::size_t PartExchange::countedAttempts() const {
@@ -100,7 +96,7 @@
   return route_.repeatable || !mayHaveRun();
 }
 
-bool PartExchange::sendAgain(Decision decision, Moment now, QueryActions& actions, bool freeOnly) {
+bool PartExchange::sendAgain(Decision decision, Moment now, QueryActions& actions) {
   if (!mayTryAgain()) {
     return false;
   }
@@ -110,7 +106,7 @@
     note(Decision::kBudgetEmpty, nullptr, now);
     return false;
   }
-  const bool sent = send(decision, paid, freeOnly, now, actions);
+  const bool sent = send(decision, paid, now, actions);
   if (paid && !sent) {
     context_.budgets.giveBack(service_, now);
   }
@@ -210,9 +206,8 @@
   }
   hedgeAt_ = kNever;
   const bool worthIt = now < times_.usefulUntil;
-  const bool freeOnly = now < hedgeAnywhereAt_;
-  if (worthIt && mayTryAgain() && !sendAgain(Decision::kHedge, now, actions, freeOnly)) {
-    hedgeAt_ = freeOnly ? std::min(hedgeAnywhereAt_, now + kHedgeRetry) : now + kHedgeRetry;
+  if (worthIt && mayTryAgain() && !sendAgain(Decision::kHedge, now, actions)) {
+    hedgeAt_ = now + kHedgeRetry;
   }
 }
 
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -47,13 +47,12 @@
     bool paid = false;
   };
 
-  /// `freeOnly`: only to a leaf that can begin at once.
-  bool send(Decision decision, bool paid, bool freeOnly, Moment now, QueryActions& actions);
+  bool send(Decision decision, bool paid, Moment now, QueryActions& actions);
   /// Early while the budget is full, later the less is left of it.
   Duration hedgeDelay(const RouteLatency& latency, Moment now);
   bool mayTryAgain() const;
   /// Sends again if that is allowed, and pays for it.
-  bool sendAgain(Decision decision, Moment now, QueryActions& actions, bool freeOnly = false);
+  bool sendAgain(Decision decision, Moment now, QueryActions& actions);
   void concludeIfExhausted(Moment now, QueryActions& actions);
   bool anyOut() const;
   /// The part may be sent once more after the leafs' deadline.
@@ -71,8 +70,6 @@
   std::vector<Attempt> attempts_;
   std::vector<std::string> triedLeafs_;
   Moment hedgeAt_ = kNever;
-  /// From then on a hedge may go to a leaf whose slots are taken.
-  Moment hedgeAnywhereAt_ = kNever;
   PartTimes times_;
   bool renewed_ = false;
   /// The last extra send that was wanted could not be paid for.
