Reach a peer at once when it is heard after it could not be reached

Change: a frame from a new process, or from a peer to which the last frame failed, ends the old connection; the next frame opens a new one. Test at the real transport by the count of such reconnections, not by time.

--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -118,6 +118,8 @@
     zmq::socket_t socket;
     std::deque<Frame> waiting;
     Moment usedAt{};
+    /// The last frame could not be handed over.
+    bool failing = false;
   };
 
   /// What there is to do.
@@ -165,6 +167,7 @@
         continue;
       }
       ++owner_.counters_.framesReceived;
+      reconnectTo(*sender, envelope.incarnation());
       const Duration age = age_.ageOf(*sender, envelope.incarnation(), envelope.sent_at_us(), steadyNow());
       const bool stale = age > fromMilliseconds(envelope.time_to_live_ms());
       owner_.counters_.framesStale += stale ? 1 : 0;
@@ -185,9 +188,11 @@
       Peer& peer = peerOf(frame.to);
       peer.usedAt = now;
       if (peer.waiting.empty() && trySend(peer, frame)) {
+        peer.failing = false;
         continue;
       }
       if (peer.waiting.size() >= kMostWaitingFrames) {
+        peer.failing = true;
         fail(frame);
         continue;
       }
@@ -197,12 +202,31 @@
     }
   }
 
+  /// A frame came from the peer. If it is a new process, or the last frame to it failed, the old connection
+  /// may be waiting for its next attempt; a new one is tried with the next frame.
+  void reconnectTo(const Endpoint& sender, std::uint64_t incarnation) {
+    const auto [known, isFirst] = incarnations_.try_emplace(sender, incarnation);
+    const bool isNewProcess = !isFirst && known->second != incarnation;
+    known->second = incarnation;
+    const auto peer = peers_.find(sender);
+    if (peer == peers_.end() || !(isNewProcess || peer->second.failing)) {
+      return;
+    }
+    ++owner_.counters_.reconnections;
+    waitingFrames_ -= peer->second.waiting.size();
+    std::deque<Frame> waiting = std::move(peer->second.waiting);
+    peers_.erase(peer);
+    for (const Frame& frame : waiting) {
+      fail(frame);
+    }
+  }
+
   Peer& peerOf(const Endpoint& to) {
     const auto found = peers_.find(to);
     if (found != peers_.end()) {
       return found->second;
     }
-    Peer peer{zmq::socket_t(context_, zmq::socket_type::push), {}, {}};
+    Peer peer{zmq::socket_t(context_, zmq::socket_type::push), {}, {}, false};
     peer.socket.set(zmq::sockopt::linger, 0);
     peer.socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
     // Without this, frames queue for a peer that is away and arrive when it is back.
@@ -238,6 +262,7 @@
         if (!sent && now < frame.giveUpAt) {
           break;
         }
+        peer.failing = !sent;
         if (!sent) {
           fail(frame);
         }
@@ -276,6 +301,8 @@
   std::mutex mutex_;
   std::vector<Frame> outgoing_;
   std::unordered_map<Endpoint, Peer> peers_;
+  /// Of the process last heard at each address.
+  std::unordered_map<Endpoint, std::uint64_t> incarnations_;
   std::size_t waitingFrames_ = 0;
   Moment nextIdleCheckAt_{};
   FrameAge age_;
--- a/src/transport/peer_transport.h
+++ b/src/transport/peer_transport.h
@@ -34,6 +34,8 @@
   std::atomic<std::uint64_t> controlFramesSent{0};
   std::atomic<std::uint64_t> controlBytesSent{0};
   std::atomic<std::uint64_t> framesUndeliverable{0};
+  /// Connections made anew, as a peer that could not be reached was heard.
+  std::atomic<std::uint64_t> reconnections{0};
   std::atomic<std::uint64_t> framesStale{0};
   std::atomic<std::uint64_t> framesMalformed{0};
 };
--- a/tests/transport/peer_transport_test.cpp
+++ b/tests/transport/peer_transport_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 #include <memory>
+#include <utility>
 
 #include "support/free_endpoint.h"
 
@@ -51,6 +52,39 @@
   REQUIRE(first.get() == "late");
 }
 
+TEST_CASE("a peer that could not be reached is connected to anew when it is heard", "[transport]") {
+  const Endpoint here = freeEndpoint();
+  const Endpoint there = freeEndpoint();
+  std::promise<void> failed;
+  std::promise<void> heard;
+  std::promise<void> answered;
+  std::unique_ptr<PeerTransport> sender;
+  bool first = true;
+  sender = std::make_unique<PeerTransport>(
+      here, PeerTransport::Handlers{[&](const PeerEnvelope&, bool) { heard.set_value(); },
+                                    [&](const Endpoint& to, const PeerEnvelope& envelope) {
+                                      if (std::exchange(first, false)) {
+                                        failed.set_value();
+                                      } else {
+                                        sender->send(to, envelope);
+                                      }
+                                    }});
+  REQUIRE(sender->start().empty());
+  sender->send(there, workFrom(here, "too early"));
+  failed.get_future().get();
+  REQUIRE(sender->counters().reconnections == 0);
+
+  PeerTransport receiver(
+      there, {[&](const PeerEnvelope&, bool) { answered.set_value(); },
+              [&](const Endpoint& to, const PeerEnvelope& envelope) { receiver.send(to, envelope); }});
+  REQUIRE(receiver.start().empty());
+  receiver.send(here, workFrom(there, "started"));
+  heard.get_future().get();
+  REQUIRE(sender->counters().reconnections == 1);
+  sender->send(there, workFrom(here, "answer"));
+  answered.get_future().get();
+}
+
 TEST_CASE("an address in use is a text, not a crash", "[transport]") {
   const Endpoint here = freeEndpoint();
   const PeerTransport::Handlers none{[](const PeerEnvelope&, bool) {},
