List the source at once while callers are refused

Change: the first caller that has to be refused for want of a configuration makes its daemon list the source; so daemons wait for others only where nobody waits for them, as in the seconds before traffic.

--- a/src/coordination/serving/peer_recovery.h
+++ b/src/coordination/serving/peer_recovery.h
@@ -18,14 +18,14 @@
 
 struct PeerRecoverySettings {
   /// Between requests to other daemons. The first may come before the seed has started.
-  Duration askPeriod = std::chrono::milliseconds(60);
+  Duration askPeriod = std::chrono::milliseconds(100);
   /// How long others wait for an answer: a seed's listing and the way of its answer on a tenth of a
   /// processor.
-  Duration patience = std::chrono::milliseconds(100);
+  Duration patience = std::chrono::milliseconds(300);
   /// They list up to this much later, so that they don't all call at once.
-  Duration longestSpread = std::chrono::milliseconds(500);
+  Duration longestSpread = std::chrono::milliseconds(700);
   /// Daemons that are assumed to start at once.
-  std::size_t assumedDaemons = 50;
+  std::size_t assumedDaemons = 100;
 };
 
 class PeerRecovery {
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -23,6 +23,12 @@
   reader_.holdUntil(recovery_.listAt());
 }
 
+void SourceFollower::onStateWanted(Moment now) {
+  if (counters_.calls == 0 && reader_.knownRevision() == 0) {
+    reader_.callBy(now);
+  }
+}
+
 void SourceFollower::setMembers(const std::vector<Endpoint>& members) {
   relay_.setMembers(members);
   turn_.setMembers(members);
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -54,6 +54,9 @@
   /// `seeds`: daemons to learn from first; this one may be among them. Without this call the source is listed
   /// at once.
   void start(const std::vector<Endpoint>& seeds, Moment now);
+  /// A caller had to be refused for want of a configuration: the source is listed at once, as an answer of
+  /// another daemon may take longer than callers wait.
+  void onStateWanted(Moment now);
   /// The call to make now, if one is due.
   std::optional<SourceCall> takeCall(Moment now);
   FollowerActions onAnswer(const SourceCall& call, const SourceAnswer& answer, Moment now);
--- a/src/coordination/serving/source_reader.h
+++ b/src/coordination/serving/source_reader.h
@@ -51,6 +51,8 @@
 
   /// No call before that moment.
   void holdUntil(Moment moment) { nextCallAt_ = std::max(nextCallAt_, moment); }
+  /// The first call is due by that moment, whatever was said of holding it.
+  void callBy(Moment moment) { nextCallAt_ = std::min(nextCallAt_, moment); }
   /// Another daemon has told everything up to `revision`.
   void onNews(std::uint64_t revision);
   /// Another daemon goes on reading and last did so at `freshAt`: this daemon's own next call waits until the
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -123,6 +123,8 @@
     }
     log(LogLevel::kInfo, "started",
         {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
+    requests_.setOnStateWanted(
+        [this] { boost::asio::post(controlContext_, [this] { source_.onStateWanted(); }); });
     awaitSignal();
     scheduleReload();
     scheduleSettled();
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -163,6 +163,9 @@
     const HttpReply reply = refusalReply(kStartingRetryAfter, "not run: no configuration is known yet");
     writer.write(reply);
     log_.onRefused(requestId, "", LossCause::kNoConfiguration, reply.status, now);
+    if (const auto wanted = std::exchange(onStateWanted_, nullptr)) {
+      wanted();
+    }
     return nullptr;
   }
   const Route* route = host == nullptr ? nullptr : view_->routes->find(*host, request.target);
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -41,6 +41,8 @@
   /// A new view was published.
   void onView();
   /// `planned`: how many daemons share each leaf's connections. `settled`: that can be relied on.
+  /// Called once, when a caller is refused as no configuration is known.
+  void setOnStateWanted(std::function<void()> handler) { onStateWanted_ = std::move(handler); }
   void setDaemons(const DaemonGroup& daemons, std::size_t planned, bool settled);
   /// A frame of another daemon, or of this one, about shards.
   void onFrame(const Endpoint& sender, const PeerEnvelope& envelope);
@@ -92,6 +94,7 @@
   MergeService mergeService_;
   SharingDaemons daemons_{kUsualDaemons, 1};
   bool settled_ = false;
+  std::function<void()> onStateWanted_;
   RequestCounters counters_;
   RequestLog log_{RequestLogSettings{}};
 };
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -57,6 +57,11 @@
   return problem;
 }
 
+void SourceLoop::onStateWanted() {
+  follower_.onStateWanted(steadyNow());
+  step();
+}
+
 void SourceLoop::reload(const Endpoint& source, const std::vector<Endpoint>& seeds) {
   client_.setAddress(source);
   peers_.setSeeds(seeds);
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -38,6 +38,8 @@
   std::string start();
   void stop() { peers_.stop(); }
   void leave() { peers_.leave(); }
+  /// A caller had to be refused for want of a configuration.
+  void onStateWanted();
   void reload(const Endpoint& source, const std::vector<Endpoint>& seeds);
   /// Thread-safe.
   void sendShardFrame(const Endpoint& to, PeerEnvelope envelope) {
--- a/tests/serving/coordination/source_follower_test.cpp
+++ b/tests/serving/coordination/source_follower_test.cpp
@@ -246,6 +246,26 @@
   }
 }
 
+TEST_CASE("a started daemon waits for others, but not while callers are refused", "[serving]") {
+  const Endpoint self(5, 1);
+  SourceFollower follower(self, FollowerSettings{}, interpret, RandomEngine(1));
+  follower.start({Endpoint(1, 1), Endpoint(2, 1)}, at(1000));
+  REQUIRE(follower.onTime(at(1000)).ask);
+  REQUIRE_FALSE(follower.takeCall(at(1000)));
+  SECTION("nobody answers") { REQUIRE(follower.takeCall(at(2100))); }
+  SECTION("a caller is refused") {
+    follower.onStateWanted(at(1010));
+    REQUIRE(follower.takeCall(at(1010))->kind == SourceCall::Kind::kList);
+    follower.onStateWanted(at(1011));
+    REQUIRE_FALSE(follower.takeCall(at(1011)));
+  }
+  SECTION("a seed does not wait") {
+    SourceFollower seed(self, FollowerSettings{}, interpret, RandomEngine(1));
+    seed.start({Endpoint(1, 1), self}, at(1000));
+    REQUIRE(seed.takeCall(at(1000)));
+  }
+}
+
 TEST_CASE("a reader whose calls fail leaves reading to one that succeeds", "[serving]") {
   const std::vector<Endpoint> members{Endpoint(1, 1), Endpoint(2, 1)};
   SourceFollower follower(members[0], FollowerSettings{}, interpret, RandomEngine(1));
