--- a/tests/serving/support/source_fleet.cpp
+++ b/tests/serving/support/source_fleet.cpp
@@ -290,7 +290,7 @@
         members.push_back(other.address);
       }
     }
-    daemon.follower->setMembers(std::move(members));
+    daemon.follower->setMembers(members);
     pump(number);
   }
   at(now_ + kMemberPeriod, [this] { refreshMembers(); });
