--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -143,32 +143,11 @@
 }
 
 void Membership::probeNext(Moment now, MembershipActions& actions) {
-  if (const auto target = nextTarget()) {
+  if (const auto target = probeOrder_.next(members_, random_)) {
     sendProbe(*target, now, actions);
   }
 }
 
-/// Round-robin over a shuffled list, so that every member is probed within a bounded time.
-std::optional<Endpoint> Membership::nextTarget() {
-  for (int pass = 0; pass < 2; ++pass) {
-    while (!probeOrder_.empty()) {
-      const Endpoint target = probeOrder_.back();
-      probeOrder_.pop_back();
-      const MemberRecord* record = members_.find(target);
-      if (record != nullptr && record->serving()) {
-        return target;
-      }
-    }
-    for (const auto& record : members_.records()) {
-      if (record.serving()) {
-        probeOrder_.push_back(record.address);
-      }
-    }
-    std::shuffle(probeOrder_.begin(), probeOrder_.end(), random_);
-  }
-  return std::nullopt;
-}
-
 void Membership::sendProbe(const Endpoint& target, Moment now, MembershipActions& actions,
                            const PendingProbe* special) {
   PendingProbe pending = special == nullptr ? PendingProbe{} : *special;
@@ -253,14 +232,8 @@
       candidates.push_back(seed);
     }
   }
-  while (!dead_.empty()) {
-    std::swap(dead_.back(), dead_[drawBelow(dead_.size(), random_)]);
-    const MemberRecord* record = members_.find(dead_.back());
-    if (record != nullptr && record->condition == MEMBER_DEAD) {
-      candidates.push_back(dead_.back());
-      break;
-    }
-    dead_.pop_back();
+  if (const auto dead = dead_.draw(members_, random_)) {
+    candidates.push_back(*dead);
   }
   for (const auto& candidate : candidates) {
     PendingProbe reconnecting;
@@ -341,12 +314,10 @@
     suspicions_.add(record.address, now + suspicionTime());
   }
   if (record.serving() && !servedBefore) {
-    // Joins the current round at a random place.
-    probeOrder_.push_back(record.address);
-    std::swap(probeOrder_.back(), probeOrder_[drawBelow(probeOrder_.size(), random_)]);
+    probeOrder_.add(record.address, random_);
   }
   if (record.condition == MEMBER_DEAD) {
-    dead_.push_back(record.address);
+    dead_.add(record.address);
   }
   if (!bulk) {
     spread(record.address);
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/probe_order.h"
 #include "coordination/suspicion_list.h"
 #include "coordination/update_queue.h"
 #include "oakpier/peer.pb.h"
@@ -124,7 +125,6 @@
   void expireSuspicions(Moment now);
   void reconnect(Moment now, MembershipActions& actions);
   void forgetTombstones(Moment now);
-  std::optional<Endpoint> nextTarget();
   std::optional<Endpoint> randomServing();
 
   template <typename Message>
@@ -154,9 +154,8 @@
   RandomEngine random_;
   MemberTable members_;
   std::vector<Endpoint> seeds_;
-  /// Members that were declared dead; some may be back since.
-  std::vector<Endpoint> dead_;
-  std::vector<Endpoint> probeOrder_;
+  DeadMembers dead_;
+  ProbeOrder probeOrder_;
   std::unordered_map<std::uint64_t, PendingProbe> pending_;
   UpdateQueue updates_;
   SuspicionList suspicions_;
--- a/src/coordination/serving/reading_turn.cpp
+++ b/src/coordination/serving/reader_election.cpp
@@ -1,4 +1,4 @@
-#include "coordination/serving/reading_turn.h"
+#include "coordination/serving/reader_election.h"
 
 #include <algorithm>
 
@@ -6,33 +6,33 @@
 
 namespace oakpier::serving {
 
-void ReadingTurn::start(bool others, Moment now) { aloneAt_ = others ? now + settings_.aloneAfter : now; }
+void ReaderElection::start(bool others, Moment now) { aloneAt_ = others ? now + settings_.aloneAfter : now; }
 
-void ReadingTurn::setMembers(const std::vector<Endpoint>& members) {
+void ReaderElection::setMembers(const std::vector<Endpoint>& members) {
   place_ =
       static_cast<std::size_t>(std::lower_bound(members.begin(), members.end(), self_) - members.begin());
   count_ = std::max<std::size_t>(1, members.size());
 }
 
-void ReadingTurn::onNews(const Endpoint& reader) {
+void ReaderElection::onNews(const Endpoint& reader) {
   if (reader < self_) {
-    steppedIn_ = false;
+    tookOver_ = false;
   }
 }
 
-void ReadingTurn::onFailure() {
+void ReaderElection::onFailure() {
   lastCallFailed_ = true;
-  steppedIn_ = false;
+  tookOver_ = false;
 }
 
-bool ReadingTurn::first(Moment now) const {
+bool ReaderElection::first(Moment now) const {
   const bool mayBeAlone = count_ > 1 || now >= aloneAt_;
   return place_ == 0 && mayBeAlone;
 }
 
-bool ReadingTurn::reads(Moment now) const { return !lastCallFailed_ && (steppedIn_ || first(now)); }
+bool ReaderElection::reads(Moment now) const { return !lastCallFailed_ && (tookOver_ || first(now)); }
 
-Duration ReadingTurn::stagger(Moment now, RandomEngine& random) const {
+Duration ReaderElection::stagger(Moment now, RandomEngine& random) const {
   if (first(now)) {
     return Duration(0);
   }
@@ -46,9 +46,9 @@
   return after + suppressionDelay(spread, count_, random);
 }
 
-Duration ReadingTurn::longestBackoff() const {
-  return std::clamp(settings_.backoffPerDaemon * static_cast<int>(count_), settings_.shortestBackoff,
-                    settings_.longestBackoff);
+Duration ReaderElection::longestBackoff() const {
+  return std::clamp(settings_.backoffPerDaemon * static_cast<int>(count_), settings_.leastLongestBackoff,
+                    settings_.mostLongestBackoff);
 }
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/reading_turn.h
+++ b/src/coordination/serving/reader_election.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Decides which daemon reads the configuration source for all. The first in order of address does; when its
-/// news is overdue others step in, a few at first, and one that has stepped in goes on until it hears a
+/// news is overdue others take over, a few at first, and one that has taken over goes on until it hears a
 /// reader before it.
 ///
 /// Invariants: whatever daemons are lost or refused, one that can reach the source and hears no news reads
@@ -15,27 +15,30 @@
 
 namespace oakpier::serving {
 
-struct ReadingTurnSettings {
+struct ReaderElectionSettings {
   /// News that is this late counts as overdue: some hops between daemons that may have to wait for the next
   /// tenth of a second of their processor's quota.
   Duration newsGrace = std::chrono::milliseconds(200);
-  /// The daemons next in order step in one after the other, a call and a way through the tree apart.
+  /// The daemons next in order take over one after the other, a call and a way through the tree apart.
   Duration staggerStep = std::chrono::milliseconds(120);
   std::size_t staggeredDaemons = 4;
   /// All others draw a delay beyond that, longer the more there are, up to a bound.
   Duration spreadPerDaemon = std::chrono::milliseconds(5);
   Duration longestSpread = std::chrono::milliseconds(600);
-  /// After failed calls a daemon waits up to this long for each daemon that may call as well, up to a bound.
+  /// After failed calls a daemon waits at most this long for each daemon that may call as well, so that an
+  /// outage is not met by a storm of calls; between these bounds, as the source's return must be noticed
+  /// soon.
   Duration backoffPerDaemon = std::chrono::milliseconds(10);
-  Duration shortestBackoff = std::chrono::milliseconds(1000);
-  Duration longestBackoff = std::chrono::milliseconds(1500);
+  Duration leastLongestBackoff = std::chrono::milliseconds(1000);
+  Duration mostLongestBackoff = std::chrono::milliseconds(1500);
   /// A daemon that knows no other for this long since its start is taken to be the only one.
   Duration aloneAfter = std::chrono::seconds(3);
 };
 
-class ReadingTurn {
+class ReaderElection {
  public:
-  ReadingTurn(const Endpoint& self, const ReadingTurnSettings& settings) : self_(self), settings_(settings) {}
+  ReaderElection(const Endpoint& self, const ReaderElectionSettings& settings)
+      : self_(self), settings_(settings) {}
 
   /// `others`: other daemons are expected, as the settings name some.
   void start(bool others, Moment now);
@@ -47,7 +50,7 @@
   /// News of another daemon's reading was taken over.
   void onNews(const Endpoint& reader);
   /// This daemon has read and goes on, until it hears a reader before it.
-  void stepIn() { steppedIn_ = true; }
+  void takeOver() { tookOver_ = true; }
   /// The source has answered a call of this daemon.
   void onAnswer() { lastCallFailed_ = false; }
   /// A call of this daemon has failed; it leaves reading to others until one succeeds.
@@ -65,11 +68,11 @@
   bool first(Moment now) const;
 
   Endpoint self_;
-  ReadingTurnSettings settings_;
+  ReaderElectionSettings settings_;
   std::size_t place_ = 0;
   std::size_t count_ = 1;
   Moment aloneAt_{};
-  bool steppedIn_ = false;
+  bool tookOver_ = false;
   bool lastCallFailed_ = false;
 };
 
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -12,14 +12,14 @@
     : interpret_(std::move(interpret)),
       random_(random()),
       reader_(settings.reader, RandomEngine(random())),
-      turn_(self, settings.turn),
+      election_(self, settings.election),
       recovery_(self, settings.recovery),
       knowledge_(settings.knowledge),
       relay_(self) {}
 
 void SourceFollower::start(const std::vector<Endpoint>& seeds, Moment now) {
   recovery_.start(seeds, now, random_);
-  turn_.start(!recovery_.readsFirst(), now);
+  election_.start(!recovery_.readsFirst(), now);
   reader_.holdUntil(recovery_.listAt());
 }
 
@@ -31,7 +31,7 @@
 
 void SourceFollower::setMembers(const std::vector<Endpoint>& members) {
   relay_.setMembers(members);
-  turn_.setMembers(members);
+  election_.setMembers(members);
   recovery_.setMembers(members);
 }
 
@@ -60,10 +60,10 @@
   FollowerActions actions;
   if (const auto* failure = std::get_if<SourceFailure>(&answer)) {
     ++counters_.failures;
-    turn_.onFailure();
-    reader_.onFailure(*failure, turn_.longestBackoff(), now);
+    election_.onFailure();
+    reader_.onFailure(*failure, election_.longestBackoff(), now);
   } else {
-    turn_.onAnswer();
+    election_.onAnswer();
     onPage(call, std::get<SourcePage>(answer), now, actions);
   }
   return actions;
@@ -80,7 +80,7 @@
       actions.news = relay_.onRead(call.afterRevision, page.revision, newest, now).news;
     }
     reader_.onPage(page, now);
-    turn_.stepIn();
+    election_.takeOver();
     return;
   }
   if (call.afterKey.empty()) {
@@ -100,14 +100,14 @@
   listing_.clear();
   actions.news = relay_.answerWaiting(reader_.knownRevision(), now);
   if (recovery_.readsFirst()) {
-    turn_.stepIn();
+    election_.takeOver();
   }
   leaveReadingToOthers(now, now);
 }
 
 void SourceFollower::leaveReadingToOthers(Moment freshAt, Moment now) {
-  if (!turn_.reads(now)) {
-    reader_.leaveToOther(freshAt, turn_.stagger(now, random_));
+  if (!election_.reads(now)) {
+    reader_.leaveToOther(freshAt, election_.stagger(now, random_));
   }
 }
 
@@ -183,7 +183,7 @@
     ++counters_.newsAccepted;
     takeOverNews(news, now, actions);
     if (const auto reader = Endpoint::parse(news.reader())) {
-      turn_.onNews(*reader);
+      election_.onNews(*reader);
     }
     leaveReadingToOthers(relay_.freshAt(), now);
   }
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "coordination/serving/peer_recovery.h"
-#include "coordination/serving/reading_turn.h"
+#include "coordination/serving/reader_election.h"
 #include "coordination/serving/serving_knowledge.h"
 #include "coordination/serving/source_reader.h"
 #include "coordination/serving/source_relay.h"
@@ -24,7 +24,7 @@
 struct FollowerSettings {
   SourceReaderSettings reader;
   KnowledgeSettings knowledge;
-  ReadingTurnSettings turn;
+  ReaderElectionSettings election;
   PeerRecoverySettings recovery;
 };
 
@@ -78,7 +78,7 @@
   std::uint64_t knownRevision() const { return reader_.knownRevision(); }
   /// The source has not answered this daemon's last calls.
   bool sourceLost() const { return reader_.failuresInRow() > 0; }
-  std::size_t place() const { return turn_.place(); }
+  std::size_t place() const { return election_.place(); }
   const FollowerCounters& counters() const { return counters_; }
 
  private:
@@ -99,7 +99,7 @@
   Interpreter interpret_;
   RandomEngine random_;
   SourceReader reader_;
-  ReadingTurn turn_;
+  ReaderElection election_;
   PeerRecovery recovery_;
   ServingKnowledge knowledge_;
   SourceRelay relay_;
--- a/src/coordination/serving/source_relay.cpp
+++ b/src/coordination/serving/source_relay.cpp
@@ -10,7 +10,8 @@
 
 /// A daemon asks for what it missed no more often than this.
 constexpr Duration kAskPeriod = std::chrono::milliseconds(300);
-/// Word from the source that is newer by less is not passed on: several daemons may read at once.
+/// News of a known revision is passed on only if the source said it later by more than this: several daemons
+/// may read at once.
 constexpr Duration kFreshnessStep = std::chrono::milliseconds(100);
 /// A whole state is some ten kilobytes, compressed once: no more than this many are told in this time, so
 /// that a start of many daemons neither fills a small link nor a tenth of a processor. Those that were told
@@ -116,9 +117,9 @@
   const Moment freshAt = now - Duration(static_cast<std::int64_t>(news.age_us()));
   const bool newRevision = news.revision() > forwardedRevision_;
   const bool sameRevision = news.revision() == forwardedRevision_;
-  const bool newWord = sameRevision && freshAt > forwardedFreshAt_ + kFreshnessStep;
+  const bool fresherNews = sameRevision && freshAt > forwardedFreshAt_ + kFreshnessStep;
   const bool earlierReader = sameRevision && reader && *reader < forwardedReader_;
-  if (!reader || !(newRevision || newWord || earlierReader)) {
+  if (!reader || !(newRevision || fresherNews || earlierReader)) {
     return;
   }
   forwardedRevision_ = news.revision();
--- a/src/coordination/serving/source_relay.h
+++ b/src/coordination/serving/source_relay.h
@@ -4,9 +4,12 @@
 /// know, and a daemon that the source refuses still learns.
 ///
 /// Invariants: news is taken over only when nothing before it is missing; a daemon that misses something asks
-/// for what it has missed; a daemon forwards news only if it brings a newer revision, or word from the source
-/// that is newer by `kFreshnessStep`, than what it has forwarded; whole states are told to a bounded number
-/// of daemons in a time.
+/// for what it has missed; a daemon forwards news only if it tells of a newer revision, or tells the
+/// known one as of later by `kFreshnessStep`, or tells the same but from a reader earlier in order, than what
+/// it has forwarded; whole states are sent to a bounded number of daemons in a time.
+///
+/// Each reader's news travels along a tree of its own. Where several read at once, the last rule of
+/// forwarding makes all daemons forward the news of the first of them, so that its whole tree is reached.
 
 #include <map>
 #include <optional>
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -139,6 +139,8 @@
   list.counter("leaf_connections_broken_total", "Connections that ended under a request",
                figures.pool.brokenUnderRequest);
   list.bytesByKind(figures.peers);
+  list.counter("peer_reconnections_total", "Connections made anew, as an unreachable daemon was heard",
+               figures.peers.reconnections);
   list.counter("source_calls_total", "Calls to the configuration source", figures.source.calls);
   list.counter("source_failures_total", "Of these, without a usable answer", figures.source.failures);
   list.counter("news_accepted_total", "News taken over from other daemons", figures.source.newsAccepted);
--- a/tests/serving/coordination/leaf_knowledge_test.cpp
+++ b/tests/serving/coordination/leaf_knowledge_test.cpp
@@ -91,4 +91,18 @@
   REQUIRE(leaf->inProgress() == 1);
 }
 
+TEST_CASE("leafs that are taken up for another daemon are known once, and draining ones not used",
+          "[serving]") {
+  LeafRegistry registry;
+  LeafEntry draining = leafEntry("two", "s", 2);
+  draining.draining = true;
+  registry.add("s", {leafEntry("one", "s", 1), draining}, at(0));
+  const LeafRegistry::Leafs before = registry.leafsOf("s");
+  REQUIRE(before.size() == 2);
+  REQUIRE(before[0]->usable());
+  REQUIRE_FALSE(before[1]->usable());
+  registry.add("s", {leafEntry("one", "s", 1)}, at(1));
+  REQUIRE(registry.leafsOf("s") == before);
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/coordination/query_test.cpp
+++ b/tests/serving/coordination/query_test.cpp
@@ -17,6 +17,15 @@
 
 const std::vector<std::string> kShards{"s0", "s1", "s2", "s3"};
 
+/// Starts the query; every first send reaches its leaf.
+QueryActions startAndWrite(Query& query, Moment now) {
+  QueryActions started = query.start(now);
+  for (const SendAction& send : started.sends) {
+    query.onWritten(send.exchange);
+  }
+  return started;
+}
+
 }  // namespace
 
 TEST_CASE("an answer from all shards merges the greatest records at once", "[serving]") {
@@ -42,10 +51,7 @@
   const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
   QueryWorld world(view);
   Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
-  const QueryActions started = query.start(at(0));
-  for (const SendAction& send : started.sends) {
-    query.onWritten(send.exchange);
-  }
+  const QueryActions started = startAndWrite(query, at(0));
   query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kAnswered, record('a')), at(5));
   const QueryActions gone = query.onCallerGone();
   const std::vector<ExchangeId> out{started.sends[1].exchange, started.sends[2].exchange,
@@ -61,10 +67,7 @@
   const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
   QueryWorld world(view, 0);
   Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
-  const QueryActions started = query.start(at(0));
-  for (const SendAction& send : started.sends) {
-    query.onWritten(send.exchange);
-  }
+  const QueryActions started = startAndWrite(query, at(0));
   for (std::size_t place = 0; place < 3; ++place) {
     REQUIRE_FALSE(query.onOutcome(started.sends[place].exchange, outcomeOf(Kind::kAnswered), at(10)).answer);
   }
@@ -89,10 +92,7 @@
   const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
   QueryWorld world(view);
   Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
-  const QueryActions started = query.start(at(0));
-  for (const SendAction& send : started.sends) {
-    query.onWritten(send.exchange);
-  }
+  const QueryActions started = startAndWrite(query, at(0));
   query.onOutcome(started.sends[0].exchange, outcomeOf(Kind::kAnswered, record('a')), at(10));
   query.onOutcome(started.sends[1].exchange, outcomeOf(Kind::kAnswered, record('b')), at(10));
   // Too late for a further send within the target; the other part stays out.
@@ -116,10 +116,7 @@
   const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
   QueryWorld world(view);
   Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
-  const QueryActions started = query.start(at(0));
-  for (const SendAction& send : started.sends) {
-    query.onWritten(send.exchange);
-  }
+  const QueryActions started = startAndWrite(query, at(0));
   const Moment late = at(170);
   REQUIRE(query.onOutcome(started.sends[3].exchange, outcomeOf(Kind::kNoAnswer), late).sends.empty());
   for (std::size_t place = 0; place < 2; ++place) {
--- a/tests/serving/coordination/source_fleet_test.cpp
+++ b/tests/serving/coordination/source_fleet_test.cpp
@@ -107,7 +107,8 @@
   }
 }
 
-TEST_CASE("a source that refuses some daemons, the first readers among them, blinds nobody", "[serving]") {
+TEST_CASE("a source that refuses some daemons, the first readers among them, holds no version back",
+          "[serving]") {
   SourceFleet fleet(fleetOf(60, 9));
   fleet.runFor(seconds(12));
   for (std::size_t number = 0; number < 20; ++number) {
--- a/tests/serving/coordination/source_follower_test.cpp
+++ b/tests/serving/coordination/source_follower_test.cpp
@@ -218,7 +218,7 @@
   });
 }
 
-TEST_CASE("the first daemon in order reads; one that steps in stops when it hears the first", "[serving]") {
+TEST_CASE("the first daemon in order reads; one that takes over stops when it hears the first", "[serving]") {
   const FollowerSettings settings;
   const std::vector<Endpoint> members{Endpoint(1, 1), Endpoint(2, 1)};
   for (const Endpoint& self : members) {
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -146,7 +146,7 @@
   });
 }
 
-TEST_CASE("word that nothing has changed is passed on as well, but not twice", "[serving]") {
+TEST_CASE("news that nothing has changed is passed on as well, but not twice", "[serving]") {
   const Endpoint root(1, 1);
   std::vector<Endpoint> members;
   for (std::uint32_t number = 1; number <= 100; ++number) {
--- a/tests/serving/support/source_fleet.cpp
+++ b/tests/serving/support/source_fleet.cpp
@@ -274,8 +274,8 @@
   }
   const Moment since = std::max(daemon.startedAt, other.startedAt);
   const bool heard = now_ >= since + lag(daemon, other, kLongestBirthLag);
-  const bool mourned = !other.alive && now_ >= other.endedAt + lag(daemon, other, kLongestDeathLag);
-  return heard && !mourned;
+  const bool knownDead = !other.alive && now_ >= other.endedAt + lag(daemon, other, kLongestDeathLag);
+  return heard && !knownDead;
 }
 
 void SourceFleet::refreshMembers() {
