Name an unknown command of oakpierctl

Cause: `oakpierctl frobnicate` said "A subcommand is required": the parser checks what is missing before what is unknown. Ruled out: other wrong words (flags, files, settings, a dead daemon) are named already, tried by hand. Change: the unknown word is named, exit code 2 as before. Test: fleet_test also reads the text; a wrong log file of `causes` too. The text was seen wrong before by hand.

--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -79,6 +79,13 @@
   causes->add_flag("--by-second", bySecond, "Also show the losses of each second");
   try {
     app.parse(argumentCount, arguments);
+  } catch (const CLI::RequiredError& problem) {
+    const std::vector<std::string> unknown = app.remaining();
+    if (unknown.empty()) {
+      return app.exit(problem) == 0 ? oakpier::kExitOk : oakpier::kExitUsage;
+    }
+    std::cerr << "unknown command \"" << unknown.front() << "\"\nRun with --help for the commands.\n";
+    return oakpier::kExitUsage;
   } catch (const CLI::ParseError& problem) {
     return app.exit(problem) == 0 ? oakpier::kExitOk : oakpier::kExitUsage;
   }
--- a/tests/programs/fleet_test.cpp
+++ b/tests/programs/fleet_test.cpp
@@ -157,7 +157,12 @@
     REQUIRE(runProgram("oakpierctl", {daemon, "drain", wanted.leaves(1).name()}).exitCode == kExitOk);
     REQUIRE(
         mentions(runProgram("oakpierctl", {daemon, "--output", "json", "status"}).output, "\"voter\": true"));
-    REQUIRE(runProgram("oakpierctl", {daemon, "frobnicate"}).exitCode == kExitUsage);
+    const Run unknown = runProgram("oakpierctl", {daemon, "frobnicate"});
+    REQUIRE(unknown.exitCode == kExitUsage);
+    REQUIRE(mentions(unknown.output, "unknown command \"frobnicate\""));
+    const Run noLog = runProgram("oakpierctl", {"causes", "/no/such/log"});
+    REQUIRE(noLog.exitCode == kExitUsage);
+    REQUIRE(mentions(noLog.output, "/no/such/log"));
     REQUIRE(runProgram("oakpierctl", {"--daemon=127.0.0.1:1", "status"}).exitCode == kExitUnreachable);
     std::filesystem::remove(file);
   }
