Send nothing new to the leafs of a zone that the operator evacuates

Ruled out: late news; the record was not decoded at all. Change: evacuations and their ends are statements of the source, relayed, listed and known to starting daemons like configurations. Leafs of such a zone are published as taking no work: they are not assigned, selected, merged for or connected to. What waits for a connection to a leaf that takes no work any more ends unsent and goes elsewhere, also for draining leafs. Tests: decoding; knowledge against old news and listings; fleets of 1 to 1,000 daemons and generated ones with deaths, refusals, outages and lost frames; what waits and what is at work in the pool.

--- a/src/coordination/serving/leaf_subset.h
+++ b/src/coordination/serving/leaf_subset.h
@@ -24,7 +24,7 @@
 /// `maximumConnections`: what one leaf accepts from all daemons together.
 ConnectionShare shareOf(std::size_t leafs, std::size_t maximumConnections, std::size_t daemons);
 
-/// The `count` leafs that rendezvous hashing gives the daemon; draining ones do not count.
+/// The `count` leafs that rendezvous hashing gives the daemon; draining and evacuated ones do not count.
 std::vector<LeafEntry> chooseSubset(const std::vector<LeafEntry>& leafs, std::size_t count,
                                     const Endpoint& daemon);
 
--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -68,6 +68,33 @@
   onTime(now);
 }
 
+void ServingKnowledge::onEvacuation(const std::string& zone, bool evacuated, std::uint64_t revision) {
+  KnownZone& known = zones_[zone];
+  if (known.revision >= revision) {
+    return;
+  }
+  changed_ = changed_ || known.evacuated != evacuated;
+  known = KnownZone{evacuated, revision};
+}
+
+void ServingKnowledge::onEvacuationListing(const std::set<std::string>& zones, std::uint64_t revision) {
+  for (auto& [zone, known] : zones_) {
+    if (known.evacuated && zones.count(zone) == 0) {
+      onEvacuation(zone, false, revision);
+    }
+  }
+}
+
+std::vector<std::string> ServingKnowledge::evacuatedZones() const {
+  std::vector<std::string> evacuated;
+  for (const auto& [zone, known] : zones_) {
+    if (known.evacuated) {
+      evacuated.push_back(zone);
+    }
+  }
+  return evacuated;
+}
+
 void ServingKnowledge::beginRemoval(KnownLeaf& leaf, std::uint64_t revision, Moment now) {
   leaf.revision = revision;
   leaf.removeAt = leaf.entry.draining ? now : now + settings_.removalDelay;
@@ -99,7 +126,10 @@
   changed_ = false;
   auto leafs = std::make_shared<LeafsByService>();
   for (const auto& [id, leaf] : leafs_) {
-    (*leafs)[leaf.entry.service].push_back(leaf.entry);
+    auto& listed = (*leafs)[leaf.entry.service];
+    listed.push_back(leaf.entry);
+    const auto zone = zones_.find(leaf.entry.zone);
+    listed.back().evacuated = zone != zones_.end() && zone->second.evacuated;
   }
   auto view = std::make_shared<ServingView>();
   view->configuration = configuration_;
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -3,11 +3,13 @@
 /// What a daemon believes of configuration and leafs, whoever told it.
 ///
 /// Invariants: the configuration version never goes back within a process's life; a configuration with a
-/// problem is never taken over; a leaf's state only moves on with the source's revision.
+/// problem is never taken over; the state of a leaf, and whether a zone is evacuated, only moves on with the
+/// source's revision.
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +38,10 @@
   bool onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now);
   /// A whole listing as of `revision` was handed in; leafs it did not name are gone.
   void onListing(const std::vector<std::string>& listedIds, std::uint64_t revision, Moment now);
+  /// The operator wants a zone evacuated, or has taken that back.
+  void onEvacuation(const std::string& zone, bool evacuated, std::uint64_t revision);
+  /// A whole listing as of `revision` named all evacuated zones; the evacuation of others has ended.
+  void onEvacuationListing(const std::set<std::string>& zones, std::uint64_t revision);
   /// Removals that were delayed take effect.
   void onTime(Moment now);
   Moment nextRemovalAt() const;
@@ -46,6 +52,7 @@
   bool complete() const { return configuration_ != nullptr && listed_; }
   std::uint64_t configurationVersion() const { return configuration_ ? configuration_->version : 0; }
   std::size_t leafCount() const { return leafs_.size(); }
+  std::vector<std::string> evacuatedZones() const;
 
  private:
   struct KnownLeaf {
@@ -55,12 +62,20 @@
     Moment removeAt = kNever;
   };
 
+  struct KnownZone {
+    bool evacuated = false;
+    /// Of the last statement about the zone.
+    std::uint64_t revision = 0;
+  };
+
   void beginRemoval(KnownLeaf& leaf, std::uint64_t revision, Moment now);
 
   KnowledgeSettings settings_;
   std::shared_ptr<const ServingConfiguration> configuration_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<std::string, KnownLeaf> leafs_;
+  /// Zones that the operator has ever named for evacuation.
+  std::map<std::string, KnownZone> zones_;
   bool listed_ = false;
   bool changed_ = false;
 };
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -129,41 +129,45 @@
 
 void SourceFollower::takeOverListing(const std::vector<SourceRecord>& records, std::uint64_t revision,
                                      Moment now, FollowerActions& actions) {
-  std::vector<std::string> leafs;
+  ListedNames listed;
   std::set<std::string> keys;
   for (const SourceRecord& record : records) {
     keys.insert(record.key);
-    if (const auto leaf = takeOver(record, now, actions)) {
-      leafs.push_back(*leaf);
-    }
+    takeOver(record, now, actions, listed);
     relay_.keep(record);
   }
   relay_.dropUnlisted(keys, revision);
-  knowledge_.onListing(leafs, revision, now);
+  knowledge_.onListing(listed.leafs, revision, now);
+  knowledge_.onEvacuationListing(listed.evacuatedZones, revision);
 }
 
 void SourceFollower::takeOver(const std::vector<SourceRecord>& records, Moment now,
                               FollowerActions& actions) {
+  ListedNames listed;
   for (const SourceRecord& record : records) {
-    takeOver(record, now, actions);
+    takeOver(record, now, actions, listed);
     relay_.keep(record);
   }
 }
 
-std::optional<std::string> SourceFollower::takeOver(const SourceRecord& record, Moment now,
-                                                    FollowerActions& actions) {
+void SourceFollower::takeOver(const SourceRecord& record, Moment now, FollowerActions& actions,
+                              ListedNames& listed) {
   SourceStatement statement = interpret_(record);
   if (auto* configuration = std::get_if<ServingConfiguration>(&statement)) {
     takeOverConfiguration(std::move(*configuration), actions);
   } else if (const auto* leaf = std::get_if<LeafEntry>(&statement)) {
     knowledge_.onLeaf(*leaf, record.revision);
-    return leaf->id;
+    listed.leafs.push_back(leaf->id);
   } else if (const auto* removal = std::get_if<LeafRemoval>(&statement)) {
     knowledge_.onLeafRemoved(removal->id, record.revision, now);
+  } else if (const auto* evacuation = std::get_if<ZoneEvacuation>(&statement)) {
+    knowledge_.onEvacuation(evacuation->zone, true, record.revision);
+    listed.evacuatedZones.insert(evacuation->zone);
+  } else if (const auto* ended = std::get_if<ZoneEvacuationEnd>(&statement)) {
+    knowledge_.onEvacuation(ended->zone, false, record.revision);
   } else if (const auto* unusable = std::get_if<UnusableRecord>(&statement)) {
     actions.problems.push_back(unusable->problem);
   }
-  return std::nullopt;
 }
 
 void SourceFollower::takeOverConfiguration(ServingConfiguration configuration, FollowerActions& actions) {
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,7 @@
   bool complete() const { return knowledge_.complete(); }
   std::uint64_t configurationVersion() const { return knowledge_.configurationVersion(); }
   std::size_t leafCount() const { return knowledge_.leafCount(); }
+  std::vector<std::string> evacuatedZones() const { return knowledge_.evacuatedZones(); }
   std::uint64_t knownRevision() const { return reader_.knownRevision(); }
   /// The source has not answered this daemon's last calls.
   bool sourceLost() const { return reader_.failuresInRow() > 0; }
@@ -89,8 +91,13 @@
   void takeOverListing(const std::vector<SourceRecord>& records, std::uint64_t revision, Moment now,
                        FollowerActions& actions);
   void takeOver(const std::vector<SourceRecord>& records, Moment now, FollowerActions& actions);
-  /// Returns the id when the record lists a leaf.
-  std::optional<std::string> takeOver(const SourceRecord& record, Moment now, FollowerActions& actions);
+  /// What the records of a listing name; what they do not name is gone.
+  struct ListedNames {
+    std::vector<std::string> leafs;
+    std::set<std::string> evacuatedZones;
+  };
+  /// Adds what the record lists to `listed`.
+  void takeOver(const SourceRecord& record, Moment now, FollowerActions& actions, ListedNames& listed);
   void takeOverNews(const SourceNews& news, Moment now, FollowerActions& actions);
   void takeOverConfiguration(ServingConfiguration configuration, FollowerActions& actions);
   /// Unless this daemon is the one that reads, its next call waits for overdue news.
--- a/src/coordination/serving/source_records.h
+++ b/src/coordination/serving/source_records.h
@@ -46,13 +46,23 @@
   std::string id;
 };
 
+/// The operator wants nothing new sent to the leafs of a zone.
+struct ZoneEvacuation {
+  std::string zone;
+};
+
+/// The operator has taken the evacuation of a zone back.
+struct ZoneEvacuationEnd {
+  std::string zone;
+};
+
 /// A record that is known but cannot be used.
 struct UnusableRecord {
   std::string problem;
 };
 
 /// What one record means; empty for records that do not concern the gateway.
-using SourceStatement =
-    std::variant<std::monostate, ServingConfiguration, LeafEntry, LeafRemoval, UnusableRecord>;
+using SourceStatement = std::variant<std::monostate, ServingConfiguration, LeafEntry, LeafRemoval,
+                                     ZoneEvacuation, ZoneEvacuationEnd, UnusableRecord>;
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -125,13 +125,30 @@
   sender_.setShares(assignment.shares);
   leafs_.reconcile(assignment.leafs, steadyNow());
   openAhead(assignment);
+  retainConnections(assignment);
+}
+
+void RequestGateway::retainConnections(const LeafAssignment& assignment) {
   std::unordered_set<std::string> used;
   for (const auto& [service, entries] : assignment.leafs) {
     for (const LeafEntry& leaf : entries) {
       used.insert(leaf.id);
     }
   }
-  pool_.retain([&](const std::string& leaf) { return used.count(leaf) != 0; });
+  std::unordered_set<std::string> takingWork;
+  for (const auto& [service, entries] : *view_->leafs) {
+    for (const LeafEntry& leaf : entries) {
+      if (leaf.takesWork()) {
+        takingWork.insert(leaf.id);
+      }
+    }
+  }
+  pool_.retain([&](const std::string& leaf) {
+    if (used.count(leaf) != 0) {
+      return LeafPool::LeafUse::kKeep;
+    }
+    return takingWork.count(leaf) != 0 ? LeafPool::LeafUse::kFinish : LeafPool::LeafUse::kStop;
+  });
 }
 
 void RequestGateway::openAhead(const LeafAssignment& assignment) {
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -74,6 +74,8 @@
   void countDecisions(const RequestTrace& trace);
   /// An answer of the gateway's own before any query.
   void armTimer(const ActivePointer& active);
+  /// Ends the use of connections to leafs that are no longer assigned.
+  void retainConnections(const LeafAssignment& assignment);
   /// Opens the first connections to leafs before requests need them.
   void openAhead(const LeafAssignment& assignment);
 
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -26,6 +26,14 @@
   }
 }
 
+std::string joined(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) {
+    text.append(text.empty() ? "" : ",").append(name);
+  }
+  return text;
+}
+
 }  // namespace
 
 SourceLoop::SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
@@ -151,6 +159,7 @@
     log(LogLevel::kInfo, "view published",
         {{"configuration_version", follower_.configurationVersion()},
          {"leafs", follower_.leafCount()},
+         {"evacuated_zones", joined(follower_.evacuatedZones())},
          {"source_revision", follower_.knownRevision()}});
     published_.publish(std::move(view));
     handlers_.onView();
--- a/src/state/serving/leaf_directory.h
+++ b/src/state/serving/leaf_directory.h
@@ -25,13 +25,17 @@
   unsigned slots = 1;
   /// It takes no new work.
   bool draining = false;
+  /// The operator wants nothing new sent to its zone.
+  bool evacuated = false;
   /// How much longer it is slow from its start.
   Duration warmupLeft{};
 
   bool sameAs(const LeafEntry& other) const {
     return service == other.service && address == other.address && zone == other.zone &&
-           slots == other.slots && draining == other.draining;
+           slots == other.slots && draining == other.draining && evacuated == other.evacuated;
   }
+  /// New requests may be sent to it.
+  bool takesWork() const { return !draining && !evacuated; }
 };
 
 using LeafsByService = std::unordered_map<std::string, std::vector<LeafEntry>>;
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -134,22 +134,29 @@
 }
 
 void LeafPool::dropExpired(Channel& channel, Moment now) {
-  auto dropped = std::make_shared<std::list<Order>>();
+  std::list<Order> dropped;
   for (auto order = channel.waiting.begin(); order != channel.waiting.end();) {
     const auto next = std::next(order);
     if (order->deadline - now < std::max(order->leastTime, kShortestDeadline)) {
-      exchanges_.erase(order->exchange);
-      dropped->splice(dropped->end(), channel.waiting, order);
+      dropped.splice(dropped.end(), channel.waiting, order);
     }
     order = next;
   }
-  if (dropped->empty()) {
+  counters_.expiredUnsent += dropped.size();
+  endUnsent(std::move(dropped), LeafOutcome::Kind::kExpired);
+}
+
+void LeafPool::endUnsent(std::list<Order> orders, LeafOutcome::Kind kind) {
+  if (orders.empty()) {
     return;
   }
-  counters_.expiredUnsent += dropped->size();
-  boost::asio::post(context_, [dropped] {
-    for (const Order& order : *dropped) {
-      order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kExpired));
+  for (const Order& order : orders) {
+    exchanges_.erase(order.exchange);
+  }
+  const auto ended = std::make_shared<const std::list<Order>>(std::move(orders));
+  boost::asio::post(context_, [ended, kind] {
+    for (const Order& order : *ended) {
+      order.listener.onOutcome(outcomeOf(kind));
     }
   });
 }
@@ -302,13 +309,17 @@
   dispatch(channel);
 }
 
-void LeafPool::retain(const std::function<bool(const std::string& leaf)>& keep) {
+void LeafPool::retain(const std::function<LeafUse(const std::string& leaf)>& useOf) {
   std::vector<std::string> finished;
   for (auto& [id, channel] : channels_) {
-    channel->retired = !keep(id);
+    const LeafUse use = useOf(id);
+    channel->retired = use != LeafUse::kKeep;
     if (!channel->retired) {
       continue;
     }
+    if (use == LeafUse::kStop) {
+      endUnsent(std::exchange(channel->waiting, {}), LeafOutcome::Kind::kNotSent);
+    }
     dispatch(channel);
     if (channel->connections.empty() && channel->running.empty() && channel->waiting.empty()) {
       finished.push_back(id);
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -60,8 +60,15 @@
   void abandon(ExchangeId exchange);
   /// Opens the first connection to a leaf ahead of its first request.
   void warm(const LeafEntry& leaf, std::size_t maximum);
-  /// Closes the connections to leafs for which `keep` is false, once they are idle.
-  void retain(const std::function<bool(const std::string& leaf)>& keep);
+  /// What becomes of the connections to a leaf and of the requests that wait for one.
+  enum class LeafUse {
+    kKeep,
+    /// Requests that wait are still sent; then the connections close.
+    kFinish,
+    /// Requests that wait end unsent, so that they can go to another leaf; the connections close once idle.
+    kStop,
+  };
+  void retain(const std::function<LeafUse(const std::string& leaf)>& useOf);
 
   const LeafPoolCounters& counters() const { return counters_; }
 
@@ -75,6 +82,8 @@
   /// Drops waiting requests whose time can no longer hold the leaf's work. Their listeners are told later, as
   /// one that sends may not be called in turn.
   void dropExpired(Channel& channel, Moment now);
+  /// Ends requests that were not sent. Their listeners are told later.
+  void endUnsent(std::list<Order> orders, LeafOutcome::Kind kind);
   void start(const ChannelPointer& channel, const std::shared_ptr<LeafConnection>& connection, Order order);
   void onEvent(const std::weak_ptr<Channel>& weak, LeafConnection& connection, LeafConnection::Event event,
                const std::shared_ptr<const HttpReply>& reply);
--- a/tests/serving/coordination/source_fleet_test.cpp
+++ b/tests/serving/coordination/source_fleet_test.cpp
@@ -36,6 +36,17 @@
   return count;
 }
 
+/// Daemons that believe something else of the evacuation of zone "a" than the source has held for long.
+std::size_t wrongAboutEvacuation(const SourceFleet& fleet, bool evacuated) {
+  const std::vector<std::string> expected = evacuated ? std::vector<std::string>{"a"} : std::vector<std::string>{};
+  std::size_t count = 0;
+  for (std::size_t number = 0; number < fleet.size(); ++number) {
+    const bool inTouch = fleet.alive(number) && fleet.now() - fleet.aliveSince(number) >= kContact;
+    count += inTouch && fleet.evacuatedZonesOf(number) != expected ? 1 : 0;
+  }
+  return count;
+}
+
 bool allComplete(const SourceFleet& fleet) {
   for (std::size_t number = 0; number < fleet.size(); ++number) {
     if (fleet.alive(number) && !fleet.complete(number)) {
@@ -135,6 +146,38 @@
   REQUIRE(laggards(fleet, version) == 0);
 }
 
+TEST_CASE("the evacuation of a zone and its end reach every daemon, also those that start meanwhile",
+          "[serving]") {
+  const auto daemons = GENERATE(1U, 7U, 76U, 295U, 1000U);
+  CAPTURE(daemons);
+  SourceFleet fleet(fleetOf(daemons));
+  fleet.runFor(seconds(10));
+  fleet.setEvacuated("a", true);
+  fleet.runFor(kQuietBound);
+  REQUIRE(wrongAboutEvacuation(fleet, true) == 0);
+  if (daemons > 1) {
+    fleet.kill(daemons / 2);
+    fleet.runFor(seconds(1));
+    fleet.start(daemons / 2);
+    fleet.runFor(kContact);
+    REQUIRE(wrongAboutEvacuation(fleet, true) == 0);
+  }
+  SECTION("it is taken back") {
+    fleet.setEvacuated("a", false);
+    fleet.runFor(kQuietBound);
+    REQUIRE(wrongAboutEvacuation(fleet, false) == 0);
+  }
+  SECTION("it is taken back while nobody can read the source, which then has no history") {
+    fleet.setSourceDown(true);
+    fleet.setEvacuated("a", false);
+    fleet.forgetHistory();
+    fleet.runFor(seconds(3));
+    fleet.setSourceDown(false);
+    fleet.runFor(kTroubledBound);
+    REQUIRE(wrongAboutEvacuation(fleet, false) == 0);
+  }
+}
+
 namespace {
 
 /// A fleet with generated deaths, starts, refusals and outages.
@@ -147,10 +190,13 @@
     for (int step = 0; step < steps; ++step) {
       disturb();
       const std::uint64_t version = fleet_.changeConfiguration();
+      const bool evacuated = *rc::gen::arbitrary<bool>();
+      fleet_.setEvacuated("a", evacuated);
       fleet_.runFor(milliseconds(*rc::gen::inRange(100, 1500)));
       recover();
       fleet_.runFor(kContact);
       RC_ASSERT(laggards(fleet_, version) == 0U);
+      RC_ASSERT(wrongAboutEvacuation(fleet_, evacuated) == 0U);
     }
     checkStillFollowing();
   }
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -66,6 +66,44 @@
   }
 }
 
+TEST_CASE("leafs of a zone that the operator evacuates take no work until that is taken back", "[serving]") {
+  ServingKnowledge knowledge{KnowledgeSettings{}};
+  LeafEntry elsewhere = leafEntry("two", "s", 2);
+  elsewhere.zone = "b";
+  knowledge.onLeaf(leafEntry("one", "s", 1), 1);
+  knowledge.onLeaf(elsewhere, 2);
+  const auto takingWork = [&] {
+    std::set<std::string> ids;
+    const auto view = knowledge.takeChangedView();
+    for (const LeafEntry& leaf : view->leafs->at("s")) {
+      if (leaf.takesWork()) {
+        ids.insert(leaf.id);
+      }
+    }
+    return ids;
+  };
+  knowledge.onEvacuation("a", true, 5);
+  REQUIRE(takingWork() == std::set<std::string>{"two"});
+  REQUIRE(knowledge.evacuatedZones() == std::vector<std::string>{"a"});
+  SECTION("old news does not end it") {
+    knowledge.onEvacuation("a", false, 4);
+    knowledge.onEvacuationListing({}, 4);
+    REQUIRE(knowledge.takeChangedView() == nullptr);
+  }
+  SECTION("it is taken back") {
+    knowledge.onEvacuation("a", false, 6);
+    REQUIRE(takingWork() == std::set<std::string>{"one", "two"});
+  }
+  SECTION("a listing no longer names it") {
+    knowledge.onEvacuationListing({"b"}, 6);
+    REQUIRE(takingWork() == std::set<std::string>{"one", "two"});
+  }
+  SECTION("a leaf that starts in the zone takes none either") {
+    knowledge.onLeaf(leafEntry("three", "s", 3), 6);
+    REQUIRE(takingWork() == std::set<std::string>{"two"});
+  }
+}
+
 TEST_CASE("leafs that a listing does not name are gone, newer ones excepted", "[serving]") {
   ServingKnowledge knowledge{KnowledgeSettings{Duration(0)}};
   knowledge.onLeaf(leafEntry("old", "s", 1), 1);
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -96,6 +96,9 @@
   REQUIRE(leaf.draining);
   REQUIRE(leaf.warmupLeft == std::chrono::milliseconds(1500));
   REQUIRE(std::get<LeafRemoval>(dialect.interpret({"servers/i-1", "", 2, true})).id == "i-1");
+  REQUIRE(std::get<ZoneEvacuation>(dialect.interpret({"op/evacuate/ba", "{}", 3, false})).zone == "ba");
+  REQUIRE(std::get<ZoneEvacuationEnd>(dialect.interpret({"op/evacuate/ba", "", 4, true})).zone == "ba");
+  REQUIRE(std::holds_alternative<UnusableRecord>(dialect.interpret({"op/evacuate/", "{}", 3, false})));
   REQUIRE(std::holds_alternative<std::monostate>(dialect.interpret({"other/key", "x", 1, false})));
   REQUIRE(std::holds_alternative<UnusableRecord>(dialect.interpret({"op/config", "{", 1, false})));
   REQUIRE(std::holds_alternative<UnusableRecord>(dialect.interpret({"servers/i", "{}", 1, false})));
--- a/tests/serving/transport/leaf_pool_test.cpp
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -231,4 +231,30 @@
   runUntil(world.context, [&] { return world.server.connections().size() == 2; });
 }
 
+TEST_CASE("what waits for a leaf that takes no work any more ends unsent; what is at work there goes on",
+          "[serving]") {
+  PoolWorld world;
+  world.send(1, "one");
+  world.awaitRequests(1);
+  world.send(2, "two");
+  const auto retainAs = [&](LeafPool::LeafUse use) {
+    world.pool.retain([use](const std::string&) { return use; });
+  };
+  SECTION("the leaf takes no work") {
+    retainAs(LeafPool::LeafUse::kStop);
+    world.awaitOutcomes(1);
+    REQUIRE(world.outcomes[0].kind == Kind::kNotSent);
+    world.connection(0).write(world.reply("one", "body"));
+    world.awaitOutcomes(2);
+    REQUIRE(world.outcomes[1].kind == Kind::kAnswered);
+    REQUIRE(world.written == 1);
+  }
+  SECTION("another daemon uses the leaf from now on") {
+    retainAs(LeafPool::LeafUse::kFinish);
+    world.connection(0).write(world.reply("one", "body"));
+    world.awaitRequests(2);
+    REQUIRE(world.outcomes[0].kind == Kind::kAnswered);
+  }
+}
+
 }  // namespace oakpier::serving
