Replace connections that fall silent without a reset

Change: TCP_USER_TIMEOUT of 400 ms on connections to daemons and leafs. Callers and the source keep 3 s. Test: a proxy that goes silent without closing; seen failing before the change.

--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -12,6 +12,7 @@
 
 #include "coordination/frame_age.h"
 #include "transport/steady_clock.h"
+#include "transport/unacknowledged_limit.h"
 
 namespace oakpier {
 
@@ -231,6 +232,7 @@
     peer.socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
     // Without this, frames queue for a peer that is away and arrive when it is back.
     peer.socket.set(zmq::sockopt::immediate, true);
+    peer.socket.set(zmq::sockopt::tcp_maxrt, static_cast<int>(kUnacknowledgedLimit.count()));
     peer.socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     peer.socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
     peer.socket.connect("tcp://" + to.text());
--- a/src/transport/serving/http_session.cpp
+++ b/src/transport/serving/http_session.cpp
@@ -41,7 +41,7 @@
 
 HttpSession::HttpSession(HttpService& service, boost::asio::ip::tcp::socket socket)
     : service_(&service), socket_(std::move(socket)), timer_(socket_.get_executor()) {
-  configureConnection(socket_);
+  configureConnection(socket_, kCallerUnacknowledgedLimit);
   service_->sessions_.insert(this);
 }
 
--- a/src/transport/serving/leaf_connection.cpp
+++ b/src/transport/serving/leaf_connection.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "transport/serving/socket_options.h"
+#include "transport/unacknowledged_limit.h"
 
 namespace oakpier::serving {
 
@@ -36,7 +37,7 @@
       self->fail();
       return;
     }
-    configureConnection(self->socket_);
+    configureConnection(self->socket_, kUnacknowledgedLimit);
     self->read();
     self->awaitAcceptance();
   });
--- a/src/transport/serving/socket_options.cpp
+++ b/src/transport/serving/socket_options.cpp
@@ -8,14 +8,13 @@
 
 using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-constexpr int kSilenceMilliseconds = 3000;
-
 }  // namespace
 
-void configureConnection(boost::asio::ip::tcp::socket& socket) {
+void configureConnection(boost::asio::ip::tcp::socket& socket,
+                         std::chrono::milliseconds unacknowledgedLimit) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  socket.set_option(UserTimeout(kSilenceMilliseconds), ignored);
+  socket.set_option(UserTimeout(static_cast<int>(unacknowledgedLimit.count())), ignored);
 }
 
 boost::asio::ip::tcp::endpoint toAsio(const Endpoint& endpoint) {
--- a/src/transport/serving/source_client.cpp
+++ b/src/transport/serving/source_client.cpp
@@ -61,7 +61,7 @@
                                        finish(std::nullopt);
                                        return;
                                      }
-                                     configureConnection(connection->socket);
+                                     configureConnection(connection->socket, kCallerUnacknowledgedLimit);
                                      connection->open = true;
                                      write(connection);
                                    });
--- a/tests/transport/peer_transport_test.cpp
+++ b/tests/transport/peer_transport_test.cpp
@@ -1,11 +1,15 @@
 #include "transport/peer_transport.h"
 
 #include <catch2/catch.hpp>
+#include <atomic>
+#include <chrono>
 #include <future>
 #include <memory>
+#include <thread>
 #include <utility>
 
 #include "support/free_endpoint.h"
+#include "support/silencing_proxy.h"
 
 namespace oakpier {
 
@@ -95,4 +99,32 @@
   REQUIRE(second.start().find(here.text()) != std::string::npos);
 }
 
+TEST_CASE("a connection to a peer that falls silent without a reset is replaced", "[transport]") {
+  const Endpoint here = freeEndpoint();
+  const Endpoint there = freeEndpoint();
+  // Of the frames, which begin with the letter of their group.
+  std::atomic<char> lastArrived{' '};
+  PeerTransport receiver(
+      there, {[&](const PeerEnvelope& envelope, bool) { lastArrived = envelope.work().work_id().front(); },
+              [](const Endpoint&, const PeerEnvelope&) {}});
+  REQUIRE(receiver.start().empty());
+  SilencingProxy proxy(there);
+  PeerTransport sender(here, {[](const PeerEnvelope&, bool) {}, [](const Endpoint&, const PeerEnvelope&) {}});
+  REQUIRE(sender.start().empty());
+  // Large enough to fill the buffers on the way, so that the sender's bytes stay unacknowledged.
+  const auto sendUntilArrived = [&](char group) {
+    PeerEnvelope frame = workFrom(here, std::string(512 * 1024, group));
+    frame.set_time_to_live_ms(60'000);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (lastArrived != group && std::chrono::steady_clock::now() < end) {
+      sender.send(proxy.address(), frame);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return lastArrived == group;
+  };
+  REQUIRE(sendUntilArrived('a'));
+  proxy.silence();
+  REQUIRE(sendUntilArrived('b'));
+}
+
 }  // namespace oakpier
