Reject at once what too few reachable leafs could answer; bound what cold leafs get

Two matters that share the record of a leaf (leaf_status), so they come together.

Reject at once. Cause: a zone that is cut off lacked every copy of 26 of 90 shards, and each of its requests was held to its deadline (600 and 1,200 ms), as nothing told an owner that a leaf could not be reached while requests waited for a connection (1.5 s). Ruled out: a refusal in place of the failure where an owner alone knows; half of the shards have been asked by then.

Cause: rates, tolerances and new cold times were published and not read. Change: decoded; each daemon that may send to a leaf takes a share of what all may, half of it planned, by chance where that is below one a second. Tests: sums over 1 to 1,000 daemons. The fourth figure of told load is decoded and not used yet.

--- a/src/coordination/serving/leaf_assignment.cpp
+++ b/src/coordination/serving/leaf_assignment.cpp
@@ -4,6 +4,11 @@
 
 namespace {
 
+/// How many daemons may send to a leaf of the service.
+std::size_t sendersTo(const std::string& service, const SharingDaemons& daemons, const ShardOwners& owners) {
+  return owners.owned(service) ? ownersAtOnce(daemons.mostZones) : daemons.mostPlanned;
+}
+
 void assignService(const std::vector<LeafEntry>& leafs, const ServiceDefinition& service,
                    const SharingDaemons& daemons, const Endpoint& self, ShardOwners& owners,
                    LeafAssignment& assignment) {
@@ -37,6 +42,10 @@
     }
   }
   for (const ServiceDefinition& service : view.configuration->services) {
+    if (service.warmupRate > 0) {
+      const std::size_t senders = sendersTo(service.name, daemons, owners);
+      assignment.warmups[service.name] = warmupAllowance(service.warmupRate, daemons.warmup, senders);
+    }
     const auto leafs = view.leafs->find(service.name);
     if (leafs != view.leafs->end()) {
       assignService(leafs->second, service, daemons, self, owners, assignment);
--- a/src/coordination/serving/leaf_assignment.h
+++ b/src/coordination/serving/leaf_assignment.h
@@ -11,6 +11,7 @@
 
 #include "coordination/serving/leaf_subset.h"
 #include "coordination/serving/shard_owners.h"
+#include "coordination/serving/warmup_allowance.h"
 #include "state/serving/leaf_directory.h"
 
 namespace oakpier::serving {
@@ -20,12 +21,19 @@
   /// Daemons that connections are planned for; more than there are, as some may come.
   std::size_t planned = 1;
   std::size_t zones = 1;
+  /// The most daemons and zones that were ever known: some may only be out of reach and still send.
+  std::size_t mostPlanned = 1;
+  std::size_t mostZones = 1;
+  /// What the operator tolerates at cold leafs.
+  WarmupTolerance warmup = {};
 };
 
 struct LeafAssignment {
   /// The leafs that this daemon uses.
   LeafsByService leafs;
   ConnectionShares shares;
+  /// For services whose cold leafs bear only so much.
+  WarmupAllowances warmups;
   /// Services that are left to owners and whose first owner this daemon is.
   std::unordered_set<std::string> firstOwned;
 };
--- a/src/coordination/serving/leaf_outcome.h
+++ b/src/coordination/serving/leaf_outcome.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "state/serving/http_message.h"
+#include "state/time.h"
 
 namespace oakpier::serving {
 
@@ -15,6 +16,8 @@
   unsigned running = 0;
   unsigned waiting = 0;
   unsigned slots = 0;
+  /// How long work takes at the leaf at present, in hundredths of what is usual there.
+  unsigned workTimePercent = 100;
 };
 
 struct LeafOutcome {
@@ -44,6 +47,8 @@
   /// The leaf's signature of the answer.
   std::string signature;
   std::optional<ReportedLoad> load;
+  /// How much longer the leaf is cold, if it told.
+  std::optional<Duration> warmupLeft;
   /// The answer came by way of a merging daemon: it lacks records that earlier answers of the same work rule
   /// out, so none of those may be replaced by another leaf's answer.
   bool merged = false;
--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -22,6 +22,17 @@
   return zone == request.preferredZone ? kOtherZonePenalty : kFurtherZonePenalty;
 }
 
+/// A cold leaf may get one more request from this daemon.
+bool bearsOneMore(LeafStatus& leaf, const WarmupAllowance* allowance, RandomEngine& random, Moment now) {
+  if (allowance == nullptr || !leaf.warmingUp(now)) {
+    return true;
+  }
+  if (allowance->perSecond >= 1.0) {
+    return static_cast<double>(leaf.sentWhileCold(now)) + 1.0 <= allowance->perSecond;
+  }
+  return leaf.drawWhileCold(allowance->perSecond, random, now);
+}
+
 }  // namespace
 
 Duration leastAnswerTime(const LeafStatus& leaf, const AnswerTime& time) {
@@ -58,12 +69,16 @@
   Duration bestExpected{};
   for (const auto& leaf : leafs) {
     const auto& tried = request.triedLeafs;
-    if (!leaf->usable() || std::find(tried.begin(), tried.end(), leaf->entry().id) != tried.end()) {
+    const bool mayServe = leaf->usable() && !leaf->unreachable(now);
+    if (!mayServe || std::find(tried.begin(), tried.end(), leaf->entry().id) != tried.end()) {
       continue;
     }
     if (request.timeLeft < leastAnswerTime(*leaf, request.answerTime)) {
       continue;
     }
+    if (!bearsOneMore(*leaf, request.warmup, random, now)) {
+      continue;
+    }
     const auto tieBreak = Duration(static_cast<std::int64_t>(drawBelow(kTieBreakMicroseconds, random)));
     const Duration expected = expectedLatency(*leaf, request, now) + tieBreak;
     if (!best || expected < bestExpected) {
--- a/src/coordination/serving/leaf_selection.h
+++ b/src/coordination/serving/leaf_selection.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/serving/leaf_status.h"
+#include "coordination/serving/warmup_allowance.h"
 #include "state/random.h"
 
 namespace oakpier::serving {
@@ -32,6 +33,8 @@
   /// Until the leaf's deadline; leafs that usually need longer are left out.
   Duration timeLeft = Duration::max();
   AnswerTime answerTime = {};
+  /// What this daemon may send to a cold leaf; null when that is not bounded.
+  const WarmupAllowance* warmup = nullptr;
 };
 
 /// The least time that the leaf usually needs for an answer, its queue aside.
--- a/src/coordination/serving/leaf_status.cpp
+++ b/src/coordination/serving/leaf_status.cpp
@@ -15,9 +15,14 @@
 constexpr Duration kLoadLifetime = std::chrono::milliseconds(150);
 /// A leaf that fails this often in a row is avoided.
 constexpr unsigned kFailuresBeforeEjection = 3;
+/// A leaf that could not be reached this often in a row counts as unreachable. Once may be a connection that the
+/// leaf resets, as it has too many.
+constexpr unsigned kLostBeforeUnreachable = 2;
 /// A leaf that was silent for this long when a request was taken back counts as unreachable.
 constexpr int kSilenceFactor = 3;
 constexpr Duration kSilenceFloor = std::chrono::milliseconds(300);
+/// The operator counts requests to cold leafs in spans of this length.
+constexpr Duration kColdSpan = std::chrono::seconds(1);
 constexpr Duration kShortestEjection = std::chrono::milliseconds(400);
 constexpr unsigned kLongestEjectionFactor = 8;
 
@@ -33,6 +38,27 @@
 
 void LeafStatus::onStarted(std::uint64_t exchange, Duration expected, Moment now) {
   inProgress_.push_back(Exchange{exchange, now, expected});
+  if (!warmingUp(now)) {
+    coldSends_.clear();
+    return;
+  }
+  while (!coldSends_.empty() && now - coldSends_.front() >= kColdSpan) {
+    coldSends_.pop_front();
+  }
+  coldSends_.push_back(now);
+}
+
+std::size_t LeafStatus::sentWhileCold(Moment now) const {
+  return static_cast<std::size_t>(std::count_if(
+      coldSends_.begin(), coldSends_.end(), [now](Moment sent) { return now - sent < kColdSpan; }));
+}
+
+bool LeafStatus::drawWhileCold(double odds, RandomEngine& random, Moment now) {
+  if (coldDrawAt_ && now - *coldDrawAt_ < kColdSpan) {
+    return false;
+  }
+  coldDrawAt_ = now;
+  return std::bernoulli_distribution(odds)(random);
 }
 
 void LeafStatus::onFinished(std::uint64_t exchange, LeafOutcome::Kind kind, Moment now) {
@@ -50,6 +76,7 @@
       slowness_ += kSlownessGain * (std::min(ratio, kSlownessCeiling) - slowness_);
       slowness_ = std::max(slowness_, kSlownessFloor);
       consecutiveFailures_ = 0;
+      lostInRow_ = 0;
       lastAnswerAt_ = now;
       break;
     }
@@ -71,6 +98,7 @@
     case LeafOutcome::Kind::kWithdrawn: {
       const Moment quietSince = std::max(finished.startedAt, lastAnswerAt_);
       if (now - quietSince > finished.expected * kSilenceFactor + kSilenceFloor) {
+        ++lostInRow_;
         onFailure(true, now);
       }
       break;
@@ -78,6 +106,16 @@
   }
 }
 
+void LeafStatus::onReachability(bool reachable, Moment now) {
+  if (reachable) {
+    lostInRow_ = 0;
+    ejectedUntil_ = now;
+    return;
+  }
+  ++lostInRow_;
+  onFailure(true, now);
+}
+
 void LeafStatus::onFailure(bool unreachable, Moment now) {
   ++consecutiveFailures_;
   if (!unreachable && consecutiveFailures_ < kFailuresBeforeEjection) {
@@ -87,6 +125,10 @@
   ejectedUntil_ = now + kShortestEjection * factor;
 }
 
+bool LeafStatus::unreachable(Moment now) const {
+  return lostInRow_ >= kLostBeforeUnreachable && ejected(now);
+}
+
 void LeafStatus::onLoad(const ReportedLoad& load, Moment now) {
   load_ = load;
   loadAt_ = now;
@@ -127,7 +169,8 @@
         leafs.push_back(std::make_shared<LeafStatus>(entry, now));
         continue;
       }
-      if (!found->second->entry().sameAs(entry)) {
+      const LeafEntry& earlier = found->second->entry();
+      if (!earlier.sameAs(entry) || earlier.revision != entry.revision) {
         found->second->update(entry, now);
       }
       leafs.push_back(found->second);
@@ -149,6 +192,14 @@
   }
 }
 
+void LeafRegistry::onReachability(const LeafEntry& leaf, bool reachable, Moment now) {
+  for (const auto& known : leafsOf(leaf.service)) {
+    if (known->entry().id == leaf.id) {
+      known->onReachability(reachable, now);
+    }
+  }
+}
+
 const LeafRegistry::Leafs& LeafRegistry::leafsOf(const std::string& service) const {
   static const Leafs kNone;
   const auto found = services_.find(service);
--- a/src/coordination/serving/leaf_status.h
+++ b/src/coordination/serving/leaf_status.h
@@ -2,6 +2,7 @@
 
 /// What one daemon knows first-hand of one leaf: requests in progress, latencies, failures and told load.
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "coordination/serving/leaf_outcome.h"
+#include "state/random.h"
 #include "state/serving/leaf_directory.h"
 #include "state/time.h"
 
@@ -31,13 +33,27 @@
   void onFinished(std::uint64_t exchange, LeafOutcome::Kind kind, Moment now);
   void onLoad(const ReportedLoad& load, Moment now);
 
+  /// Whether a connection to it could be opened.
+  void onReachability(bool reachable, Moment now);
+
   std::size_t inProgress() const { return inProgress_.size(); }
   /// Requests at the leaf as far as is known: own ones, or told ones while those are fresh.
   double queueLength(Moment now) const;
   /// How long the leaf has been overdue with an answer; zero when it is not.
   Duration stalledFor(Moment now) const;
   bool ejected(Moment now) const { return now < ejectedUntil_; }
+  /// No connection to it could be opened several times in a row, or it was silent; nothing is sent until a
+  /// connection stands or it is tried again.
+  bool unreachable(Moment now) const;
+  /// When a leaf that is unreachable is tried again.
+  Moment retryAt() const { return ejectedUntil_; }
   bool warmingUp(Moment now) const { return now < warmUntil_; }
+  /// The leaf says how much longer it is cold.
+  void onWarmup(Duration left, Moment now) { warmUntil_ = now + left; }
+  /// Requests that were sent to it in the last second while it was cold.
+  std::size_t sentWhileCold(Moment now) const;
+  /// Draws once a second whether a request may be sent to it while it is cold.
+  bool drawWhileCold(double odds, RandomEngine& random, Moment now);
   /// Smoothed ratio of its latencies to those expected of the kind of request; 1 is ordinary.
   double slowness() const { return slowness_; }
 
@@ -52,10 +68,15 @@
   LeafEntry entry_;
   bool gone_ = false;
   Moment warmUntil_;
+  /// When requests were sent while it was cold; those of the last second are kept.
+  std::deque<Moment> coldSends_;
+  std::optional<Moment> coldDrawAt_;
   std::vector<Exchange> inProgress_;
   Moment lastAnswerAt_{};
   double slowness_ = 1.0;
   unsigned consecutiveFailures_ = 0;
+  /// Attempts in a row to reach the leaf that brought no sign of it.
+  unsigned lostInRow_ = 0;
   Moment ejectedUntil_{};
   ReportedLoad load_;
   Moment loadAt_{};
@@ -71,6 +92,8 @@
   /// Adds the leafs of a service that has none yet.
   void add(const std::string& service, const std::vector<LeafEntry>& entries, Moment now);
   const Leafs& leafsOf(const std::string& service) const;
+  /// Whether a connection to the leaf could be opened.
+  void onReachability(const LeafEntry& leaf, bool reachable, Moment now);
 
  private:
   std::unordered_map<std::string, Leafs> services_;
--- a/src/coordination/serving/query.cpp
+++ b/src/coordination/serving/query.cpp
@@ -187,6 +187,13 @@
          static_cast<double>(answered) >= gather_->minimumShardShare * static_cast<double>(parts_.size());
 }
 
+bool Query::enoughPartsLeft() const {
+  const auto lost = static_cast<std::size_t>(tally_.settled - tally_.answered);
+  const std::size_t left = parts_.size() - lost;
+  return left > 0 &&
+         static_cast<double>(left) >= gather_->minimumShardShare * static_cast<double>(parts_.size());
+}
+
 void Query::decide(Moment now, QueryActions& actions) {
   if (finished_) {
     return;
@@ -207,7 +214,7 @@
     finish(merge(), actions);
     return;
   }
-  if (allSettled() || now >= deadline_) {
+  if (allSettled() || !enoughPartsLeft() || now >= deadline_) {
     finishWithoutAnswer(now, actions);
   }
 }
--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -72,6 +72,8 @@
   bool allSettledInTime() const { return static_cast<std::size_t>(tally_.settledInTime) == parts_.size(); }
   bool mayHaveRun() const;
   bool enoughParts() const;
+  /// Enough for a success even if all open parts are answered.
+  bool enoughPartsLeft() const;
   /// Answers if the time or the parts that are in decide it.
   void decide(Moment now, QueryActions& actions);
   void decideGather(Moment now, QueryActions& actions);
--- a/src/coordination/serving/query_policy.h
+++ b/src/coordination/serving/query_policy.h
@@ -10,6 +10,7 @@
 #include "coordination/latency_tracker.h"
 #include "coordination/serving/extra_send_budget.h"
 #include "coordination/serving/leaf_status.h"
+#include "coordination/serving/warmup_allowance.h"
 #include "state/random.h"
 #include "state/serving/serving_configuration.h"
 
@@ -79,7 +80,13 @@
   ZoneMergers* mergers = nullptr;
   /// Of the other zones the one that is chosen from first, while a query starts.
   std::string preferredZone = {};
+  WarmupAllowances warmups = {};
 
+  /// Null when what cold leafs of the service get is not bounded.
+  const WarmupAllowance* warmupOf(const std::string& service) const {
+    const auto found = warmups.find(service);
+    return found == warmups.end() ? nullptr : &found->second;
+  }
   RouteLatency& latencyOf(const Route& route) {
     return latencies.try_emplace(route.name, route.targetLatency).first->second;
   }
--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -37,9 +37,12 @@
   if (known.revision >= revision) {
     return false;
   }
-  const bool changed = known.revision == 0 || known.removeAt != kNever || !known.entry.sameAs(entry);
+  const bool coldAgain = entry.warmupLeft > known.entry.warmupLeft;
+  const bool changed =
+      known.revision == 0 || known.removeAt != kNever || coldAgain || !known.entry.sameAs(entry);
   changed_ = changed_ || changed;
   known.entry = entry;
+  known.entry.revision = revision;
   known.revision = revision;
   known.removeAt = kNever;
   return changed;
--- a/src/coordination/serving/shard_owners.cpp
+++ b/src/coordination/serving/shard_owners.cpp
@@ -40,9 +40,10 @@
   return owned;
 }
 
+std::size_t ownersAtOnce(std::size_t zones) { return std::max<std::size_t>(1, zones) * kOwnersAtOnce; }
+
 std::size_t ownerConnections(std::size_t maximumConnections, std::size_t zones) {
-  const std::size_t owners = std::max<std::size_t>(1, zones) * kOwnersAtOnce;
-  return std::clamp<std::size_t>(maximumConnections / owners, 1, kMostOwnerConnections);
+  return std::clamp<std::size_t>(maximumConnections / ownersAtOnce(zones), 1, kMostOwnerConnections);
 }
 
 void ShardOwners::setDaemons(std::vector<Endpoint> ownZone) {
--- a/src/coordination/serving/shard_owners.h
+++ b/src/coordination/serving/shard_owners.h
@@ -41,6 +41,9 @@
 std::unordered_set<std::string> servicesForOwners(const ServingConfiguration& configuration,
                                                   std::size_t daemons);
 
+/// Owners of a shard in all zones that may be at work at once, while member tables differ.
+std::size_t ownersAtOnce(std::size_t zones);
+
 /// Connections that one owner may hold to a leaf: those of two owners a zone, while views differ, fit.
 std::size_t ownerConnections(std::size_t maximumConnections, std::size_t zones);
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -123,6 +123,7 @@
     }
     log(LogLevel::kInfo, "started",
         {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
+    requests_.setWarmupTolerance(settings_.warmup);
     requests_.setOnStateWanted(
         [this] { boost::asio::post(controlContext_, [this] { source_.onStateWanted(); }); });
     awaitSignal();
@@ -243,6 +244,7 @@
     extraSendShare_.setTotal(settings_.extraSends);
     budgets_.setBounds(extraSendShare_.bounds());
     ownerShare_.setTotal(settings_.extraSends);
+    requests_.setWarmupTolerance(settings_.warmup);
     ownerBudgets_.setBounds(ownerShare_.bounds());
     boost::asio::post(controlContext_,
                       [this, fresh = settings_] { source_.reload(fresh.sourceAddress, fresh.seeds); });
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -99,6 +99,8 @@
   list.counter("refusals_total", "Requests refused as not run", requests.refused);
   list.counter("busy_refusals_total", "Of these, before any send, as leafs were too busy",
                requests.refusedBusy);
+  list.counter("unservable_refusals_total", "Of these, before any send, as too few leafs could be reached",
+               requests.refusedUnservable);
   list.counter("failures_total", "Requests that ended without an answer", requests.failed);
   list.counter("requests_without_route_total", "Requests for which no route was found", requests.noRoute);
   list.counter("callers_gone_total", "Callers that left before their answer", requests.callersGone);
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -38,6 +38,7 @@
   std::uint64_t partial = 0;
   std::uint64_t refused = 0;
   std::uint64_t refusedBusy = 0;
+  std::uint64_t refusedUnservable = 0;
   std::uint64_t failed = 0;
   std::uint64_t noRoute = 0;
   std::uint64_t callersGone = 0;
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -28,7 +28,9 @@
        << "\nleave_bound_ms = " << toMilliseconds(settings.leaveBound)
        << "\nextra_send_ratio = " << settings.extraSends.ratio
        << "\nextra_send_slack = " << settings.extraSends.slack
-       << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSends.window) << "\n";
+       << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSends.window)
+       << "\nwarmup_factor = " << settings.warmup.factor
+       << "\nwarmup_slack_per_s = " << settings.warmup.slack << "\n";
   return text.str();
 }
 
@@ -50,6 +52,8 @@
           "the ratio of extra sends is not within 0 and 1");
   require(settings.extraSends.slack >= 0, "the slack of extra sends is negative");
   require(settings.extraSends.window >= kShortestWindow, "the window of extra sends is below 1 second");
+  require(settings.warmup.factor >= 0, "the factor on the rate of cold leafs is negative");
+  require(settings.warmup.slack >= 0, "the slack on the rate of cold leafs is negative");
   return problems;
 }
 
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "coordination/serving/extra_send_budget.h"
+#include "coordination/serving/warmup_allowance.h"
 #include "state/endpoint.h"
 #include "state/time.h"
 
@@ -30,6 +31,8 @@
   Duration leaveBound = std::chrono::seconds(3);
   /// Extra sends that all daemons together may make to a service.
   OperatorExtraSends extraSends;
+  /// What all daemons together may send to a cold leaf beyond the rate that its service tells.
+  WarmupTolerance warmup;
 };
 
 /// One line a setting, with its unit.
--- a/src/programs/gateway/leaf_sender.cpp
+++ b/src/programs/gateway/leaf_sender.cpp
@@ -27,6 +27,9 @@
     if (outcome.load) {
       action.leaf->onLoad(*outcome.load, now);
     }
+    if (outcome.warmupLeft) {
+      action.leaf->onWarmup(*outcome.warmupLeft, now);
+    }
     if (outcome.kind == LeafOutcome::Kind::kAnswered) {
       context.latencyOf(*route).record(now - started, now);
     }
--- a/src/programs/gateway/owner_service.h
+++ b/src/programs/gateway/owner_service.h
@@ -32,6 +32,7 @@
   void onCancel(const Endpoint& asker, const OwnerCancel& cancel);
   std::size_t inProgress() const { return server_.inProgress(); }
   std::uint64_t partsServed() const { return partsServed_; }
+  void setWarmups(const WarmupAllowances& warmups) { context_.warmups = warmups; }
   std::uint64_t logLinesLeftOut() const { return log_.linesLeftOut(); }
 
  private:
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -17,6 +17,9 @@
 constexpr unsigned kBadRequest = 400;
 /// For callers that come before the first configuration is known.
 constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(300);
+/// Assumed to send to the same leafs until it is known how many do.
+constexpr std::size_t kMostDaemons = 1000;
+constexpr std::size_t kMostZones = 10;
 /// Connections that are opened ahead before it is known how many daemons share the leafs.
 constexpr std::size_t kMostEarlyConnections = 150;
 
@@ -64,6 +67,9 @@
                     sendFrame),
       mergeClient_(context, queryContext_, mergers_, sendFrame),
       mergeService_(context, names, pool_, sender_, queryContext_, sendFrame) {
+  pool_.setReachabilityListener([this](const LeafEntry& leaf, bool reachable) {
+    leafs_.onReachability(leaf, reachable, steadyNow());
+  });
   queryContext_.owners = &owners_;
   queryContext_.mergers = &mergers_;
 }
@@ -71,7 +77,15 @@
 void RequestGateway::setDaemons(const DaemonGroup& daemons, std::size_t planned, bool settled) {
   owners_.setDaemons(daemons.ownZone);
   mergers_.setDaemons(daemons.otherZones);
-  daemons_ = SharingDaemons{planned, daemons.zones};
+  daemons_.planned = planned;
+  daemons_.zones = daemons.zones;
+  // Until the others are known this daemon takes the least share.
+  daemons_.mostPlanned = std::max(daemons_.mostPlanned, settled ? planned : kMostDaemons);
+  daemons_.mostZones = std::max(daemons_.mostZones, settled ? daemons.zones : kMostZones);
+  if (settled && !settled_) {
+    daemons_.mostPlanned = planned;
+    daemons_.mostZones = daemons.zones;
+  }
   settled_ = settled;
   onView();
   if (owners_.any()) {
@@ -122,6 +136,8 @@
   owners_.dropUnasked(steadyNow());
   const LeafAssignment assignment = assignLeafs(*view_, daemons_, self_, owners_);
   ownerService_.setOwnedShards(assignment.firstOwned);
+  ownerService_.setWarmups(assignment.warmups);
+  queryContext_.warmups = assignment.warmups;
   sender_.setShares(assignment.shares);
   leafs_.reconcile(assignment.leafs, steadyNow());
   openAhead(assignment);
@@ -194,6 +210,14 @@
     log_.onUnrouted(requestId, reply.status, now);
     return nullptr;
   }
+  if (const auto refusal = refuseWhenUnservable(*route, *view_, queryContext_, now)) {
+    ++counters_.refused;
+    ++counters_.refusedUnservable;
+    const HttpReply reply = refusalReply(refusal->retryAfter, "not run: too few leafs can be reached");
+    writer.write(reply);
+    log_.onRefused(requestId, route->name, LossCause::kLeafUnreachable, reply.status, now);
+    return nullptr;
+  }
   if (const auto refusal = refuseWhenBusy(*route, queryContext_, now)) {
     ++counters_.refused;
     ++counters_.refusedBusy;
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -40,6 +40,8 @@
 
   /// A new view was published.
   void onView();
+  /// Takes effect with the next view.
+  void setWarmupTolerance(const WarmupTolerance& tolerance) { daemons_.warmup = tolerance; }
   /// `planned`: how many daemons share each leaf's connections. `settled`: that can be relied on.
   /// Called once, when a caller is refused as no configuration is known.
   void setOnStateWanted(std::function<void()> handler) { onStateWanted_ = std::move(handler); }
@@ -94,7 +96,7 @@
   ZoneMergers mergers_;
   MergeClient mergeClient_;
   MergeService mergeService_;
-  SharingDaemons daemons_{kUsualDaemons, 1};
+  SharingDaemons daemons_{kUsualDaemons, 1, kUsualDaemons, 1, {}};
   bool settled_ = false;
   std::function<void()> onStateWanted_;
   RequestCounters counters_;
--- a/src/protocol/serving/header_names.h
+++ b/src/protocol/serving/header_names.h
@@ -16,8 +16,11 @@
   std::string signature = "Oakpier-Signature";
   /// The incarnation of the leaf that a request is meant for.
   std::string expectedInstance = "Oakpier-Expected-Instance";
-  /// Requests running, requests waiting and slots of a leaf, separated by commas.
+  /// Requests running, requests waiting and slots of a leaf, separated by commas; some add how long work takes
+  /// there at present, in hundredths of what is usual.
   std::string load = "Oakpier-Load";
+  /// Milliseconds that a leaf is still cold.
+  std::string warmup = "Oakpier-Warmup-Ms";
   /// A leaf's statement that it did not run the request.
   std::string notExecuted = "Oakpier-Not-Executed";
   /// Signatures of the parts of a merged answer, separated by commas.
--- a/src/protocol/serving/leaf_messages.cpp
+++ b/src/protocol/serving/leaf_messages.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <utility>
+#include <vector>
 
 #include "protocol/serving/hop_headers.h"
 
@@ -11,6 +12,8 @@
 
 constexpr unsigned kMisdirected = 421;
 constexpr std::string_view kTimeoutParameter = "timeout=";
+/// Running, waiting, slots.
+constexpr std::size_t kLeastLoadFigures = 3;
 
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
@@ -18,22 +21,39 @@
   return std::from_chars(text.data(), text.data() + text.size(), number).ec == std::errc();
 }
 
+std::vector<std::string_view> splitAtCommas(std::string_view text) {
+  std::vector<std::string_view> parts;
+  for (std::size_t comma = text.find(','); comma != std::string_view::npos; comma = text.find(',')) {
+    parts.push_back(text.substr(0, comma));
+    text.remove_prefix(comma + 1);
+  }
+  parts.push_back(text);
+  return parts;
+}
+
 std::optional<ReportedLoad> loadOf(const HttpReply& reply, const HeaderNames& names) {
   const std::string* text = findHeader(reply.headers, names.load);
   if (text == nullptr) {
     return std::nullopt;
   }
-  const std::size_t first = text->find(',');
-  const std::size_t second = first == std::string::npos ? first : text->find(',', first + 1);
-  if (second == std::string::npos) {
+  const std::vector<std::string_view> figures = splitAtCommas(*text);
+  ReportedLoad load;
+  const bool whole = figures.size() >= kLeastLoadFigures && parseNumber(figures[0], load.running) &&
+                     parseNumber(figures[1], load.waiting) && parseNumber(figures[2], load.slots);
+  if (!whole || (figures.size() > kLeastLoadFigures &&
+                 !parseNumber(figures[kLeastLoadFigures], load.workTimePercent))) {
     return std::nullopt;
   }
-  const std::string_view all = *text;
-  ReportedLoad load;
-  const bool whole = parseNumber(all.substr(0, first), load.running) &&
-                     parseNumber(all.substr(first + 1, second - first - 1), load.waiting) &&
-                     parseNumber(all.substr(second + 1), load.slots);
-  return whole ? std::optional<ReportedLoad>(load) : std::nullopt;
+  return load;
+}
+
+std::optional<Duration> warmupOf(const HttpReply& reply, const HeaderNames& names) {
+  const std::string* text = findHeader(reply.headers, names.warmup);
+  std::uint64_t milliseconds = 0;
+  if (text == nullptr || !parseMilliseconds(*text, milliseconds)) {
+    return std::nullopt;
+  }
+  return fromMilliseconds(milliseconds);
 }
 
 }  // namespace
@@ -80,6 +100,7 @@
 LeafOutcome classifyReply(std::shared_ptr<const HttpReply> reply, const HeaderNames& names) {
   LeafOutcome outcome;
   outcome.load = loadOf(*reply, names);
+  outcome.warmupLeft = warmupOf(*reply, names);
   if (reply->status == kMisdirected) {
     outcome.kind = LeafOutcome::Kind::kWrongInstance;
     return outcome;
--- a/src/state/serving/leaf_directory.h
+++ b/src/state/serving/leaf_directory.h
@@ -2,6 +2,7 @@
 
 /// The leafs that the configuration source lists, by service.
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,8 +28,10 @@
   bool draining = false;
   /// The operator wants nothing new sent to its zone.
   bool evacuated = false;
-  /// How much longer it is slow from its start.
+  /// How much longer it is cold, counted from when it said so.
   Duration warmupLeft{};
+  /// The source's revision of this statement; 0 when the source was not read.
+  std::uint64_t revision = 0;
 
   bool sameAs(const LeafEntry& other) const {
     return service == other.service && address == other.address && zone == other.zone &&
--- a/src/state/serving/serving_configuration.cpp
+++ b/src/state/serving/serving_configuration.cpp
@@ -17,6 +17,7 @@
   std::vector<std::string> run() {
     for (const ServiceDefinition& service : configuration_.services) {
       require(service.maximumConnections > 0, "service " + service.name + ": the connection limit is 0");
+      require(service.warmupRate >= 0, "service " + service.name + ": the rate of cold leafs is negative");
     }
     for (const Route& route : configuration_.routes) {
       checkRoute(route);
--- a/src/state/serving/serving_configuration.h
+++ b/src/state/serving/serving_configuration.h
@@ -54,6 +54,8 @@
   std::string name;
   /// Connections that one leaf accepts from all daemons together.
   unsigned maximumConnections = 0;
+  /// Requests a second that a cold leaf bears from all daemons together; 0 when no bound is told.
+  double warmupRate = 0.0;
 };
 
 /// What a caller may send, and how long it may take over it.
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -7,12 +7,17 @@
 #include <vector>
 
 #include "transport/steady_clock.h"
+#include "transport/unacknowledged_limit.h"
 
 namespace oakpier::serving {
 
 namespace {
 
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(1500);
+/// An opening packet that is lost is sent again after a second; a new attempt is quicker. Some hundred times the
+/// way between zones, and as long as requests are waited for without an acknowledgement.
+constexpr Duration kConnectTimeout = kUnacknowledgedLimit;
+/// A leaf that cannot be reached is tried anew after this, as often as a connection may take to open.
+constexpr Duration kReconnectPause = kConnectTimeout;
 /// An abandoned exchange may still end by itself for this long, so that the connection can be kept.
 constexpr Duration kAbandonGrace = std::chrono::milliseconds(320);
 /// Deadlines travel in whole milliseconds; a shorter one would tell a leaf to stop before it begins.
@@ -41,6 +46,8 @@
   LeafEntry leaf;
   std::size_t maximum = 1;
   bool retired = false;
+  /// The last connections could not be opened.
+  bool unreachable = false;
   std::vector<std::shared_ptr<LeafConnection>> connections;
   std::size_t connecting = 0;
   std::vector<Running> running;
@@ -184,8 +191,7 @@
   }
   switch (event) {
     case LeafConnection::Event::kReady:
-      --channel->connecting;
-      connection.keepIdleFor(kDefaultIdle, steadyNow());
+      onReady(channel, connection);
       break;
     case LeafConnection::Event::kReplied:
       onReplied(channel, connection, reply);
@@ -250,16 +256,41 @@
     ++counters_.connectionsFailed;
     // Nothing waits for a leaf that cannot be reached, unless another connection serves it.
     if (connections.empty()) {
-      std::list<Order> refused = std::move(channel->waiting);
-      channel->waiting.clear();
-      for (Order& order : refused) {
-        exchanges_.erase(order.exchange);
-        order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kNotSent));
-      }
+      onUnreachable(channel);
     }
   }
 }
 
+void LeafPool::onReady(const ChannelPointer& channel, LeafConnection& connection) {
+  --channel->connecting;
+  connection.keepIdleFor(kDefaultIdle, steadyNow());
+  if (std::exchange(channel->unreachable, false) && onReachability_) {
+    onReachability_(channel->leaf, true);
+  }
+}
+
+void LeafPool::onUnreachable(const ChannelPointer& channel) {
+  channel->unreachable = true;
+  if (onReachability_) {
+    onReachability_(channel->leaf, false);
+  }
+  std::list<Order> refused = std::exchange(channel->waiting, {});
+  for (const Order& order : refused) {
+    exchanges_.erase(order.exchange);
+  }
+  for (const Order& order : refused) {
+    order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kNotSent));
+  }
+  const auto timer = std::make_shared<boost::asio::steady_timer>(context_, kReconnectPause);
+  const std::weak_ptr<Channel> weak = channel;
+  timer->async_wait([this, timer, weak](const boost::system::error_code& error) {
+    const ChannelPointer target = weak.lock();
+    if (!error && target && !target->retired && target->connections.empty()) {
+      open(target);
+    }
+  });
+}
+
 void LeafPool::abandon(ExchangeId exchange) {
   const auto entry = exchanges_.find(exchange);
   if (entry == exchanges_.end()) {
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -54,6 +54,11 @@
   LeafPool& operator=(const LeafPool&) = delete;
   ~LeafPool();
 
+  /// Told when no connection to a leaf could be opened and none is open, and when one is open again. A leaf that
+  /// cannot be reached is tried anew without a request, so that its return is noticed.
+  using ReachabilityListener = std::function<void(const LeafEntry& leaf, bool reachable)>;
+  void setReachabilityListener(ReachabilityListener listener) { onReachability_ = std::move(listener); }
+
   /// `maximum`: connections that this daemon may hold to the leaf.
   void send(const LeafEntry& leaf, std::size_t maximum, Order order);
   /// The outcome no longer matters: a waiting request is dropped, one at work is cut off after a while.
@@ -88,6 +93,9 @@
   void onEvent(const std::weak_ptr<Channel>& weak, LeafConnection& connection, LeafConnection::Event event,
                const std::shared_ptr<const HttpReply>& reply);
   void onClosed(const ChannelPointer& channel, LeafConnection& connection);
+  /// No connection to the leaf is open or being opened any more.
+  void onUnreachable(const ChannelPointer& channel);
+  void onReady(const ChannelPointer& channel, LeafConnection& connection);
   void onReplied(const ChannelPointer& channel, LeafConnection& connection,
                  const std::shared_ptr<const HttpReply>& reply);
   void cutOff(const ChannelPointer& channel, ExchangeId exchange);
@@ -97,6 +105,7 @@
   std::unordered_map<std::string, ChannelPointer> channels_;
   std::unordered_map<ExchangeId, std::weak_ptr<Channel>> exchanges_;
   LeafPoolCounters counters_;
+  ReachabilityListener onReachability_;
 };
 
 }  // namespace oakpier::serving
--- a/tests/serving/coordination/admission_test.cpp
+++ b/tests/serving/coordination/admission_test.cpp
@@ -51,4 +51,58 @@
   REQUIRE_FALSE(refuseWhenBusy(view->configuration->routes[0], *world.context, at(1)));
 }
 
+namespace {
+
+/// Makes the leaf unreachable as far as this daemon knows.
+void lose(const std::shared_ptr<LeafStatus>& leaf) {
+  leaf->onReachability(false, at(0));
+  leaf->onReachability(false, at(0));
+}
+
+}  // namespace
+
+TEST_CASE("a request that too few reachable shards could answer is refused until they are tried again",
+          "[serving]") {
+  const std::vector<std::string> shards{"s0", "s1", "s2", "s3"};
+  const auto view = viewOf({gatherRoute(shards, 0.75)}, shards, 2);
+  QueryWorld world(view);
+  const Route& route = view->configuration->routes[0];
+  const auto refusal = [&](int moment) { return refuseWhenUnservable(route, *view, *world.context, at(moment)); };
+  for (const std::string shard : {"s0", "s1"}) {
+    lose(world.registry.leafsOf(shard)[0]);
+  }
+  REQUIRE_FALSE(refusal(1));
+  lose(world.registry.leafsOf("s0")[1]);
+  REQUIRE_FALSE(refusal(1));
+  lose(world.registry.leafsOf("s1")[1]);
+  REQUIRE(refusal(1));
+  REQUIRE(refusal(1)->retryAfter >= world.context->policy.retryAfter);
+  REQUIRE(refusal(1)->retryAfter <= std::chrono::milliseconds(1500));
+  REQUIRE_FALSE(refusal(10'000));
+}
+
+TEST_CASE("a request is refused when too few of its shards are listed with a leaf that takes work",
+          "[serving]") {
+  const std::vector<std::string> shards{"s0", "s1", "s2", "s3"};
+  const auto view = viewOf({gatherRoute(shards, 0.75), singleRoute("s0", true, 2)}, shards, 1);
+  ServingView changed = *view;
+  LeafsByService leafs = *view->leafs;
+  leafs["s0"][0].evacuated = true;
+  changed.leafs = std::make_shared<const LeafsByService>(leafs);
+  QueryWorld world(view);
+  const auto& routes = view->configuration->routes;
+  REQUIRE_FALSE(refuseWhenUnservable(routes[0], changed, *world.context, at(1)));
+  REQUIRE(refuseWhenUnservable(routes[1], changed, *world.context, at(1)));
+  leafs["s1"].clear();
+  changed.leafs = std::make_shared<const LeafsByService>(leafs);
+  REQUIRE(refuseWhenUnservable(routes[0], changed, *world.context, at(1)));
+}
+
+TEST_CASE("shards whose leafs only other daemons know count as servable", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s0", "s1"}, 1.0)}, {"s0", "s1"}, 1);
+  QueryWorld world(view);
+  world.registry.reconcile({}, at(0));
+  REQUIRE_FALSE(refuseWhenUnservable(view->configuration->routes[0], *view, *world.context, at(1)));
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/coordination/leaf_assignment_test.cpp
+++ b/tests/serving/coordination/leaf_assignment_test.cpp
@@ -20,7 +20,7 @@
   }
   ShardOwners owners(daemons[number]);
   owners.setDaemons(daemons);
-  return assignLeafs(view, SharingDaemons{count, 1}, daemons[number], owners);
+  return assignLeafs(view, SharingDaemons{count, 1, count, 1, {1.5, 5}}, daemons[number], owners);
 }
 
 }  // namespace
@@ -38,6 +38,18 @@
   REQUIRE(assignment.firstOwned.empty());
 }
 
+TEST_CASE("what cold leafs get is shared among the daemons that may send to them", "[serving]") {
+  const auto view = viewOf({gatherRoute({"s", "t"}, 0.5)}, {"s", "t"}, 2);
+  auto configuration = std::make_shared<ServingConfiguration>(*view->configuration);
+  configuration->services[0].warmupRate = 20;
+  ServingView changed = *view;
+  changed.configuration = configuration;
+  const LeafAssignment assignment = assignmentOf(0, 4, changed);
+  REQUIRE(assignment.warmups.count("t") == 0);
+  // Half of 20 a second, times 1.5 and 5 more, by four daemons.
+  REQUIRE(assignment.warmups.at("s").perSecond == Approx(35.0 / 2 / 4));
+}
+
 TEST_CASE("nothing is assigned before a configuration is known", "[serving]") {
   ServingView view;
   view.leafs = std::make_shared<const LeafsByService>(leafsOf({"s"}, 2));
--- a/tests/serving/coordination/leaf_knowledge_test.cpp
+++ b/tests/serving/coordination/leaf_knowledge_test.cpp
@@ -105,4 +105,92 @@
   REQUIRE(registry.leafsOf("s") == before);
 }
 
+TEST_CASE("a leaf that cannot be reached gets nothing until a connection stands or it is tried again",
+          "[serving]") {
+  LeafRegistry registry;
+  registry.reconcile(leafsOf({"s"}, 1), at(0));
+  const auto leaf = registry.leafsOf("s").front();
+  RandomEngine random(1);
+  const std::string zone = "a";
+  const auto selected = [&](int moment) {
+    return selectLeaf(registry.leafsOf("s"), {{}, kUsual, zone}, random, at(moment)) != nullptr;
+  };
+  registry.onReachability(leaf->entry(), false, at(0));
+  // The last copy is still tried.
+  REQUIRE(selected(1));
+  SECTION("with an answer between") {
+    leaf->onStarted(1, kUsual, at(1));
+    leaf->onFinished(1, LeafOutcome::Kind::kAnswered, at(2));
+    registry.onReachability(leaf->entry(), false, at(3));
+    REQUIRE(selected(4));
+  }
+  SECTION("a second time in a row") {
+    registry.onReachability(leaf->entry(), false, at(400));
+    REQUIRE_FALSE(selected(401));
+    REQUIRE(leaf->retryAt() > at(401));
+    REQUIRE(selected(5000));
+    registry.onReachability(leaf->entry(), true, at(500));
+    REQUIRE(selected(501));
+  }
+  SECTION("broken connections and requests that waited too long do not count") {
+    for (std::uint64_t exchange = 1; exchange <= 4; ++exchange) {
+      leaf->onStarted(exchange, kUsual, at(1));
+      const bool even = exchange % 2 == 0;
+      leaf->onFinished(exchange, even ? LeafOutcome::Kind::kNoAnswer : LeafOutcome::Kind::kExpired, at(2));
+    }
+    REQUIRE(selected(3));
+  }
+}
+
+TEST_CASE("all daemons together send a cold leaf no more in a second than it bears", "[serving]") {
+  OAKPIER_PROPERTY("cold leafs", [] {
+    const auto daemons = *rc::gen::element<std::size_t>(1, 2, 8, 76, 300, 1000);
+    const auto rate = *rc::gen::element(2.0, 20.0, 200.0);
+    const WarmupTolerance tolerance{1.5, 5};
+    const WarmupAllowance allowance = warmupAllowance(rate, tolerance, daemons);
+    RandomEngine random(*rc::gen::arbitrary<std::uint64_t>());
+    std::vector<LeafRegistry> registries(daemons);
+    LeafsByService directory = leafsOf({"s"}, 1);
+    directory["s"][0].warmupLeft = std::chrono::seconds(30);
+    std::vector<int> sends(6000, 0);
+    for (LeafRegistry& registry : registries) {
+      registry.reconcile(directory, at(0));
+      const std::string zone = "a";
+      SelectionRequest request{{}, kUsual, zone};
+      request.warmup = &allowance;
+      // Every daemon wants to send often.
+      for (std::size_t moment = drawBelow(50, random); moment < sends.size(); moment += 50) {
+        const Moment now = at(static_cast<int>(moment));
+        if (const auto leaf = selectLeaf(registry.leafsOf("s"), request, random, now)) {
+          leaf->onStarted(moment, kUsual, now);
+          ++sends[moment];
+        }
+      }
+    }
+    int inSecond = 0;
+    for (std::size_t moment = 0; moment < sends.size(); ++moment) {
+      inSecond += sends[moment] - (moment >= 1000 ? sends[moment - 1000] : 0);
+      RC_ASSERT(inSecond <= rate * tolerance.factor + tolerance.slack);
+    }
+  });
+}
+
+TEST_CASE("a leaf that says that it is cold again gets less, until it is warm", "[serving]") {
+  LeafRegistry registry;
+  LeafsByService directory = leafsOf({"s"}, 1);
+  registry.reconcile(directory, at(0));
+  const auto leaf = registry.leafsOf("s").front();
+  REQUIRE_FALSE(leaf->warmingUp(at(1)));
+  SECTION("by its record") {
+    directory["s"][0].warmupLeft = std::chrono::seconds(3);
+    directory["s"][0].revision = 9;
+    registry.reconcile(directory, at(10));
+  }
+  SECTION("with an answer") { leaf->onWarmup(std::chrono::seconds(3), at(10)); }
+  REQUIRE(leaf->warmingUp(at(11)));
+  // The same record once more says nothing new.
+  registry.reconcile(directory, at(2000));
+  REQUIRE_FALSE(leaf->warmingUp(at(3011)));
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/coordination/query_test.cpp
+++ b/tests/serving/coordination/query_test.cpp
@@ -88,6 +88,24 @@
   REQUIRE(std::get<Failure>(*query.onTime(at(500)).answer).timedOut);
 }
 
+TEST_CASE("a query that can no longer get enough shards ends at once", "[serving]") {
+  Route route = gatherRoute(kShards, 0.75);
+  route.attempts = 1;
+  const auto view = viewOf({route}, kShards, 1);
+  QueryWorld world(view);
+  Query query(view, view->configuration->routes[0], *world.context, at(0), at(2000));
+  const QueryActions started = startAndWrite(query, at(0));
+  const auto lost = [&](std::size_t send, int moment) {
+    return query.onOutcome(started.sends[send].exchange, outcomeOf(Kind::kLeafFailed), at(moment));
+  };
+  // One of four may be missing.
+  REQUIRE_FALSE(lost(0, 5).answer);
+  const QueryActions ended = lost(1, 6);
+  REQUIRE(ended.answer);
+  REQUIRE_FALSE(std::get<Failure>(*ended.answer).timedOut);
+  REQUIRE(ended.abandons == std::vector<ExchangeId>{started.sends[2].exchange, started.sends[3].exchange});
+}
+
 TEST_CASE("a query that lacks too many shards asks for them once more, with time anew", "[serving]") {
   const auto view = viewOf({gatherRoute(kShards, 0.75)}, kShards, 2);
   QueryWorld world(view);
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -11,7 +11,8 @@
   "node_name": "edge-a-1", "zone": "a", "ip": "10.1.0.9", "unknown": [1],
   "bind_addresses": {"http": "10.1.0.9:8104", "readiness": "10.1.0.9:8108", "admin": "10.1.0.9:8106"},
   "internal_port_range": [7380, 7395], "seeds": ["10.1.0.9:8106", "10.2.0.21:8106"],
-  "bounds": {"grace_s": 6, "drain_ms": 5000, "retry_budget_ratio": 0.2, "budget_slack": 56, "budget_window_s": 10},
+  "bounds": {"grace_s": 6, "drain_ms": 5000, "retry_budget_ratio": 0.2, "budget_slack": 56, "budget_window_s": 10,
+             "warmup_tolerance": 1.5, "warmup_slack": 5},
   "platform": {"address": "10.200.1.7:8102"}})";
 
 const char* const kConfiguration = R"({"version": 7, "routes": [
@@ -23,7 +24,7 @@
   {"name": "w", "host": "h.example", "path_prefix": "/c/", "route_type": "idempotent", "timeout_ms": 900,
    "target_latency_ms": 90, "priority": 1, "backends": [{"service": "s", "weight": 1},
    {"service": "t", "weight": 3}], "attempts": 1}],
-  "services": [{"name": "s", "max_connections": 26}, {"name": "t", "max_connections": 110}],
+  "services": [{"name": "s", "max_connections": 26, "warmup_per_s": 20}, {"name": "t", "max_connections": 110}],
   "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
              "idle_timeout_ms": 15000}})";
 
@@ -43,6 +44,8 @@
   REQUIRE(settings.seeds[1].text() == "10.2.0.21:7380");
   REQUIRE(settings.stopGrace == std::chrono::seconds(6));
   REQUIRE(settings.extraSends.slack == 56);
+  REQUIRE(settings.warmup.factor == 1.5);
+  REQUIRE(settings.warmup.slack == 5);
   REQUIRE(settings.leaveBound == std::chrono::seconds(5));
 }
 
@@ -84,6 +87,8 @@
   REQUIRE(gather.topRecords == 5);
   REQUIRE(configuration.routes[0].repeatable);
   REQUIRE_FALSE(configuration.routes[1].repeatable);
+  REQUIRE(configuration.services[0].warmupRate == 20);
+  REQUIRE(configuration.services[1].warmupRate == 0);
   REQUIRE(std::get<SingleTarget>(configuration.routes[2].target).services[1].weight == 3);
   REQUIRE(configuration.limits.idleTimeout == std::chrono::seconds(15));
 
--- a/tests/serving/protocol/messages_test.cpp
+++ b/tests/serving/protocol/messages_test.cpp
@@ -76,6 +76,12 @@
   REQUIRE(load->running == 3);
   REQUIRE(load->waiting == 1);
   REQUIRE(load->slots == 8);
+  REQUIRE(load->workTimePercent == 100);
+  const auto slowed = classifyReply(replyWith(200, {{names.load, "3,1,8,250"}, {names.warmup, "1500"}}), names);
+  REQUIRE(slowed.load->workTimePercent == 250);
+  REQUIRE(slowed.warmupLeft == std::chrono::milliseconds(1500));
+  REQUIRE_FALSE(classifyReply(replyWith(200, {{names.load, "3,1,8,x"}}), names).load);
+  REQUIRE_FALSE(classifyReply(replyWith(200, {{names.warmup, "soon"}}), names).warmupLeft);
   REQUIRE_FALSE(classifyReply(replyWith(200, {{names.load, "many"}}), names).load);
   REQUIRE(*idleTimeoutOf(*replyWith(200, {{"Keep-Alive", "timeout=5, max=9"}})) == std::chrono::seconds(5));
   REQUIRE_FALSE(idleTimeoutOf(*replyWith(200, {{"Keep-Alive", "max=9"}})));
--- a/tests/serving/support/loopback.h
+++ b/tests/serving/support/loopback.h
@@ -51,6 +51,7 @@
 
   /// From now on connections are accepted and reset at once.
   void resetNewConnections() { resets_ = true; }
+  void acceptNewConnections() { resets_ = false; }
   Endpoint address() const { return Endpoint(0x7f000001, acceptor_.local_endpoint().port()); }
   std::vector<std::shared_ptr<Connection>>& connections() { return connections_; }
   std::size_t requests() const {
--- a/tests/serving/transport/leaf_pool_test.cpp
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -257,4 +257,19 @@
   }
 }
 
+TEST_CASE("a leaf that cannot be reached is tried anew until a connection stands", "[serving]") {
+  PoolWorld world;
+  std::vector<bool> told;
+  world.pool.setReachabilityListener([&](const LeafEntry&, bool reachable) { told.push_back(reachable); });
+  world.server.resetNewConnections();
+  world.send(1, "one");
+  runUntil(world.context, [&] { return told.size() >= 2; });
+  REQUIRE(told == std::vector<bool>{false, false});
+  REQUIRE(world.outcomes.size() == 1);
+  REQUIRE(world.outcomes[0].kind == Kind::kNotSent);
+  world.server.acceptNewConnections();
+  runUntil(world.context, [&] { return told.back(); });
+  REQUIRE(world.outcomes.size() == 1);
+}
+
 }  // namespace oakpier::serving
