Let further daemons step in for silent owners, and tell the zone of silence

And each daemon lost a query of its own to find out that an owner is silent. Ruled out: asking a second owner within a query whose first one is silent; the first may have sent already, and both together would use more attempts than the route allows. Change: a shard has six candidates in order; the first two that are not silent are asked.

--- a/src/coordination/serving/admission.h
+++ b/src/coordination/serving/admission.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Refuses at once what could not be answered, or not in time, so that the work that is taken on is worth doing
-/// and callers are free to try elsewhere.
+/// Refuses at once what could not be answered, or not in time, so that the work that is taken on is worth
+/// doing and callers are free to try elsewhere.
 
 #include <optional>
 
@@ -18,9 +18,9 @@
 /// the time by which the answer would be late.
 std::optional<Refusal> refuseWhenBusy(const Route& route, QueryContext& context, Moment now);
 
-/// Set when it is known that no success can come: fewer shards than an answer needs have a leaf that takes work
-/// and can be reached. Leafs of shards that are left to other daemons count as reachable. The caller is told to
-/// come back when enough leafs are tried again.
+/// Set when it is known that no success can come: fewer shards than an answer needs have a leaf that takes
+/// work and can be reached. Leafs of shards that are left to other daemons count as reachable. The caller is
+/// told to come back when enough leafs are tried again.
 std::optional<Refusal> refuseWhenUnservable(const Route& route, const ServingView& view,
                                             QueryContext& context, Moment now);
 
--- a/src/coordination/serving/leaf_assignment.h
+++ b/src/coordination/serving/leaf_assignment.h
@@ -2,8 +2,9 @@
 
 /// Which leafs this daemon uses, with how many connections, and which it leaves to shards' owners.
 ///
-/// Invariants: a draining or evacuated leaf is not assigned; of a service that is left to owners only its owners use
-/// leafs; the connections of all daemons together fit what a leaf accepts, while member tables are equal.
+/// Invariants: a draining or evacuated leaf is not assigned; of a service that is left to owners only its
+/// owners use leafs; the connections of all daemons together fit what a leaf accepts, while member tables are
+/// equal.
 
 #include <cstddef>
 #include <string>
--- a/src/coordination/serving/leaf_status.cpp
+++ b/src/coordination/serving/leaf_status.cpp
@@ -15,8 +15,8 @@
 constexpr Duration kLoadLifetime = std::chrono::milliseconds(150);
 /// A leaf that fails this often in a row is avoided.
 constexpr unsigned kFailuresBeforeEjection = 3;
-/// A leaf that could not be reached this often in a row counts as unreachable. Once may be a connection that the
-/// leaf resets, as it has too many.
+/// A leaf that could not be reached this often in a row counts as unreachable. Once may be a connection that
+/// the leaf resets, as it has too many.
 constexpr unsigned kLostBeforeUnreachable = 2;
 /// A leaf that was silent for this long when a request was taken back counts as unreachable.
 constexpr int kSilenceFactor = 3;
@@ -49,8 +49,8 @@
 }
 
 std::size_t LeafStatus::sentWhileCold(Moment now) const {
-  return static_cast<std::size_t>(std::count_if(
-      coldSends_.begin(), coldSends_.end(), [now](Moment sent) { return now - sent < kColdSpan; }));
+  return static_cast<std::size_t>(std::count_if(coldSends_.begin(), coldSends_.end(),
+                                                [now](Moment sent) { return now - sent < kColdSpan; }));
 }
 
 bool LeafStatus::drawWhileCold(double odds, RandomEngine& random, Moment now) {
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -46,8 +46,9 @@
   RouteLatency& latency = context_.latencyOf(route_);
   const Duration timeLeft = times_.leafDeadline - now;
   const AnswerTime answerTime{latency.withoutQueue(), latency.alwaysWorthTrying()};
-  const SelectionRequest request{triedLeafs_, latency.typical(), context_.ownZone, context_.preferredZone,
-                                 timeLeft,    answerTime,         context_.warmupOf(service_)};
+  const SelectionRequest request{
+      triedLeafs_, latency.typical(), context_.ownZone,           context_.preferredZone,
+      timeLeft,    answerTime,        context_.warmupOf(service_)};
   auto leaf = selectLeaf(context_.leafs.leafsOf(service_), request, context_.random, now);
   note(leaf ? decision : Decision::kNoLeaf, leaf, now);
   if (!leaf) {
--- a/src/coordination/serving/peer_silence.cpp
+++ b/src/coordination/serving/peer_silence.cpp
@@ -12,9 +12,37 @@
 
 }  // namespace
 
-void PeerSilence::onSent(const Endpoint& peer, Moment now) { silences_.try_emplace(peer, Silence{now, now}); }
+void PeerSilence::onSent(const Endpoint& peer, Moment now) {
+  silences_.try_emplace(peer, Silence{now, now, false});
+}
+
+void PeerSilence::onHeard(const Endpoint& peer, Moment now) {
+  silences_.erase(peer);
+  heardAt_[peer] = now;
+}
+
+std::vector<Endpoint> PeerSilence::takeNewlySilent(Moment now) {
+  std::vector<Endpoint> newlySilent;
+  for (auto& [peer, silence] : silences_) {
+    if (!silence.told && silent(peer, now)) {
+      silence.told = true;
+      newlySilent.push_back(peer);
+    }
+  }
+  return newlySilent;
+}
 
-void PeerSilence::onHeard(const Endpoint& peer) { silences_.erase(peer); }
+void PeerSilence::onToldSilent(const Endpoint& peer, Moment now) {
+  const auto heard = heardAt_.find(peer);
+  if (heard != heardAt_.end() && now - heard->second <= kSilenceLimit) {
+    return;
+  }
+  // Just beyond the limit, so that it counts as silent from now on.
+  const Moment since = now - kSilenceLimit - Duration(1);
+  Silence& silence = silences_.try_emplace(peer, Silence{since, now, true}).first->second;
+  silence.since = std::min(silence.since, since);
+  silence.told = true;
+}
 
 bool PeerSilence::silent(const Endpoint& peer, Moment now) const {
   const auto found = silences_.find(peer);
@@ -49,6 +77,10 @@
     const bool known = std::find(peers.begin(), peers.end(), entry->first) != peers.end();
     entry = known ? std::next(entry) : silences_.erase(entry);
   }
+  for (auto entry = heardAt_.begin(); entry != heardAt_.end();) {
+    const bool known = std::find(peers.begin(), peers.end(), entry->first) != peers.end();
+    entry = known ? std::next(entry) : heardAt_.erase(entry);
+  }
 }
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/shard_owners.cpp
+++ b/src/coordination/serving/shard_owners.cpp
@@ -63,7 +63,7 @@
   for (const Endpoint& daemon : daemons_) {
     weighted.emplace_back(hashPair(hash, daemon.packed()), daemon);
   }
-  const std::size_t kept = std::min(kOwnersPerShard, weighted.size());
+  const std::size_t kept = std::min(kCandidatesPerShard, weighted.size());
   std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept), weighted.end(),
                     [](const auto& left, const auto& right) { return left.first > right.first; });
   for (std::size_t number = 0; number < kept; ++number) {
@@ -74,9 +74,9 @@
 
 std::vector<Endpoint> ShardOwners::ownersOf(const std::string& service, Moment now) {
   std::vector<Endpoint> owners = ranked(service);
-  if (owners.size() > 1 && silent(owners.front(), now) && !silent(owners[1], now)) {
-    std::rotate(owners.begin(), owners.begin() + 1, owners.end());
-  }
+  std::stable_partition(owners.begin(), owners.end(),
+                        [&](const Endpoint& candidate) { return !silent(candidate, now); });
+  owners.resize(std::min(kOwnersPerShard, owners.size()));
   return owners;
 }
 
@@ -104,8 +104,10 @@
   if (servedForOthers_.count(service) != 0) {
     return true;
   }
-  const auto& owners = ranked(service);
-  return std::find(owners.begin(), owners.end(), self_) != owners.end();
+  const auto& candidates = ranked(service);
+  const auto end =
+      candidates.begin() + static_cast<std::ptrdiff_t>(std::min(kOwnersPerShard, candidates.size()));
+  return std::find(candidates.begin(), end, self_) != end;
 }
 
 bool ShardOwners::isFirstOwner(const std::string& service) {
--- a/src/coordination/serving/shard_owners.h
+++ b/src/coordination/serving/shard_owners.h
@@ -5,8 +5,9 @@
 /// are.
 ///
 /// Invariants: equal member tables give equal owners; a change of one daemon moves only the shards that it
-/// gains or loses; a daemon that leaves frames unanswered comes second until it is heard again; a daemon that
-/// is taken for an owner by one with another member table serves the shard for a while.
+/// gains or loses; a daemon that leaves frames unanswered is asked only when no other one is left, until it
+/// is heard again; a daemon that is taken for an owner by one that knows or hears of others serves the shard
+/// for a while.
 
 #include <cstddef>
 #include <string>
@@ -33,6 +34,11 @@
 /// The first owner and the one that steps in for it.
 inline constexpr std::size_t kOwnersPerShard = 2;
 
+/// Daemons that may step in as owners one after the other while those before them are silent. With three in
+/// ten of a zone's daemons at a standstill both of two owners are for one shard in eleven, more than an
+/// answer may lack where nineteen of twenty shards are wanted; all of six are for one in a thousand.
+inline constexpr std::size_t kCandidatesPerShard = 6;
+
 /// True when a leaf accepts too few connections for every daemon to have its own.
 bool needsOwners(std::size_t maximumConnections, std::size_t daemons);
 
@@ -70,13 +76,18 @@
   bool isFirstOwner(const std::string& service);
 
   void onSent(const Endpoint& owner, Moment now) { silence_.onSent(owner, now); }
-  void onHeard(const Endpoint& owner) { silence_.onHeard(owner); }
+  void onHeard(const Endpoint& owner, Moment now) { silence_.onHeard(owner, now); }
+  /// Daemons whose silence the others of the zone are to be told of now.
+  std::vector<Endpoint> takeNewlySilent(Moment now) { return silence_.takeNewlySilent(now); }
+  /// Another daemon says that this one is silent.
+  void onToldSilent(const Endpoint& owner, Moment now) { silence_.onToldSilent(owner, now); }
   /// The daemon has left a frame unanswered for longer than a living one would.
   bool silent(const Endpoint& owner, Moment now) const { return silence_.silent(owner, now); }
   /// Daemons that are silent and should be asked for a sign of life now.
   std::vector<Endpoint> takeProbes(Moment now) { return silence_.takeTries(now); }
 
  private:
+  /// The shard's candidates, the owners first.
   const std::vector<Endpoint>& ranked(const std::string& service);
 
   Endpoint self_;
--- a/src/coordination/serving/warmup_allowance.h
+++ b/src/coordination/serving/warmup_allowance.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// How many requests this daemon may send to a cold leaf. The operator bounds what all daemons together send to
-/// it in a second; a leaf that gets well more falls over.
+/// How many requests this daemon may send to a cold leaf. The operator bounds what all daemons together send
+/// to it in a second; a leaf that gets well more falls over.
 
 #include <algorithm>
 #include <cmath>
@@ -38,8 +38,8 @@
   if (planned >= sharers) {
     return {planned / sharers};
   }
-  // By chance the sum of a second varies by the root of its mean. With the mean this many deviations below the
-  // bound, generated fleets of up to 1,000 daemons stay within it.
+  // By chance the sum of a second varies by the root of its mean. With the mean this many deviations below
+  // the bound, generated fleets of up to 1,000 daemons stay within it.
   constexpr double kDeviations = 6.0;
   const double root = (std::sqrt(kDeviations * kDeviations + 4 * bound) - kDeviations) / 2;
   return {std::min(planned, root * root) / sharers};
--- a/src/coordination/serving/zone_mergers.h
+++ b/src/coordination/serving/zone_mergers.h
@@ -33,7 +33,7 @@
   void assign(std::vector<SendAction>& sends, RandomEngine& random, Moment now);
 
   void onSent(const Endpoint& merger, Moment now) { silence_.onSent(merger, now); }
-  void onHeard(const Endpoint& merger) { silence_.onHeard(merger); }
+  void onHeard(const Endpoint& merger, Moment now) { silence_.onHeard(merger, now); }
 
  private:
   /// Empty when no daemon of the zone is known or all are silent.
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -111,6 +111,8 @@
                requests.budgetEmpty);
   list.histograms("answer_seconds", "Time from a request to its answer", requests.answerTimes);
   list.counter("parts_left_to_owners_total", "Shards of requests sent to their owners", figures.owners.parts);
+  list.counter("silences_told_total", "Times that the zone was told of silent daemons",
+               figures.owners.silencesTold);
   list.counter("owner_probes_total", "Signs of life asked of silent owners", figures.owners.probes);
   list.counter("owner_frames_undeliverable_total", "Frames to owners that could not be sent",
                figures.owners.undeliverable);
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -29,8 +29,8 @@
        << "\nextra_send_ratio = " << settings.extraSends.ratio
        << "\nextra_send_slack = " << settings.extraSends.slack
        << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSends.window)
-       << "\nwarmup_factor = " << settings.warmup.factor
-       << "\nwarmup_slack_per_s = " << settings.warmup.slack << "\n";
+       << "\nwarmup_factor = " << settings.warmup.factor << "\nwarmup_slack_per_s = " << settings.warmup.slack
+       << "\n";
   return text.str();
 }
 
--- a/src/programs/gateway/merge_client.cpp
+++ b/src/programs/gateway/merge_client.cpp
@@ -133,7 +133,7 @@
     return;
   }
   const Moment now = steadyNow();
-  mergers_.onHeard(merger);
+  mergers_.onHeard(merger, now);
   const bool complete = countIn(results);
   std::string records = results.records();
   std::shared_ptr<const Listener> listener;
--- a/src/programs/gateway/owner_client.cpp
+++ b/src/programs/gateway/owner_client.cpp
@@ -109,6 +109,34 @@
   sendFrame_(owner, std::move(frame));
 }
 
+void OwnerClient::tellOfSilence() {
+  const Moment now = steadyNow();
+  const std::vector<Endpoint> silent = owners_.takeNewlySilent(now);
+  if (silent.empty()) {
+    return;
+  }
+  PeerEnvelope frame;
+  for (const Endpoint& daemon : silent) {
+    frame.mutable_silent_daemons()->add_addresses(daemon.text());
+  }
+  frame.set_time_to_live_ms(kWorkLifetimeMilliseconds);
+  ++counters_.silencesTold;
+  for (const Endpoint& daemon : greeted_) {
+    if (!owners_.silent(daemon, now)) {
+      sendFrame_(daemon, frame);
+    }
+  }
+}
+
+void OwnerClient::onSilentDaemons(const SilentDaemons& silent) {
+  const Moment now = steadyNow();
+  for (const std::string& address : silent.addresses()) {
+    if (const auto daemon = Endpoint::parse(address)) {
+      owners_.onToldSilent(*daemon, now);
+    }
+  }
+}
+
 void OwnerClient::greet(const std::vector<Endpoint>& daemons) {
   std::set<Endpoint> greeted;
   for (const Endpoint& daemon : daemons) {
@@ -146,7 +174,7 @@
     return;
   }
   const Moment now = steadyNow();
-  owners_.onHeard(owner);
+  owners_.onHeard(owner, now);
   Listeners listeners;
   for (const OwnerResult& result : results.results()) {
     takeResult(result, now, listeners);
--- a/src/programs/gateway/owner_client.h
+++ b/src/programs/gateway/owner_client.h
@@ -25,6 +25,8 @@
   std::uint64_t parts = 0;
   /// Signs of life asked of silent owners.
   std::uint64_t probes = 0;
+  /// Times that the zone was told of silent daemons.
+  std::uint64_t silencesTold = 0;
   /// Frames that could not be handed to the network.
   std::uint64_t undeliverable = 0;
 };
@@ -55,6 +57,10 @@
   void cancel(const std::vector<ExchangeId>& exchanges);
   void onResults(const Endpoint& owner, const OwnerResults& results);
   void onUndeliverable(const OwnerWork& work);
+  /// Tells the other daemons of the zone which have fallen silent here, so that not each has to lose a query
+  /// to find out.
+  void tellOfSilence();
+  void onSilentDaemons(const SilentDaemons& silent);
   const OwnerClientCounters& counters() const { return counters_; }
 
  private:
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -67,9 +67,8 @@
                     sendFrame),
       mergeClient_(context, queryContext_, mergers_, sendFrame),
       mergeService_(context, names, pool_, sender_, queryContext_, sendFrame) {
-  pool_.setReachabilityListener([this](const LeafEntry& leaf, bool reachable) {
-    leafs_.onReachability(leaf, reachable, steadyNow());
-  });
+  pool_.setReachabilityListener(
+      [this](const LeafEntry& leaf, bool reachable) { leafs_.onReachability(leaf, reachable, steadyNow()); });
   queryContext_.owners = &owners_;
   queryContext_.mergers = &mergers_;
 }
@@ -101,6 +100,8 @@
     ownerClient_.onResults(sender, envelope.owner_results());
   } else if (envelope.has_owner_cancel()) {
     ownerService_.onCancel(sender, envelope.owner_cancel());
+  } else if (envelope.has_silent_daemons()) {
+    ownerClient_.onSilentDaemons(envelope.silent_daemons());
   } else if (envelope.has_merge_work()) {
     mergeService_.onWork(sender, envelope.merge_work());
   } else if (envelope.has_merge_results()) {
@@ -268,6 +269,7 @@
   if (!actions.relays.empty()) {
     relay(active, actions.relays);
   }
+  ownerClient_.tellOfSilence();
   if (actions.answer) {
     answer(active, *actions.answer);
   }
--- a/src/protocol/serving/header_names.h
+++ b/src/protocol/serving/header_names.h
@@ -16,8 +16,8 @@
   std::string signature = "Oakpier-Signature";
   /// The incarnation of the leaf that a request is meant for.
   std::string expectedInstance = "Oakpier-Expected-Instance";
-  /// Requests running, requests waiting and slots of a leaf, separated by commas; some add how long work takes
-  /// there at present, in hundredths of what is usual.
+  /// Requests running, requests waiting and slots of a leaf, separated by commas; some add how long work
+  /// takes there at present, in hundredths of what is usual.
   std::string load = "Oakpier-Load";
   /// Milliseconds that a leaf is still cold.
   std::string warmup = "Oakpier-Warmup-Ms";
--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -46,6 +46,7 @@
     case PeerEnvelope::kOwnerWork:
     case PeerEnvelope::kOwnerResults:
     case PeerEnvelope::kOwnerCancel:
+    case PeerEnvelope::kSilentDaemons:
     case PeerEnvelope::kMergeWork:
     case PeerEnvelope::kMergeResults:
     case PeerEnvelope::kMergeCancel:
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// An opening packet that is lost is sent again after a second; a new attempt is quicker. Some hundred times the
-/// way between zones, and as long as requests are waited for without an acknowledgement.
+/// An opening packet that is lost is sent again after a second; a new attempt is quicker. Some hundred times
+/// the way between zones, and as long as requests are waited for without an acknowledgement.
 constexpr Duration kConnectTimeout = kUnacknowledgedLimit;
 /// A leaf that cannot be reached is tried anew after this, as often as a connection may take to open.
 constexpr Duration kReconnectPause = kConnectTimeout;
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -54,8 +54,8 @@
   LeafPool& operator=(const LeafPool&) = delete;
   ~LeafPool();
 
-  /// Told when no connection to a leaf could be opened and none is open, and when one is open again. A leaf that
-  /// cannot be reached is tried anew without a request, so that its return is noticed.
+  /// Told when no connection to a leaf could be opened and none is open, and when one is open again. A leaf
+  /// that cannot be reached is tried anew without a request, so that its return is noticed.
   using ReachabilityListener = std::function<void(const LeafEntry& leaf, bool reachable)>;
   void setReachabilityListener(ReachabilityListener listener) { onReachability_ = std::move(listener); }
 
--- a/tests/serving/programs/owner_client_test.cpp
+++ b/tests/serving/programs/owner_client_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "serving/support/serving_fixtures.h"
+#include "transport/steady_clock.h"
 
 namespace oakpier::serving {
 
@@ -138,4 +139,28 @@
   REQUIRE(world.frames[2].first == kOtherOwner);
 }
 
+TEST_CASE("the zone hears of daemons that have fallen silent, and is believed", "[serving]") {
+  ClientWorld world;
+  const Endpoint bystander(4, 9);
+  world.owners.setDaemons({Endpoint(1, 9), kFirstOwner, kOtherOwner, bystander});
+  world.client.greet({kFirstOwner, kOtherOwner, bystander});
+  world.owners.onSent(kFirstOwner, steadyNow() - std::chrono::seconds(1));
+  world.frames.clear();
+  world.client.tellOfSilence();
+  REQUIRE(world.frames.size() == 2);
+  for (const auto& [to, frame] : world.frames) {
+    REQUIRE(to != kFirstOwner);
+    REQUIRE(frame.silent_daemons().addresses(0) == kFirstOwner.text());
+  }
+  world.client.tellOfSilence();
+  REQUIRE(world.frames.size() == 2);
+
+  ClientWorld told;
+  told.client.onSilentDaemons(world.frames[0].second.silent_daemons());
+  REQUIRE(told.owners.silent(kFirstOwner, steadyNow()));
+  SilentDaemons unreadable;
+  unreadable.add_addresses("nowhere");
+  told.client.onSilentDaemons(unreadable);
+}
+
 }  // namespace oakpier::serving
