Refuse callers in one place

No change of behavior: the three refusals before a query shared their lines; the text of a refusal is now that of its cause. A comment that had slipped to another function is back at its own.

--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -186,6 +186,24 @@
   }
 }
 
+void RequestGateway::refuse(const ResponseWriter& writer, const std::string& requestId,
+                            const std::string& route, LossCause cause, Duration retryAfter) {
+  ++counters_.refused;
+  const HttpReply reply = refusalReply(retryAfter, std::string("not run: ") + textOf(cause));
+  writer.write(reply);
+  log_.onRefused(requestId, route, cause, reply.status, steadyNow());
+}
+
+Moment RequestGateway::deadlineOf(const HttpRequest& request, const Route& route, Moment now) const {
+  const Moment routeDeadline = now + route.timeout;
+  std::uint64_t milliseconds = 0;
+  const std::string* allowed = findHeader(request.headers, names_.deadline);
+  if (allowed == nullptr || !parseMilliseconds(*allowed, milliseconds)) {
+    return routeDeadline;
+  }
+  return std::min(routeDeadline, now + fromMilliseconds(milliseconds));
+}
+
 std::function<void()> RequestGateway::onRequest(HttpRequest request, ResponseWriter writer) {
   const Moment now = steadyNow();
   ++counters_.received;
@@ -193,10 +211,7 @@
   const std::string requestId = told == nullptr ? "" : *told;
   const std::string* host = findHeader(request.headers, "Host");
   if (!view_->configuration) {
-    ++counters_.refused;
-    const HttpReply reply = refusalReply(kStartingRetryAfter, "not run: no configuration is known yet");
-    writer.write(reply);
-    log_.onRefused(requestId, "", LossCause::kNoConfiguration, reply.status, now);
+    refuse(writer, requestId, "", LossCause::kNoConfiguration, kStartingRetryAfter);
     if (const auto wanted = std::exchange(onStateWanted_, nullptr)) {
       wanted();
     }
@@ -212,27 +227,16 @@
     return nullptr;
   }
   if (const auto refusal = refuseWhenUnservable(*route, *view_, queryContext_, now)) {
-    ++counters_.refused;
     ++counters_.refusedUnservable;
-    const HttpReply reply = refusalReply(refusal->retryAfter, "not run: too few leafs can be reached");
-    writer.write(reply);
-    log_.onRefused(requestId, route->name, LossCause::kLeafUnreachable, reply.status, now);
+    refuse(writer, requestId, route->name, LossCause::kLeafUnreachable, refusal->retryAfter);
     return nullptr;
   }
   if (const auto refusal = refuseWhenBusy(*route, queryContext_, now)) {
-    ++counters_.refused;
     ++counters_.refusedBusy;
-    const HttpReply reply = refusalReply(refusal->retryAfter, "not run: the leafs are too busy");
-    writer.write(reply);
-    log_.onRefused(requestId, route->name, LossCause::kLeafsTooBusy, reply.status, now);
+    refuse(writer, requestId, route->name, LossCause::kLeafsTooBusy, refusal->retryAfter);
     return nullptr;
   }
-  Moment deadline = now + route->timeout;
-  std::uint64_t milliseconds = 0;
-  const std::string* allowed = findHeader(request.headers, names_.deadline);
-  if (allowed != nullptr && parseMilliseconds(*allowed, milliseconds)) {
-    deadline = std::min(deadline, now + fromMilliseconds(milliseconds));
-  }
+  const Moment deadline = deadlineOf(request, *route, now);
   auto active = std::make_shared<ActiveQuery>(context_, std::move(writer));
   active->request = std::make_shared<const LeafRequestTemplate>(request, names_);
   active->original = std::make_shared<const HttpRequest>(std::move(request));
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -42,9 +42,9 @@
   void onView();
   /// Takes effect with the next view.
   void setWarmupTolerance(const WarmupTolerance& tolerance) { daemons_.warmup = tolerance; }
-  /// `planned`: how many daemons share each leaf's connections. `settled`: that can be relied on.
   /// Called once, when a caller is refused as no configuration is known.
   void setOnStateWanted(std::function<void()> handler) { onStateWanted_ = std::move(handler); }
+  /// `planned`: how many daemons share each leaf's connections. `settled`: that can be relied on.
   void setDaemons(const DaemonGroup& daemons, std::size_t planned, bool settled);
   /// A frame of another daemon, or of this one, about shards.
   void onFrame(const Endpoint& sender, const PeerEnvelope& envelope);
@@ -66,6 +66,11 @@
   struct ActiveQuery;
   using ActivePointer = std::shared_ptr<ActiveQuery>;
 
+  /// Answers before there is a query. `route`: empty when no configuration is known.
+  void refuse(const ResponseWriter& writer, const std::string& requestId, const std::string& route,
+              LossCause cause, Duration retryAfter);
+  /// The caller's own, and not beyond the route's timeout.
+  Moment deadlineOf(const HttpRequest& request, const Route& route, Moment now) const;
   void apply(const ActivePointer& active, QueryActions actions);
   void send(const ActivePointer& active, const SendAction& action);
   void relay(const ActivePointer& active, const std::vector<RelayAction>& relays);
@@ -74,7 +79,6 @@
   void onOutcome(const ActivePointer& active, ExchangeId exchange, const LeafOutcome& outcome);
   void answer(const ActivePointer& active, const FinalAnswer& answer);
   void countDecisions(const RequestTrace& trace);
-  /// An answer of the gateway's own before any query.
   void armTimer(const ActivePointer& active);
   /// Ends the use of connections to leafs that are no longer assigned.
   void retainConnections(const LeafAssignment& assignment);
