Take a leaf that resets new connections for reachable

Cause: a leaf with too many connections accepts a further one and resets it; two such resets in a row counted as a leaf that cannot be reached, so that after a loss of power, when leafs still count old connections, a shard's last copies got nothing for 0.4 s and more. Change: only connections that were not accepted count. Tests for both.

--- a/src/transport/serving/leaf_connection.cpp
+++ b/src/transport/serving/leaf_connection.cpp
@@ -37,6 +37,7 @@
       self->fail();
       return;
     }
+    self->wasAccepted_ = true;
     configureConnection(self->socket_, kUnacknowledgedLimit);
     self->read();
     self->awaitAcceptance();
--- a/src/transport/serving/leaf_connection.h
+++ b/src/transport/serving/leaf_connection.h
@@ -38,8 +38,10 @@
   /// Ends the connection without a further event.
   void close();
 
-  /// The connection was established at some time.
+  /// The connection was established at some time, and not reset at once.
   bool wasOpen() const { return wasOpen_; }
+  /// The leaf's machine answered, if only to reset the connection after it had accepted it.
+  bool wasAccepted() const { return wasAccepted_; }
   bool idle() const { return state_ == State::kIdle; }
   bool usableUntil(Moment now) const { return now < idleUntil_; }
   void keepIdleFor(Duration duration, Moment now) { idleUntil_ = now + duration; }
@@ -64,6 +66,7 @@
   bool reading_ = false;
   bool isHead_ = false;
   bool wasOpen_ = false;
+  bool wasAccepted_ = false;
   Moment idleUntil_ = kNever;
 };
 
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -256,7 +256,10 @@
     ++counters_.connectionsFailed;
     // Nothing waits for a leaf that cannot be reached, unless another connection serves it.
     if (connections.empty()) {
-      onUnreachable(channel);
+      if (!kept->wasAccepted()) {
+        onUnreachable(channel);
+      }
+      refuseWaiting(channel);
     }
   }
 }
@@ -274,13 +277,6 @@
   if (onReachability_) {
     onReachability_(channel->leaf, false);
   }
-  std::list<Order> refused = std::exchange(channel->waiting, {});
-  for (const Order& order : refused) {
-    exchanges_.erase(order.exchange);
-  }
-  for (const Order& order : refused) {
-    order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kNotSent));
-  }
   const auto timer = std::make_shared<boost::asio::steady_timer>(context_, kReconnectPause);
   const std::weak_ptr<Channel> weak = channel;
   timer->async_wait([this, timer, weak](const boost::system::error_code& error) {
@@ -291,6 +287,16 @@
   });
 }
 
+void LeafPool::refuseWaiting(const ChannelPointer& channel) {
+  const std::list<Order> refused = std::exchange(channel->waiting, {});
+  for (const Order& order : refused) {
+    exchanges_.erase(order.exchange);
+  }
+  for (const Order& order : refused) {
+    order.listener.onOutcome(outcomeOf(LeafOutcome::Kind::kNotSent));
+  }
+}
+
 void LeafPool::abandon(ExchangeId exchange) {
   const auto entry = exchanges_.find(exchange);
   if (entry == exchanges_.end()) {
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -55,7 +55,8 @@
   ~LeafPool();
 
   /// Told when no connection to a leaf could be opened and none is open, and when one is open again. A leaf
-  /// that cannot be reached is tried anew without a request, so that its return is noticed.
+  /// that cannot be reached is tried anew without a request, so that its return is noticed. One that accepts
+  /// a connection and resets it has too many, and can be reached.
   using ReachabilityListener = std::function<void(const LeafEntry& leaf, bool reachable)>;
   void setReachabilityListener(ReachabilityListener listener) { onReachability_ = std::move(listener); }
 
@@ -93,8 +94,10 @@
   void onEvent(const std::weak_ptr<Channel>& weak, LeafConnection& connection, LeafConnection::Event event,
                const std::shared_ptr<const HttpReply>& reply);
   void onClosed(const ChannelPointer& channel, LeafConnection& connection);
-  /// No connection to the leaf is open or being opened any more.
+  /// No connection to the leaf could be opened, and none is being opened any more.
   void onUnreachable(const ChannelPointer& channel);
+  /// Ends what waits for a connection as not sent.
+  void refuseWaiting(const ChannelPointer& channel);
   void onReady(const ChannelPointer& channel, LeafConnection& connection);
   void onReplied(const ChannelPointer& channel, LeafConnection& connection,
                  const std::shared_ptr<const HttpReply>& reply);
--- a/tests/serving/support/loopback.h
+++ b/tests/serving/support/loopback.h
@@ -51,7 +51,18 @@
 
   /// From now on connections are accepted and reset at once.
   void resetNewConnections() { resets_ = true; }
-  void acceptNewConnections() { resets_ = false; }
+  /// From now on connections are refused; `reopen` takes them at the same address again.
+  void close() {
+    closedAt_ = acceptor_.local_endpoint();
+    acceptor_.close();
+  }
+  void reopen() {
+    acceptor_.open(closedAt_.protocol());
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor_.bind(closedAt_);
+    acceptor_.listen();
+    accept();
+  }
   Endpoint address() const { return Endpoint(0x7f000001, acceptor_.local_endpoint().port()); }
   std::vector<std::shared_ptr<Connection>>& connections() { return connections_; }
   std::size_t requests() const {
@@ -99,6 +110,7 @@
 
   boost::asio::ip::tcp::acceptor acceptor_;
   bool resets_ = false;
+  boost::asio::ip::tcp::endpoint closedAt_;
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
--- a/tests/serving/transport/leaf_pool_test.cpp
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -261,15 +261,26 @@
   PoolWorld world;
   std::vector<bool> told;
   world.pool.setReachabilityListener([&](const LeafEntry&, bool reachable) { told.push_back(reachable); });
-  world.server.resetNewConnections();
+  world.server.close();
   world.send(1, "one");
   runUntil(world.context, [&] { return told.size() >= 2; });
   REQUIRE(told == std::vector<bool>{false, false});
   REQUIRE(world.outcomes.size() == 1);
   REQUIRE(world.outcomes[0].kind == Kind::kNotSent);
-  world.server.acceptNewConnections();
+  world.server.reopen();
   runUntil(world.context, [&] { return told.back(); });
   REQUIRE(world.outcomes.size() == 1);
 }
 
+TEST_CASE("a leaf that accepts connections and resets them can be reached", "[serving]") {
+  PoolWorld world;
+  std::vector<bool> told;
+  world.pool.setReachabilityListener([&](const LeafEntry&, bool reachable) { told.push_back(reachable); });
+  world.server.resetNewConnections();
+  world.send(1, "one");
+  world.awaitOutcomes(1);
+  REQUIRE(world.outcomes[0].kind == Kind::kNotSent);
+  REQUIRE(told.empty());
+}
+
 }  // namespace oakpier::serving
