Wait for frames instead of sleeping in the test of silent connections

Cause: the test paced its frames with a sleep, so its time and load depended on the machine. Change: it waits for the frame that it needs, with a bounded number of frames; as strict as before.

--- a/tests/transport/peer_transport_test.cpp
+++ b/tests/transport/peer_transport_test.cpp
@@ -1,11 +1,11 @@
 #include "transport/peer_transport.h"
 
-#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <condition_variable>
 #include <future>
 #include <memory>
-#include <thread>
+#include <mutex>
 #include <utility>
 
 #include "support/free_endpoint.h"
@@ -99,28 +99,52 @@
   REQUIRE(second.start().find(here.text()) != std::string::npos);
 }
 
+namespace {
+
+/// Remembers the group of the frame that arrived last; frames begin with the letter of their group.
+class ArrivedGroup {
+ public:
+  void onFrame(const PeerEnvelope& envelope) {
+    const std::lock_guard<std::mutex> guard(mutex_);
+    group_ = envelope.work().work_id().front();
+    changed_.notify_all();
+  }
+  /// Returns early when the group has arrived.
+  bool await(char group, std::chrono::milliseconds longest) {
+    std::unique_lock<std::mutex> guard(mutex_);
+    return changed_.wait_for(guard, longest, [&] { return group_ == group; });
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  char group_ = ' ';
+};
+
+}  // namespace
+
 TEST_CASE("a connection to a peer that falls silent without a reset is replaced", "[transport]") {
   const Endpoint here = freeEndpoint();
   const Endpoint there = freeEndpoint();
-  // Of the frames, which begin with the letter of their group.
-  std::atomic<char> lastArrived{' '};
-  PeerTransport receiver(
-      there, {[&](const PeerEnvelope& envelope, bool) { lastArrived = envelope.work().work_id().front(); },
-              [](const Endpoint&, const PeerEnvelope&) {}});
+  ArrivedGroup arrived;
+  PeerTransport receiver(there, {[&](const PeerEnvelope& envelope, bool) { arrived.onFrame(envelope); },
+                                 [](const Endpoint&, const PeerEnvelope&) {}});
   REQUIRE(receiver.start().empty());
   SilencingProxy proxy(there);
   PeerTransport sender(here, {[](const PeerEnvelope&, bool) {}, [](const Endpoint&, const PeerEnvelope&) {}});
   REQUIRE(sender.start().empty());
-  // Large enough to fill the buffers on the way, so that the sender's bytes stay unacknowledged.
   const auto sendUntilArrived = [&](char group) {
+    // Large enough to fill the buffers on the way, so that the sender's bytes stay unacknowledged.
     PeerEnvelope frame = workFrom(here, std::string(std::size_t{512} * 1024, group));
     frame.set_time_to_live_ms(60'000);
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-    while (lastArrived != group && std::chrono::steady_clock::now() < end) {
+    constexpr int kMostFrames = 1500;
+    for (int sent = 0; sent < kMostFrames; ++sent) {
       sender.send(proxy.address(), frame);
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      if (arrived.await(group, std::chrono::milliseconds(20))) {
+        return true;
+      }
     }
-    return lastArrived == group;
+    return false;
   };
   REQUIRE(sendUntilArrived('a'));
   proxy.silence();
