Interfaces of tenants, proofs of the configuration's age and limits over the fleet

Cause: nothing of the gateway knows tenants: keys are passed on to leafs, no daemon can prove how old its configuration is, nobody counts what a tenant asks of all daemons. The tenant and its rank travel with a request to owners and mergers; fingerprints count the tenant as the caller. No decision changes yet: the serving tests pass as before.

--- a/src/coordination/serving/loss_causes.cpp
+++ b/src/coordination/serving/loss_causes.cpp
@@ -38,6 +38,16 @@
       return "owner late";
     case LossCause::kOwnerFailed:
       return "owner has no answer";
+    case LossCause::kKeyMissing:
+      return "no readable key";
+    case LossCause::kKeyUnknown:
+      return "key unknown";
+    case LossCause::kKeyMaybeNew:
+      return "key unknown, configuration not proved fresh";
+    case LossCause::kProofTooOld:
+      return "configuration not proved fresh";
+    case LossCause::kTenantOverLimit:
+      return "tenant over its limit";
     default:
       return "unknown";
   }
--- a/src/coordination/serving/loss_causes.h
+++ b/src/coordination/serving/loss_causes.h
@@ -40,6 +40,16 @@
   kOwnerLate,
   /// The shard's owner said that it has no answer; its own log says why.
   kOwnerFailed,
+  /// The caller showed no key, or none that can be read.
+  kKeyMissing,
+  /// No tenant holds the caller's key.
+  kKeyUnknown,
+  /// No tenant is known to hold the caller's key, but the key may be new.
+  kKeyMaybeNew,
+  /// The caller's key may have been taken away: the configuration was not proved fresh for too long.
+  kProofTooOld,
+  /// The tenant has used up what it may ask of all daemons together.
+  kTenantOverLimit,
   /// A number, not a cause.
   kCount,
 };
--- a/src/coordination/serving/merge_server.cpp
+++ b/src/coordination/serving/merge_server.cpp
@@ -26,7 +26,7 @@
   task->receivedAt = now;
   task->deadline = now + microseconds(work.remaining_us());
   task->holdUntil = now + microseconds(work.hold_us()) - kReturnMargin;
-  task->request = HttpRequest{work.method(), work.target(), {}, work.body()};
+  task->request = HttpRequest{work.method(), work.target(), {}, work.body(), work.tenant()};
   for (const HeaderField& field : work.headers()) {
     task->request.headers.push_back(Header{field.name(), field.value()});
   }
--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -28,6 +28,7 @@
   }
   configuration_ = std::move(configuration);
   routes_ = std::make_shared<const RouteTable>(*configuration_);
+  tenants_ = std::make_shared<const TenantTable>(configuration_->tenants);
   changed_ = true;
   return {};
 }
@@ -137,6 +138,7 @@
   auto view = std::make_shared<ServingView>();
   view->configuration = configuration_;
   view->routes = routes_;
+  view->tenants = tenants_;
   view->leafs = std::move(leafs);
   return view;
 }
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -73,6 +73,7 @@
   KnowledgeSettings settings_;
   std::shared_ptr<const ServingConfiguration> configuration_;
   std::shared_ptr<const RouteTable> routes_;
+  std::shared_ptr<const TenantTable> tenants_;
   std::map<std::string, KnownLeaf> leafs_;
   /// Zones that the operator has ever named for evacuation.
   std::map<std::string, KnownZone> zones_;
--- a/src/coordination/serving/shard_server.cpp
+++ b/src/coordination/serving/shard_server.cpp
@@ -12,7 +12,7 @@
 Duration microseconds(std::uint64_t count) { return Duration(static_cast<std::int64_t>(count)); }
 
 HttpRequest requestOf(const OwnerWork& work) {
-  HttpRequest request{work.method(), work.target(), {}, work.body()};
+  HttpRequest request{work.method(), work.target(), {}, work.body(), work.tenant()};
   for (const HeaderField& field : work.headers()) {
     request.headers.push_back(Header{field.name(), field.value()});
   }
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -72,12 +72,13 @@
       : settings_(settings),
         reload_(std::move(reload)),
         published_(emptyView()),
+        proof_(std::make_shared<const ConfigurationProof>()),
         random_(std::random_device{}()),
         extraSendShare_(settings.extraSends, kUsualDaemons),
         budgets_(extraSendShare_.bounds(), steadyNow(), random_),
         ownerShare_(settings.extraSends, kUsualOwners + kOwnersInChange, ExtraSendShare::Holder::kOwner),
         ownerBudgets_(ownerShare_.bounds(), steadyNow(), random_),
-        requests_(requestContext_, names, published_, settings.peerAddress,
+        requests_(requestContext_, names, published_, proof_, settings.peerAddress,
                   QueryContext{leafs_,
                                budgets_,
                                random_,
@@ -301,6 +302,7 @@
   boost::asio::io_context requestContext_{1};
   boost::asio::io_context controlContext_{1};
   Published<ServingView> published_;
+  Published<ConfigurationProof> proof_;
   std::atomic<bool> ready_{false};
   RandomEngine random_;
   LeafRegistry leafs_;
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -43,6 +43,12 @@
   std::uint64_t rejectedEndingLeafs = 0;
   /// Sent to one leaf first, as leafs have ended under them.
   std::uint64_t trials = 0;
+  /// Answered 401.
+  std::uint64_t rejectedKeys = 0;
+  /// Refused as the configuration was not proved fresh.
+  std::uint64_t refusedUnproved = 0;
+  /// Answered 429.
+  std::uint64_t refusedOverLimit = 0;
   std::uint64_t failed = 0;
   std::uint64_t noRoute = 0;
   std::uint64_t callersGone = 0;
--- a/src/programs/gateway/leaf_sender.cpp
+++ b/src/programs/gateway/leaf_sender.cpp
@@ -16,7 +16,7 @@
   LeafPool::Order order;
   order.exchange = send.action.exchange;
   order.request = send.request;
-  order.rank = send.route->rank;
+  order.rank = send.rank;
   order.deadline = send.action.deadline;
   order.leastTime = send.action.leastTime;
   order.listener.onWritten = std::move(listener.onWritten);
--- a/src/programs/gateway/leaf_sender.h
+++ b/src/programs/gateway/leaf_sender.h
@@ -18,6 +18,8 @@
   std::shared_ptr<const LeafRequestTemplate> request;
   /// Kept until the outcome is known.
   std::shared_ptr<const Route> route;
+  /// Of the caller: its tenant's, or else the route's.
+  unsigned rank = 0;
 };
 
 class LeafSender {
--- a/src/programs/gateway/merge_client.cpp
+++ b/src/programs/gateway/merge_client.cpp
@@ -27,8 +27,9 @@
     field->set_value(header.value);
   }
   work.set_body(order.request->body);
+  work.set_tenant(order.request->tenant);
   work.set_route(order.route->name);
-  work.set_rank(order.route->rank);
+  work.set_rank(order.rank);
   work.set_target_latency_us(static_cast<std::uint64_t>(order.route->targetLatency.count()));
   const Duration remaining = std::max(order.leafDeadline - now, Duration(0));
   work.set_remaining_us(static_cast<std::uint64_t>(remaining.count()));
--- a/src/programs/gateway/merge_client.h
+++ b/src/programs/gateway/merge_client.h
@@ -40,6 +40,8 @@
     std::shared_ptr<const HttpRequest> request;
     /// Kept until the last result.
     std::shared_ptr<const Route> route;
+    /// Of the caller: its tenant's, or else the route's.
+    unsigned rank = 0;
     Moment leafDeadline{};
     /// When the query decides next if nothing comes.
     Moment decidesAt{};
--- a/src/programs/gateway/merge_service.cpp
+++ b/src/programs/gateway/merge_service.cpp
@@ -50,6 +50,7 @@
   send.action = merge.action;
   send.request = std::move(request);
   send.route = std::shared_ptr<const Route>(merge.task, &merge.task->route);
+  send.rank = merge.task->route.rank;
   LeafPool::Listener listener;
   const ExchangeId exchange = merge.action.exchange;
   listener.onOutcome = [this, exchange](const LeafOutcome& outcome) {
--- a/src/programs/gateway/owner_client.cpp
+++ b/src/programs/gateway/owner_client.cpp
@@ -32,8 +32,9 @@
     field->set_value(header.value);
   }
   work.set_body(order.request->body);
+  work.set_tenant(order.request->tenant);
   work.set_route(order.route->name);
-  work.set_rank(order.route->rank);
+  work.set_rank(order.rank);
   work.set_target_latency_us(static_cast<std::uint64_t>(order.route->targetLatency.count()));
   work.set_remaining_us(microsecondsUntil(order.leafDeadline, now));
   work.set_renewable_us(microsecondsUntil(order.lastDeadline, now));
--- a/src/programs/gateway/owner_client.h
+++ b/src/programs/gateway/owner_client.h
@@ -42,6 +42,8 @@
     bool vetted = false;
     /// Kept until the last result.
     std::shared_ptr<const Route> route;
+    /// Of the caller: its tenant's, or else the route's.
+    unsigned rank = 0;
     Moment leafDeadline{};
     /// As in `PartTimes`.
     Moment lastDeadline{};
--- a/src/programs/gateway/owner_service.cpp
+++ b/src/programs/gateway/owner_service.cpp
@@ -77,6 +77,7 @@
   send.action = served.action;
   send.request = std::move(request);
   send.route = std::shared_ptr<const Route>(served.work, &served.work->route);
+  send.rank = served.work->route.rank;
   LeafPool::Listener listener;
   const ExchangeId exchange = served.action.exchange;
   listener.onWritten = [this, exchange] { server_.onWritten(exchange); };
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "coordination/serving/caller_authorization.h"
 #include "coordination/serving/leaf_assignment.h"
 #include "coordination/serving/query.h"
 #include "coordination/serving/shard_owners.h"
@@ -19,6 +20,7 @@
 #include "programs/gateway/owner_client.h"
 #include "programs/gateway/owner_service.h"
 #include "programs/gateway/quarantine_link.h"
+#include "programs/gateway/quota_link.h"
 #include "programs/gateway/request_log.h"
 #include "protocol/serving/header_names.h"
 #include "state/published.h"
@@ -41,8 +43,9 @@
  public:
   /// `ownerBudgets`: those of a shard's owner, while `queryContext` has those of every daemon.
   RequestGateway(boost::asio::io_context& context, const HeaderNames& names,
-                 Published<ServingView>& published, const Endpoint& self, QueryContext queryContext,
-                 ExtraSendBudgets& ownerBudgets, const FrameSender& sendFrame);
+                 Published<ServingView>& published, const Published<ConfigurationProof>& proof,
+                 const Endpoint& self, QueryContext queryContext, ExtraSendBudgets& ownerBudgets,
+                 const FrameSender& sendFrame);
 
   std::function<void()> onRequest(HttpRequest request, ResponseWriter writer) override;
 
@@ -50,6 +53,7 @@
   void onView();
   /// Takes effect with the next view.
   void setWarmupTolerance(const WarmupTolerance& tolerance) { daemons_.warmup = tolerance; }
+  void setAuthorization(const AuthorizationSettings& settings) { authorization_ = settings; }
   /// Called once, when a caller is refused as no configuration is known.
   void setOnStateWanted(std::function<void()> handler) { onStateWanted_ = std::move(handler); }
   /// `planned`: how many daemons share each leaf's connections. `settled`: that can be relied on.
@@ -75,18 +79,29 @@
   /// Takes up the shards that the asking daemon takes this one for the owner of: member tables may differ.
   void serveForOther(const OwnerWork& work);
   struct ActiveQuery;
+  struct ArrivedRequest;
   using ActivePointer = std::shared_ptr<ActiveQuery>;
 
+  // From a request's arrival to the start of its query: request_intake.cpp. The first three return false once
+  // they have answered the request.
+  bool findRoute(ArrivedRequest& arrived);
+  bool identifyCaller(ArrivedRequest& arrived);
+  bool admit(ArrivedRequest& arrived);
+  void rejectCaller(const ArrivedRequest& arrived, AuthorizationProblem problem);
+  void onQuota(ArrivedRequest& arrived, const QuotaDecision& decision);
+  void onCallerGone(ArrivedRequest& arrived);
+  void begin(ArrivedRequest& arrived);
+
   /// Answers before there is a query. `route`: empty when no configuration is known.
   void refuse(const ResponseWriter& writer, const LoggedRequest& request, const std::string& route,
               LossCause cause, Duration retryAfter);
   /// Answers a request under which leafs have ended and which may not be sent now. False when it may.
   bool rejectEndingLeafs(const ResponseWriter& writer, const LoggedRequest& request, const Route& route,
                          const RequestQuarantine::Judgement& judgement);
-  /// Takes up evidence against requests under which a leaf's process has ended.
-  void onLeafEnd(const LeafEntry& leaf, const std::vector<std::shared_ptr<RequestRecord>>& under);
   /// The caller's own, and not beyond the route's timeout.
   Moment deadlineOf(const HttpRequest& request, const Route& route, Moment now) const;
+
+  // A query and what it asks of the real world: request_queries.cpp.
   void apply(const ActivePointer& active, QueryActions actions);
   void send(const ActivePointer& active, const SendAction& action);
   void relay(const ActivePointer& active, const std::vector<RelayAction>& relays);
@@ -96,6 +111,9 @@
   void answer(const ActivePointer& active, const FinalAnswer& answer);
   void countDecisions(const RequestTrace& trace);
   void armTimer(const ActivePointer& active);
+
+  /// Takes up evidence against requests under which a leaf's process has ended.
+  void onLeafEnd(const LeafEntry& leaf, const std::vector<std::shared_ptr<RequestRecord>>& under);
   /// Ends the use of connections to leafs that are no longer assigned.
   void retainConnections(const LeafAssignment& assignment);
   /// Opens the first connections to leafs before requests need them.
@@ -104,6 +122,8 @@
   boost::asio::io_context& context_;
   const HeaderNames& names_;
   Published<ServingView>& published_;
+  const Published<ConfigurationProof>& proof_;
+  AuthorizationSettings authorization_;
   RequestQuarantine quarantine_;
   QueryContext queryContext_;
   LeafRegistry& leafs_;
@@ -118,6 +138,7 @@
   MergeClient mergeClient_;
   MergeService mergeService_;
   QuarantineLink quarantineLink_;
+  QuotaLink quota_;
   SharingDaemons daemons_ = sharingUntilKnown();
   bool settled_ = false;
   std::function<void()> onStateWanted_;
--- a/src/protocol/serving/header_names.h
+++ b/src/protocol/serving/header_names.h
@@ -27,6 +27,10 @@
   std::string partSignatures = "Oakpier-Part-Signatures";
   /// How many shards a merged answer lacks.
   std::string missingParts = "Oakpier-Missing-Parts";
+  /// The tenant for which a leaf runs a request.
+  std::string tenant = "Oakpier-Tenant";
+  /// The scheme of the header `Authorization` under which a caller's key stands.
+  std::string keyScheme = "Bearer";
 };
 
 }  // namespace oakpier::serving
--- a/src/protocol/serving/leaf_messages.cpp
+++ b/src/protocol/serving/leaf_messages.cpp
@@ -74,12 +74,16 @@
              sameHeaderName(header.name, "Transfer-Encoding");
     const bool replaced = sameHeaderName(header.name, names.deadline) ||
                           sameHeaderName(header.name, names.expectedInstance) ||
+                          sameHeaderName(header.name, names.tenant) ||
                           sameHeaderName(header.name, "Expect");
     if (replaced || isHopHeader(header.name, request.headers)) {
       continue;
     }
     head_.append(header.name).append(": ").append(header.value).append("\r\n");
   }
+  if (!request.tenant.empty()) {
+    head_.append(names.tenant).append(": ").append(request.tenant).append("\r\n");
+  }
   if (framed) {
     head_.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
   }
--- a/src/state/serving/http_message.h
+++ b/src/state/serving/http_message.h
@@ -21,6 +21,8 @@
   std::string target;
   HeaderList headers;
   std::string body;
+  /// The tenant for which a leaf runs it; empty: none.
+  std::string tenant = {};
 };
 
 struct HttpReply {
--- a/src/state/serving/leaf_directory.h
+++ b/src/state/serving/leaf_directory.h
@@ -12,6 +12,7 @@
 #include "state/endpoint.h"
 #include "state/serving/route_table.h"
 #include "state/serving/serving_configuration.h"
+#include "state/serving/tenant_table.h"
 #include "state/time.h"
 
 namespace oakpier::serving {
@@ -48,6 +49,8 @@
   /// Null until the first configuration is known.
   std::shared_ptr<const ServingConfiguration> configuration;
   std::shared_ptr<const RouteTable> routes;
+  /// Null until the first configuration is known.
+  std::shared_ptr<const TenantTable> tenants;
   std::shared_ptr<const LeafsByService> leafs;
 };
 
--- a/src/state/serving/request_fingerprint.h
+++ b/src/state/serving/request_fingerprint.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// What tells whether two requests ask for the same work, whatever their ids: method, host, path with query,
-/// credentials and body.
+/// tenant (or, without one, credentials) and body.
 
 #include <cstdint>
 #include <string>
--- a/src/state/serving/serving_configuration.h
+++ b/src/state/serving/serving_configuration.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "state/serving/tenant.h"
 #include "state/time.h"
 
 namespace oakpier::serving {
@@ -47,6 +48,8 @@
   unsigned attempts = 1;
   /// 0 is the most urgent.
   unsigned rank = 0;
+  /// Callers need no key, even where the configuration names tenants.
+  bool isPublic = false;
   std::variant<SingleTarget, GatherTarget> target;
 };
 
@@ -72,6 +75,8 @@
   std::vector<Route> routes;
   std::vector<ServiceDefinition> services;
   RequestLimits limits;
+  /// None: no request needs a key.
+  std::vector<Tenant> tenants;
 };
 
 /// Every reason, in plain words, why the configuration cannot be used; empty when it can.
