--- a/bench/simulation/simulated_fleet.h
+++ b/bench/simulation/simulated_fleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Many hollow daemons in one process: the real control plane of each, under a simulated clock and network
-/// with a seed. Property tests and the hollow fleet both run it.
+/// The real control planes of many daemons in one process, under a simulated clock and network with a seed, for
+/// property tests.
 
 #include <cstdint>
 #include <functional>
--- a/src/coordination/control_plane.h
+++ b/src/coordination/control_plane.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// The control side of one daemon as a state machine: membership, agreement on configuration changes, and
-/// their spread. The daemon, the property tests and hollow daemons run this same code.
+/// their spread. The daemon and the property tests run this same code.
 ///
 /// Invariants: the revision in force never falls; a change is reported accepted only after a majority of the
 /// voters accepted it; the platform's configuration is used only to decide revision 1.
