Rank daemons for a key by capacity: weighted rendezvous hashing

Cause: owners, mergers and the like are placed as if all daemons were alike; 66 of 74 daemons have 0.12 cores, the other eight 0.5.

Change: `weighted_rendezvous` ranks by -ln(u) / weight, least first, u drawn from the hash of key and address. Where all capacities are equal the ranks are those of plain rendezvous hashing, so nothing moves before capacities are told. An untold capacity counts as a constant, not as a mean over the fleet: else one daemon's joining would move all.

--- /dev/null
+++ b/src/coordination/serving/weighted_rendezvous.cpp
@@ -0,0 +1,70 @@
+#include "coordination/serving/weighted_rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "state/hashing.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+/// Bits of a hash that a double holds exactly.
+constexpr unsigned kExactBits = 53;
+
+/// A daemon's chance at a key: the lowest distance comes first.
+struct Bid {
+  double distance;
+  Endpoint address;
+
+  friend bool operator<(const Bid& left, const Bid& right) {
+    return std::tie(left.distance, left.address) < std::tie(right.distance, right.address);
+  }
+};
+
+/// Exponentially distributed with the weight as its rate, so the least of several is a given daemon's with a
+/// chance in proportion to its weight. Processors may differ in the last bit of the logarithm; that changes
+/// a rank only where two distances agree to 15 digits.
+Bid bidOf(std::uint64_t keyHash, const ServingDaemon& daemon) {
+  const std::uint64_t hash = hashPair(keyHash, daemon.address.packed()) >> (64U - kExactBits);
+  // The half keeps it above 0 and below 1.
+  const double even = std::ldexp(static_cast<double>(hash) + 0.5, -static_cast<int>(kExactBits));
+  return Bid{-std::log(even) / placementWeight(daemon.capacity), daemon.address};
+}
+
+}  // namespace
+
+unsigned placementWeight(unsigned capacity) {
+  return capacity == 0 ? kUsualCapacity : std::min(capacity, kMostCapacity);
+}
+
+std::vector<Endpoint> rankDaemons(std::uint64_t keyHash, const std::vector<ServingDaemon>& daemons,
+                                  std::size_t most) {
+  std::vector<Bid> bids;
+  bids.reserve(daemons.size());
+  for (const ServingDaemon& daemon : daemons) {
+    bids.push_back(bidOf(keyHash, daemon));
+  }
+  const std::size_t kept = std::min(most, bids.size());
+  std::partial_sort(bids.begin(), bids.begin() + static_cast<std::ptrdiff_t>(kept), bids.end());
+  std::vector<Endpoint> ranked;
+  ranked.reserve(kept);
+  for (std::size_t place = 0; place < kept; ++place) {
+    ranked.push_back(bids[place].address);
+  }
+  return ranked;
+}
+
+std::optional<Endpoint> firstDaemon(std::uint64_t keyHash, const std::vector<ServingDaemon>& daemons) {
+  std::optional<Bid> best;
+  for (const ServingDaemon& daemon : daemons) {
+    const Bid bid = bidOf(keyHash, daemon);
+    if (!best || bid < *best) {
+      best = bid;
+    }
+  }
+  return best ? std::optional<Endpoint>(best->address) : std::nullopt;
+}
+
+}  // namespace oakpier::serving
