Let members tell what they can carry

Cause: a daemon knows its share of a processor and its link from its settings, the others do not.

Digests hold it where one is told, so tables that differ only there are compared and mended. A changed figure raises the member's own refutation: it supersedes what was known, and old news can't bring the earlier one back. A record heard without one, of the same process and refutation, hides none. oakpierd tells none; its digests are what they were.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -31,6 +31,15 @@
   seeds_ = std::move(seeds);
 }
 
+void Membership::setCapacity(std::uint32_t capacity) {
+  if (capacity == 0 || capacity == capacity_) {
+    return;
+  }
+  selfRefutation_ += capacity_ == 0 ? 0 : 1;
+  capacity_ = capacity;
+  ++version_;
+}
+
 MembershipActions Membership::onProbe(const Endpoint& sender, const Probe& probe, Moment now) {
   MembershipActions actions;
   const bool bulk = probe.compared_parts_size() > 0;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -5,7 +5,7 @@
 ///
 /// Invariants: only a member itself raises its refutation; a dead or left process never becomes alive again
 /// except by its own refutation (dead) or as a later process (higher incarnation); every update is sent a
-/// bounded number of times.
+/// bounded number of times; for one process and refutation a member tells at most one capacity.
 
 #include <optional>
 #include <string>
@@ -74,6 +74,10 @@
   Membership(const Endpoint& self, const std::string& zone, std::uint64_t incarnation,
              const MembershipSettings& settings, RandomEngine random);
 
+  /// What this daemon can carry, in hundredths of a processor core. Told to all; a change is a refutation, so
+  /// that it supersedes what they know. 0, not told, changes nothing.
+  void setCapacity(std::uint32_t capacity);
+  std::uint32_t capacity() const { return capacity_; }
   /// Addresses to try when no member is known; from settings and the platform's list.
   void setSeeds(std::vector<Endpoint> seeds);
 
@@ -134,6 +138,8 @@
   void mergeSelf(const MemberUpdate& update);
   /// `bulk`: the sender did not pass this on as news, so neither do we.
   void mergeRecord(const MemberRecord& update, bool bulk, Moment now);
+  /// Some daemons pass on what they hear of a member without its capacity.
+  void learnCapacity(const MemberRecord& update, const MemberRecord& known, bool bulk);
   void compareTables(const Endpoint& sender, const ProbeReply& reply, Moment now, MembershipActions& actions);
   std::uint64_t partDigest(std::size_t part) const;
   std::uint64_t wholeDigest() const;
@@ -162,6 +168,7 @@
   SuspicionList suspicions_;
   std::uint64_t nextSequence_ = 1;
   std::uint32_t selfRefutation_ = 0;
+  std::uint32_t capacity_ = 0;
   std::uint64_t version_ = 1;
   bool joined_ = false;
   bool leaving_ = false;
--- a/src/coordination/membership_updates.cpp
+++ b/src/coordination/membership_updates.cpp
@@ -39,6 +39,7 @@
   record.refutation = update.refutation();
   record.zone = members_.zoneNumber(update.zone());
   record.condition = update.condition();
+  record.capacity = update.capacity();
   mergeRecord(record, bulk, now);
 }
 
@@ -62,14 +63,19 @@
 void Membership::mergeRecord(const MemberRecord& update, bool bulk, Moment now) {
   const MemberRecord* known = members_.find(update.address);
   if (known != nullptr && !supersedes(update, *known)) {
+    learnCapacity(update, *known, bulk);
     return;
   }
   const bool servedBefore = known != nullptr && known->serving();
   const bool sameProcess = known != nullptr && known->incarnation == update.incarnation;
+  const std::uint32_t knownCapacity = known != nullptr ? known->capacity : 0;
   MemberRecord record = update;
   record.changedAt = now;
+  if (record.capacity == 0 && sameProcess && known->refutation == update.refutation) {
+    record.capacity = knownCapacity;
+  }
   members_.put(record);
-  if (servedBefore != record.serving() || !sameProcess) {
+  if (servedBefore != record.serving() || !sameProcess || record.capacity != knownCapacity) {
     ++version_;
   }
   if (record.condition == MEMBER_SUSPECT) {
@@ -86,6 +92,20 @@
   }
 }
 
+void Membership::learnCapacity(const MemberRecord& update, const MemberRecord& known, bool bulk) {
+  const bool sameStatement = known.incarnation == update.incarnation && known.refutation == update.refutation;
+  if (!sameStatement || known.capacity != 0 || update.capacity == 0) {
+    return;
+  }
+  MemberRecord record = known;
+  record.capacity = update.capacity;
+  members_.put(record);
+  ++version_;
+  if (!bulk) {
+    spread(record.address);
+  }
+}
+
 void Membership::spread(const Endpoint& subject) {
   const int transmissions = static_cast<int>(std::ceil(settings_.updateTransmissions * logMembers()));
   updates_.add(subject, transmissions);
@@ -161,6 +181,7 @@
   MemberRecord own;
   own.address = self_;
   own.incarnation = incarnation_;
+  own.capacity = capacity_;
   return members_.partDigest(part) ^ (partOf(self_) == part ? digestOf(own) : 0);
 }
 
@@ -179,6 +200,7 @@
   update.set_incarnation(record.incarnation);
   update.set_refutation(record.refutation);
   update.set_condition(record.condition);
+  update.set_capacity(record.capacity);
   return update;
 }
 
@@ -189,6 +211,7 @@
   update.set_incarnation(incarnation_);
   update.set_refutation(selfRefutation_);
   update.set_condition(leaving_ ? MEMBER_LEFT : MEMBER_ALIVE);
+  update.set_capacity(capacity_);
   return update;
 }
 
--- a/src/state/member_table.cpp
+++ b/src/state/member_table.cpp
@@ -66,7 +66,8 @@
 std::size_t partOf(const Endpoint& address) { return hashPair(address.packed(), 0) % kTableParts; }
 
 std::uint64_t digestOf(const MemberRecord& record) {
-  return hashPair(record.address.packed(), record.incarnation);
+  const std::uint64_t process = hashPair(record.address.packed(), record.incarnation);
+  return record.capacity == 0 ? process : hashPair(process, record.capacity);
 }
 
 ZoneNumber MemberTable::zoneNumber(const std::string& zone) {
--- a/src/state/member_table.h
+++ b/src/state/member_table.h
@@ -24,6 +24,8 @@
   std::uint32_t refutation = 0;
   ZoneNumber zone = 0;
   MemberCondition condition = MEMBER_ALIVE;
+  /// In hundredths of a processor core; 0 when the member did not tell.
+  std::uint32_t capacity = 0;
   Moment changedAt{};
 
   bool serving() const { return condition == MEMBER_ALIVE || condition == MEMBER_SUSPECT; }
@@ -33,7 +35,8 @@
 /// address.
 inline constexpr std::size_t kTableParts = 64;
 std::size_t partOf(const Endpoint& address);
-/// What a serving member adds to the digest of its part.
+/// What a serving member adds to the digest of its part: process and capacity, so that daemons that place
+/// work by different capacities compare their tables.
 std::uint64_t digestOf(const MemberRecord& record);
 
 /// Records sorted by address. Not thread-safe.
--- a/tests/coordination/membership_test.cpp
+++ b/tests/coordination/membership_test.cpp
@@ -3,6 +3,7 @@
 #include "coordination/membership.h"
 
 #include "simulation/simulated_fleet.h"
+#include "state/hashing.h"
 #include "support/property.h"
 
 namespace oakpier {
@@ -62,6 +63,133 @@
   REQUIRE(started.members().find(oldAddress) != nullptr);
 }
 
+namespace {
+
+Membership memberAt(std::uint32_t number, std::uint64_t incarnation = 5) {
+  return {Endpoint(number, 1), "a", incarnation, MembershipSettings{}, RandomEngine(number)};
+}
+
+std::uint32_t capacityKnown(const Membership& observer, const Membership& subject) {
+  const MemberRecord* record = observer.members().find(subject.self());
+  return record == nullptr ? 0 : record->capacity;
+}
+
+/// Tells `to` all that `from` knows.
+void tell(Membership& from, Membership& to) {
+  to.onReply(from.self(), from.introduction(to.self()), Moment(std::chrono::seconds(1)));
+}
+
+/// As `tell`, by a daemon that does not know of capacities.
+void tellWithoutCapacities(Membership& from, Membership& to) {
+  ProbeReply reply = from.introduction(to.self());
+  for (MemberUpdate& update : *reply.mutable_updates()) {
+    update.clear_capacity();
+  }
+  to.onReply(from.self(), reply, Moment(std::chrono::seconds(1)));
+}
+
+/// With its first probe at that time; `hour` is later than at any earlier call.
+std::uint64_t digestSentBy(Membership& member, int hour) {
+  member.setSeeds({Endpoint(9, 1)});
+  const MembershipActions actions = member.onTime(Moment(std::chrono::hours(hour)));
+  REQUIRE_FALSE(actions.probes.empty());
+  return actions.probes.front().probe.digest();
+}
+
+}  // namespace
+
+TEST_CASE("what a member can carry is told to all, also by way of others", "[coordination]") {
+  Membership subject = memberAt(1);
+  Membership between = memberAt(2);
+  Membership observer = memberAt(3);
+  subject.setCapacity(50);
+  tell(subject, between);
+  tell(between, observer);
+  REQUIRE(capacityKnown(observer, subject) == 50);
+  const std::uint64_t version = observer.version();
+  tell(between, observer);
+  REQUIRE(observer.version() == version);
+}
+
+TEST_CASE("a changed capacity supersedes what is known and changes the digest", "[coordination]") {
+  Membership subject = memberAt(1);
+  Membership observer = memberAt(2);
+  Membership late = memberAt(3);
+  subject.setCapacity(50);
+  tell(subject, observer);
+  tell(subject, late);
+  const std::uint64_t before = digestSentBy(subject, 1);
+  const std::uint64_t version = observer.version();
+  subject.setCapacity(12);
+  REQUIRE(digestSentBy(subject, 2) != before);
+  tell(subject, observer);
+  REQUIRE(capacityKnown(observer, subject) == 12);
+  REQUIRE(observer.version() > version);
+  // What was true earlier does not come back.
+  tell(late, observer);
+  REQUIRE(capacityKnown(observer, subject) == 12);
+  tell(observer, late);
+  REQUIRE(capacityKnown(late, subject) == 12);
+  // A figure that is no longer told stays.
+  subject.setCapacity(0);
+  tell(subject, observer);
+  REQUIRE(capacityKnown(observer, subject) == 12);
+}
+
+TEST_CASE("daemons that do not know of capacities hide none", "[coordination]") {
+  Membership subject = memberAt(1);
+  Membership old = memberAt(2);
+  Membership observer = memberAt(3);
+  subject.setCapacity(50);
+  tell(subject, old);
+  SECTION("heard without first") {
+    tellWithoutCapacities(old, observer);
+    REQUIRE(observer.servingCount() == 2);
+    REQUIRE(capacityKnown(observer, subject) == 0);
+    const std::uint64_t version = observer.version();
+    tell(subject, observer);
+    REQUIRE(capacityKnown(observer, subject) == 50);
+    REQUIRE(observer.version() > version);
+  }
+  SECTION("heard without later") {
+    tell(subject, observer);
+    tellWithoutCapacities(old, observer);
+    REQUIRE(capacityKnown(observer, subject) == 50);
+  }
+  SECTION("suspected by one that does not know") {
+    tell(subject, observer);
+    ProbeReply suspicion;
+    MemberUpdate* update = suspicion.add_updates();
+    update->set_address(subject.self().text());
+    update->set_zone("a");
+    update->set_incarnation(5);
+    update->set_condition(MEMBER_SUSPECT);
+    observer.onReply(old.self(), suspicion, Moment(std::chrono::seconds(1)));
+    REQUIRE(observer.members().find(subject.self())->condition == MEMBER_SUSPECT);
+    REQUIRE(capacityKnown(observer, subject) == 50);
+  }
+  SECTION("a later process has its own") {
+    tell(subject, observer);
+    Membership restarted = memberAt(1, 6);
+    restarted.setCapacity(12);
+    tell(restarted, observer);
+    REQUIRE(capacityKnown(observer, restarted) == 12);
+  }
+}
+
+TEST_CASE("digests without capacities are those of daemons that do not know of any", "[coordination]") {
+  MemberRecord record;
+  record.address = Endpoint(1, 1);
+  record.incarnation = 5;
+  const std::uint64_t untold = digestOf(record);
+  REQUIRE(untold == hashPair(record.address.packed(), record.incarnation));
+  record.capacity = 12;
+  const std::uint64_t told = digestOf(record);
+  record.capacity = 13;
+  REQUIRE(told != untold);
+  REQUIRE(told != digestOf(record));
+}
+
 TEST_CASE("no live member stays dead and no dead one stays live past the bound", "[coordination]") {
   OAKPIER_PROPERTY("views become true", [] {
     SimulationOptions options = optionsFor(*rc::gen::arbitrary<std::uint64_t>(), 12);
