Read from the settings what the machine allows

`limits` of the settings file: processor share times speed, memory, descriptors, link; each may be absent.

--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -12,6 +12,13 @@
 constexpr Duration kLongestLeaveBound = std::chrono::minutes(1);
 constexpr Duration kShortestWindow = std::chrono::seconds(1);
 
+template <typename Figure>
+std::string told(Figure figure) {
+  std::ostringstream text;
+  text << figure;
+  return figure == 0 ? "not told" : text.str();
+}
+
 }  // namespace
 
 std::string describe(const GatewaySettings& settings) {
@@ -30,7 +37,11 @@
        << "\nextra_send_slack = " << settings.extraSends.slack
        << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSends.window)
        << "\nwarmup_factor = " << settings.warmup.factor << "\nwarmup_slack_per_s = " << settings.warmup.slack
-       << "\n";
+       << "\nmachine_processor_cores = " << told(settings.machine.processorCores)
+       << "\nmachine_memory_mb = " << told(settings.machine.memoryMegabytes)
+       << "\nmachine_descriptors = " << told(settings.machine.descriptors)
+       << "\nmachine_link_mbit_per_s = " << told(settings.machine.linkMegabits)
+       << "\ncapacity_core_hundredths = " << told(capacityOf(settings.machine)) << "\n";
   return text.str();
 }
 
@@ -54,6 +65,8 @@
   require(settings.extraSends.window >= kShortestWindow, "the window of extra sends is below 1 second");
   require(settings.warmup.factor >= 0, "the factor on the rate of cold leafs is negative");
   require(settings.warmup.slack >= 0, "the slack on the rate of cold leafs is negative");
+  const auto ofMachine = problemsOf(settings.machine);
+  problems.insert(problems.end(), ofMachine.begin(), ofMachine.end());
   return problems;
 }
 
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "coordination/serving/extra_send_budget.h"
+#include "coordination/serving/machine_limits.h"
 #include "coordination/serving/warmup_allowance.h"
 #include "state/endpoint.h"
 #include "state/time.h"
@@ -33,6 +34,8 @@
   OperatorExtraSends extraSends;
   /// What all daemons together may send to a cold leaf beyond the rate that its service tells.
   WarmupTolerance warmup;
+  /// What this daemon's machine allows; other daemons place work by it.
+  MachineLimits machine;
 };
 
 /// One line a setting, with its unit.
--- /dev/null
+++ b/tests/serving/coordination/machine_limits_test.cpp
@@ -0,0 +1,42 @@
+/// The one figure that stands for a machine.
+
+#include "coordination/serving/machine_limits.h"
+
+#include <catch2/catch.hpp>
+
+#include "coordination/serving/weighted_rendezvous.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+MachineLimits machine(double cores, double megabits) {
+  MachineLimits limits;
+  limits.processorCores = cores;
+  limits.linkMegabits = megabits;
+  return limits;
+}
+
+}  // namespace
+
+TEST_CASE("a machine carries the least of what its processor and its link allow", "[serving]") {
+  REQUIRE(capacityOf(machine(0.5, 200)) == 50);
+  REQUIRE(capacityOf(machine(0.28, 84)) == 28);
+  REQUIRE(capacityOf(machine(0.12, 24)) == 12);
+  REQUIRE(capacityOf(machine(4, 100)) == 100);
+  REQUIRE(capacityOf(machine(0.5, 0)) == 50);
+  REQUIRE(capacityOf(machine(0, 10)) == 10);
+  REQUIRE(capacityOf(machine(0, 0)) == 0);
+  // However little it is, it was told.
+  REQUIRE(capacityOf(machine(0.001, 1000)) == 1);
+  REQUIRE(capacityOf(machine(256, 1e7)) == kMostCapacity);
+}
+
+TEST_CASE("limits that no machine has are refused", "[serving]") {
+  REQUIRE(problemsOf(machine(0.5, 200)).empty());
+  REQUIRE(problemsOf(MachineLimits{}).empty());
+  REQUIRE(problemsOf(machine(-1, -1)).size() == 2);
+  REQUIRE(problemsOf(machine(300, 1)).size() == 1);
+}
+
+}  // namespace oakpier::serving
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -76,6 +76,45 @@
   REQUIRE(told.find("stop_grace_ms = 6000\n") != std::string::npos);
 }
 
+TEST_CASE("what the machine allows is read where it is told", "[platform]") {
+  const auto withLimits = [](const std::string& limits) {
+    std::string text = kSettings;
+    return text.replace(text.find("\"unknown\": [1]"), 14, "\"limits\": " + limits);
+  };
+  const auto told = std::get<GatewaySettings>(parseSettings(withLimits(
+      R"({"cpu_share": 0.25, "cpu_cores": 2, "memory_mb": 260, "max_open_files": 4100, "network_mbps": 24.0})")));
+  REQUIRE(told.machine.processorCores == 0.5);
+  REQUIRE(told.machine.memoryMegabytes == 260);
+  REQUIRE(told.machine.descriptors == 4100);
+  REQUIRE(told.machine.linkMegabits == 24);
+  const std::string described = describe(told);
+  REQUIRE(described.find("machine_processor_cores = 0.5\n") != std::string::npos);
+  REQUIRE(described.find("machine_link_mbit_per_s = 24\n") != std::string::npos);
+  REQUIRE(described.find("capacity_core_hundredths = 24\n") != std::string::npos);
+
+  // Without them, or with some of them, the daemon starts all the same.
+  const auto untold = std::get<GatewaySettings>(parseSettings(kSettings));
+  REQUIRE(capacityOf(untold.machine) == 0);
+  REQUIRE(describe(untold).find("capacity_core_hundredths = not told\n") != std::string::npos);
+  const auto some = std::get<GatewaySettings>(
+      parseSettings(withLimits(R"({"cpu_share": 0.12, "network_mbps": null, "memory_mb": 0})")));
+  REQUIRE(capacityOf(some.machine) == 12);
+  REQUIRE(describe(some).find("machine_memory_mb = not told\n") != std::string::npos);
+  const auto none = parseSettings(withLimits("null"));
+  REQUIRE(capacityOf(std::get<GatewaySettings>(none).machine) == 0);
+
+  const auto problemOf = [&](const std::string& limits) {
+    return std::get<SettingsError>(parseSettings(withLimits(limits))).text;
+  };
+  REQUIRE(problemOf(R"({"cpu_share": -0.5})") ==
+          "the processor share of the machine is not within 0 and 256 cores");
+  REQUIRE(problemOf(R"({"cpu_share": 1, "cpu_cores": 1000})") ==
+          "the processor share of the machine is not within 0 and 256 cores");
+  REQUIRE(problemOf(R"({"network_mbps": 1e12})") ==
+          "the link of the machine is not within 0 and 10,000,000 Mbit/s");
+  REQUIRE(problemOf(R"({"cpu_share": "much"})") == "setting \"limits.cpu_share\" cannot be \"much\"");
+}
+
 TEST_CASE("configurations and leaf entries are understood", "[platform]") {
   const StoreDialect dialect;
   const auto configuration =
