--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -11,6 +11,20 @@
 /// With the reading daemon lost, others know what it would have told after this time.
 constexpr Duration kLatestNews = std::chrono::seconds(2);
 
+/// The view needs digests of keys only. What it leaves out cannot be logged or passed on by mistake, and is
+/// not held a second time: the source's record stays in memory for daemons that ask for everything.
+std::shared_ptr<const ServingConfiguration> withoutKeys(
+    std::shared_ptr<const ServingConfiguration> configuration) {
+  if (configuration->tenants.empty()) {
+    return configuration;
+  }
+  auto kept = std::make_shared<ServingConfiguration>(*configuration);
+  for (Tenant& tenant : kept->tenants) {
+    tenant.keys = {};
+  }
+  return kept;
+}
+
 }  // namespace
 
 Duration removalDelayFor(Duration leaveBound) {
@@ -26,9 +40,9 @@
   if (!problems.empty()) {
     return problems;
   }
-  configuration_ = std::move(configuration);
+  tenants_ = std::make_shared<const TenantTable>(configuration->tenants);
+  configuration_ = withoutKeys(std::move(configuration));
   routes_ = std::make_shared<const RouteTable>(*configuration_);
-  tenants_ = std::make_shared<const TenantTable>(configuration_->tenants);
   changed_ = true;
   return {};
 }
--- a/src/state/serving/leaf_directory.h
+++ b/src/state/serving/leaf_directory.h
@@ -46,7 +46,7 @@
 
 /// One version of all that a request is served by; immutable, published as a whole.
 struct ServingView {
-  /// Null until the first configuration is known.
+  /// Null until the first configuration is known. Its tenants are without their keys.
   std::shared_ptr<const ServingConfiguration> configuration;
   std::shared_ptr<const RouteTable> routes;
   /// Null until the first configuration is known.
--- a/src/state/serving/tenant.h
+++ b/src/state/serving/tenant.h
@@ -20,7 +20,7 @@
 
 struct Tenant {
   std::string name;
-  /// In clear; they stay within the configuration and are never logged or sent with a request.
+  /// In clear, from the source's record until the configuration is taken over; empty in tables and views.
   std::vector<std::string> keys;
   /// Goes before the rank of the route; none: the route's holds. 0 is the most urgent.
   std::optional<unsigned> rank;
--- a/src/state/serving/tenant_table.h
+++ b/src/state/serving/tenant_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Finds the tenant that holds a key. The table keeps keys as digests only (`key_digest.h`); in clear they
-/// stand in the configuration it is made from, nowhere else.
+/// stand in the source's record that it is made from, nowhere else.
 ///
 /// Invariant: a key is found exactly if the configuration names it.
 ///
--- a/tests/serving/coordination/caller_authorization_test.cpp
+++ b/tests/serving/coordination/caller_authorization_test.cpp
@@ -66,6 +66,14 @@
   REQUIRE(question.text() == "nobody");
 }
 
+TEST_CASE("a view knows tenants by name and digest, and holds no key in clear", "[serving]") {
+  const auto view = viewWith({{"amber", {"key-1", "key-2"}, {}, {}}});
+  REQUIRE(view->tenants->holderOf("key-2")->name == "amber");
+  REQUIRE(view->configuration->tenants.size() == 1);
+  REQUIRE(view->configuration->tenants.front().name == "amber");
+  REQUIRE(view->configuration->tenants.front().keys.empty());
+}
+
 TEST_CASE("a known key is used while the configuration is proved fresh", "[serving]") {
   Question question;
   question.key = GENERATE("key-1", "key-2");
