--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -213,7 +213,8 @@
         requests_.mergeCounters(), requests_.partsMerged(), source_.peerCounters(), sourceCounters_,
         view->configuration ? view->configuration->version : 0, leafs, daemons_,
         requests_.condemnedRequests(), ready_, requests_.logLinesLeftOut(), droppedLogLines(),
-        capacityOf(settings_.machine), fleetCapacity_});
+        capacityOf(settings_.machine), fleetCapacity_,
+        view->tenants ? view->tenants->keyCount() : 0});
   }
 
   void awaitSignal() {
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -84,6 +84,8 @@
   unsigned capacity = 0;
   /// Of all serving daemons, in hundredths of a core.
   std::uint64_t fleetCapacity = 0;
+  /// Keys of all tenants in the configuration.
+  std::size_t keys = 0;
 };
 
 std::string metricsText(const GatewayFigures& figures);
