Keep what is known of a leaf by its life

Cause: a leaf may start again under its id. Everything was kept by the id: a new process inherited the latencies, failures and requests in progress of the one before; one that answered for another ("gone") stayed unused for ever; its connections and the address of the first entry were used on; a request that ended it in life after life counted one ended leaf. Change: LeafLife (id, birth, address) in state/serving/leaf_life.h. LeafRegistry, LeafPool, the leafs that a request was tried on and the evidence of ended leafs go by it; the placement of leafs and the instance that a request names stay with the plain id. The address belongs to a life, so that a leaf that moves is a new one also where no birth is told. MergePart.leaf_born names the life that is meant; 0 (daemons before, leafs that tell none) means any. Conclusion: a new life is cold, unloaded and reached over new connections.

--- a/src/coordination/serving/leaf_selection.cpp
+++ b/src/coordination/serving/leaf_selection.cpp
@@ -69,8 +69,9 @@
   Duration bestExpected{};
   for (const auto& leaf : leafs) {
     const auto& tried = request.triedLeafs;
+    const auto isLeaf = [&](const LeafLife& life) { return leaf->entry().isOf(life); };
     const bool mayServe = leaf->usable() && !leaf->unreachable(now);
-    if (!mayServe || std::find(tried.begin(), tried.end(), leaf->entry().id) != tried.end()) {
+    if (!mayServe || std::any_of(tried.begin(), tried.end(), isLeaf)) {
       continue;
     }
     if (request.timeLeft < leastAnswerTime(*leaf, request.answerTime)) {
--- a/src/coordination/serving/leaf_selection.h
+++ b/src/coordination/serving/leaf_selection.h
@@ -22,8 +22,8 @@
 };
 
 struct SelectionRequest {
-  /// Leafs that were already tried for the request.
-  const std::vector<std::string>& triedLeafs;
+  /// Lives of leafs that were already tried for the request.
+  const std::vector<LeafLife>& triedLeafs;
   /// The usual latency of this kind of request.
   Duration typicalLatency;
   /// The zone of this daemon; leafs elsewhere cost more to reach.
--- a/src/coordination/serving/leaf_status.cpp
+++ b/src/coordination/serving/leaf_status.cpp
@@ -155,17 +155,17 @@
 }
 
 void LeafRegistry::reconcile(const LeafsByService& directory, Moment now) {
-  std::unordered_map<std::string, std::shared_ptr<LeafStatus>> known;
+  std::unordered_map<LeafLife, std::shared_ptr<LeafStatus>, LeafLifeHash> known;
   for (const auto& [service, leafs] : services_) {
     for (const auto& leaf : leafs) {
-      known.emplace(leaf->entry().id, leaf);
+      known.emplace(leaf->entry().life(), leaf);
     }
   }
   services_.clear();
   for (const auto& [service, entries] : directory) {
     Leafs& leafs = services_[service];
     for (const LeafEntry& entry : entries) {
-      const auto found = known.find(entry.id);
+      const auto found = known.find(entry.life());
       if (found == known.end()) {
         leafs.push_back(std::make_shared<LeafStatus>(entry, now));
         continue;
@@ -178,7 +178,7 @@
       known.erase(found);
     }
   }
-  for (const auto& [id, leaf] : known) {
+  for (const auto& [life, leaf] : known) {
     leaf->markGone();
   }
 }
@@ -194,8 +194,9 @@
 }
 
 void LeafRegistry::onReachability(const LeafEntry& leaf, bool reachable, Moment now) {
+  const LeafLife life = leaf.life();
   for (const auto& known : leafsOf(leaf.service)) {
-    if (known->entry().id == leaf.id) {
+    if (known->entry().isOf(life)) {
       known->onReachability(reachable, now);
     }
   }
--- a/src/coordination/serving/leaf_status.h
+++ b/src/coordination/serving/leaf_status.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// What one daemon knows first-hand of one leaf: requests in progress, latencies, failures and told load.
+/// What one daemon knows first-hand of one life of a leaf: requests in progress, latencies, failures and told
+/// load. A leaf that starts again is a new leaf here.
 
 #include <deque>
 #include <memory>
@@ -22,7 +23,7 @@
   LeafStatus(LeafEntry entry, Moment now);
 
   const LeafEntry& entry() const { return entry_; }
-  /// Takes over what the directory now says of the same incarnation.
+  /// Takes over what the directory now says of the same life.
   void update(const LeafEntry& entry, Moment now);
   /// The directory no longer lists it, or it answered as another instance.
   void markGone() { gone_ = true; }
@@ -87,12 +88,12 @@
  public:
   using Leafs = std::vector<std::shared_ptr<LeafStatus>>;
 
-  /// Leafs that are no longer listed are marked as gone and forgotten.
+  /// Lives of leafs that are no longer listed are marked as gone and forgotten.
   void reconcile(const LeafsByService& directory, Moment now);
   /// Adds the leafs of a service that has none yet.
   void add(const std::string& service, const std::vector<LeafEntry>& entries, Moment now);
   const Leafs& leafsOf(const std::string& service) const;
-  /// Whether a connection to the leaf could be opened.
+  /// Whether a connection to this life of the leaf could be opened.
   void onReachability(const LeafEntry& leaf, bool reachable, Moment now);
 
  private:
--- a/src/coordination/serving/merge_server.cpp
+++ b/src/coordination/serving/merge_server.cpp
@@ -96,7 +96,8 @@
 std::shared_ptr<LeafStatus> MergeServer::findLeaf(const MergePart& part) const {
   const auto& leafs = context_.leafs.leafsOf(part.service());
   const auto found = std::find_if(leafs.begin(), leafs.end(), [&](const auto& leaf) {
-    return leaf->usable() && leaf->entry().id == part.leaf();
+    const bool sameLife = part.leaf_born() == 0 || part.leaf_born() == leaf->entry().bornAt;
+    return leaf->usable() && leaf->entry().id == part.leaf() && sameLife;
   });
   return found == leafs.end() ? nullptr : *found;
 }
--- a/src/coordination/serving/part_exchange.cpp
+++ b/src/coordination/serving/part_exchange.cpp
@@ -61,7 +61,7 @@
   attempt.startedAt = now;
   attempt.paid = paid;
   leaf->onStarted(attempt.exchange, latency.high(), now);
-  triedLeafs_.push_back(leaf->entry().id);
+  triedLeafs_.push_back(leaf->entry().life());
   const Duration leastTime = leastAnswerTime(*leaf, answerTime);
   actions.sends.push_back(SendAction{attempt.exchange, leaf, std::nullopt, times_.leafDeadline, leastTime});
   attempts_.push_back(std::move(attempt));
@@ -215,7 +215,7 @@
   triedLeafs_.clear();
   for (const Attempt& attempt : attempts_) {
     if (!attempt.finished) {
-      triedLeafs_.push_back(attempt.leaf->entry().id);
+      triedLeafs_.push_back(attempt.leaf->entry().life());
     }
   }
   if (!sendAgain(Decision::kRenew, now, actions) && !anyOut()) {
--- a/src/coordination/serving/part_exchange.h
+++ b/src/coordination/serving/part_exchange.h
@@ -77,7 +77,7 @@
   RequestTrace& trace_;
   SendCaution& caution_;
   std::vector<Attempt> attempts_;
-  std::vector<std::string> triedLeafs_;
+  std::vector<LeafLife> triedLeafs_;
   Moment hedgeAt_ = kNever;
   bool renewed_ = false;
   /// The last extra send that was wanted could not be paid for.
--- a/src/programs/gateway/merge_client.cpp
+++ b/src/programs/gateway/merge_client.cpp
@@ -101,6 +101,7 @@
     part->set_exchange(send.exchange);
     part->set_service(send.leaf->entry().service);
     part->set_leaf(send.leaf->entry().id);
+    part->set_leaf_born(send.leaf->entry().bornAt);
     const Moment expiresAt = order.leafDeadline + kResultGrace;
     pending_[send.exchange] = Pending{work, send.leaf, now, expiresAt, order.listener};
     expiries_.emplace(expiresAt, send.exchange);
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -1,11 +1,9 @@
 #include "programs/gateway/request_gateway.h"
 
 #include <algorithm>
-#include <unordered_set>
 #include <utility>
 
 #include "programs/gateway/active_query.h"
-#include "state/hashing.h"
 #include "transport/steady_clock.h"
 
 namespace oakpier::serving {
@@ -73,7 +71,7 @@
   log_.onLeafEnd(leaf, under, now);
   for (const auto& request : under) {
     if (!request->answered) {
-      quarantine_.onLeafEnded(request->fingerprint, hashText(leaf.id), now);
+      quarantine_.onLeafEnded(request->fingerprint, stableHash(leaf.life()), now);
     }
   }
   quarantineLink_.onChanged();
@@ -155,21 +153,21 @@
 }
 
 void RequestGateway::retainConnections(const LeafAssignment& assignment) {
-  std::unordered_set<std::string> used;
+  LeafLives used;
   for (const auto& [service, entries] : assignment.leafs) {
     for (const LeafEntry& leaf : entries) {
-      used.insert(leaf.id);
+      used.insert(leaf.life());
     }
   }
-  std::unordered_set<std::string> takingWork;
+  LeafLives takingWork;
   for (const auto& [service, entries] : *view_->leafs) {
     for (const LeafEntry& leaf : entries) {
       if (leaf.takesWork()) {
-        takingWork.insert(leaf.id);
+        takingWork.insert(leaf.life());
       }
     }
   }
-  pool_.retain([&](const std::string& leaf) {
+  pool_.retain([&](const LeafLife& leaf) {
     if (used.count(leaf) != 0) {
       return LeafPool::LeafUse::kKeep;
     }
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -193,6 +193,7 @@
   }
   log(LogLevel::kWarning, "leaf ended",
       {{"leaf", leaf.id},
+       {"born_ms", leaf.bornAt},
        {"service", leaf.service},
        {"address", leaf.address.text()},
        {"under", fingerprints},
--- a/src/state/serving/leaf_directory.h
+++ b/src/state/serving/leaf_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "state/endpoint.h"
+#include "state/serving/leaf_life.h"
 #include "state/serving/route_table.h"
 #include "state/serving/serving_configuration.h"
 #include "state/serving/tenant_table.h"
@@ -17,9 +18,11 @@
 
 namespace oakpier::serving {
 
-/// One incarnation of a leaf; a restarted leaf has another id.
+/// What a leaf says of one life of it.
 struct LeafEntry {
   std::string id;
+  /// When its process began, in milliseconds since 1970; 0: not told. See `LeafLife`.
+  std::uint64_t bornAt = 0;
   std::string service;
   Endpoint address;
   std::string zone;
@@ -35,8 +38,13 @@
   std::uint64_t revision = 0;
 
   bool sameAs(const LeafEntry& other) const {
-    return service == other.service && address == other.address && zone == other.zone &&
-           slots == other.slots && draining == other.draining && evacuated == other.evacuated;
+    return bornAt == other.bornAt && service == other.service && address == other.address &&
+           zone == other.zone && slots == other.slots && draining == other.draining &&
+           evacuated == other.evacuated;
+  }
+  LeafLife life() const { return LeafLife{id, bornAt, address}; }
+  bool isOf(const LeafLife& life) const {
+    return bornAt == life.bornAt && address == life.address && id == life.id;
   }
   /// New requests may be sent to it.
   bool takesWork() const { return !draining && !evacuated; }
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -74,7 +74,7 @@
     : context_(context), names_(names) {}
 
 LeafPool::~LeafPool() {
-  for (auto& [id, channel] : channels_) {
+  for (auto& [life, channel] : channels_) {
     for (auto& connection : channel->connections) {
       connection->close();
     }
@@ -82,7 +82,7 @@
 }
 
 LeafPool::ChannelPointer LeafPool::channelOf(const LeafEntry& leaf, std::size_t maximum) {
-  ChannelPointer& channel = channels_[leaf.id];
+  ChannelPointer& channel = channels_[leaf.life()];
   if (!channel) {
     channel = std::make_shared<Channel>(leaf);
   }
@@ -406,10 +406,10 @@
   dispatch(channel);
 }
 
-void LeafPool::retain(const std::function<LeafUse(const std::string& leaf)>& useOf) {
-  std::vector<std::string> finished;
-  for (auto& [id, channel] : channels_) {
-    const LeafUse use = useOf(id);
+void LeafPool::retain(const std::function<LeafUse(const LeafLife& leaf)>& useOf) {
+  std::vector<LeafLife> finished;
+  for (auto& [life, channel] : channels_) {
+    const LeafUse use = useOf(life);
     channel->retired = use != LeafUse::kKeep;
     if (!channel->retired) {
       continue;
@@ -420,11 +420,11 @@
     dispatch(channel);
     if (channel->connections.empty() && channel->running.empty() && channel->waiting.empty() &&
         channel->unconfirmed.empty()) {
-      finished.push_back(id);
+      finished.push_back(life);
     }
   }
-  for (const std::string& id : finished) {
-    channels_.erase(id);
+  for (const LeafLife& life : finished) {
+    channels_.erase(life);
   }
 }
 
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -87,7 +87,7 @@
     /// Requests that wait end unsent, so that they can go to another leaf; the connections close once idle.
     kStop,
   };
-  void retain(const std::function<LeafUse(const std::string& leaf)>& useOf);
+  void retain(const std::function<LeafUse(const LeafLife& leaf)>& useOf);
 
   const LeafPoolCounters& counters() const { return counters_; }
 
@@ -125,7 +125,8 @@
 
   boost::asio::io_context& context_;
   const HeaderNames& names_;
-  std::unordered_map<std::string, ChannelPointer> channels_;
+  /// By life: a connection that was opened to an earlier life of a leaf carries nothing for a later one.
+  std::unordered_map<LeafLife, ChannelPointer, LeafLifeHash> channels_;
   std::unordered_map<ExchangeId, std::weak_ptr<Channel>> exchanges_;
   LeafPoolCounters counters_;
   ReachabilityListener onReachability_;
--- a/tests/serving/coordination/leaf_knowledge_test.cpp
+++ b/tests/serving/coordination/leaf_knowledge_test.cpp
@@ -17,7 +17,7 @@
   registry.reconcile(leafsOf({"s"}, 2), at(0));
   const auto& leafs = registry.leafsOf("s");
   RandomEngine random(1);
-  const std::vector<std::string> tried;
+  const std::vector<LeafLife> tried;
   const std::string zone = "a";
   const SelectionRequest request{tried, kUsual, zone};
   leafs[0]->onStarted(1, kUsual, at(0));
@@ -60,7 +60,7 @@
   leafs[0]->onFinished(1, LeafOutcome::Kind::kNotSent, at(1));
   REQUIRE(leafs[0]->ejected(at(2)));
   REQUIRE(selectLeaf(leafs, {{}, kUsual, zone}, random, at(2)) == leafs[1]);
-  const std::vector<std::string> tried{leafs[1]->entry().id};
+  const std::vector<LeafLife> tried{leafs[1]->entry().life()};
   REQUIRE(selectLeaf(leafs, {tried, kUsual, zone}, random, at(2)) == leafs[0]);
   REQUIRE_FALSE(leafs[0]->ejected(at(5000)));
 }
--- a/tests/serving/programs/merge_test.cpp
+++ b/tests/serving/programs/merge_test.cpp
@@ -205,6 +205,34 @@
   REQUIRE(world.server.inProgress() == 0);
 }
 
+TEST_CASE("a request for one life of a leaf does not go to another", "[serving][lives]") {
+  MergeWorld world;
+  const auto relist = [](QueryWorld& side, std::uint64_t birth) {
+    LeafsByService directory = leafsOf(kShards, 1);
+    directory["s0"][0].bornAt = birth;
+    side.registry.reconcile(directory, at(0));
+  };
+  relist(world, 1760000060000);
+  SECTION("the merging daemon knows the earlier life") {
+    relist(world.mergerSide, 1760000000000);
+    world.sendAll();
+    REQUIRE(world.deliverWork().size() == kShards.size() - 1);
+    world.deliverResults();
+    REQUIRE(world.told.at(1).kind == Kind::kNotSent);
+  }
+  SECTION("it knows the same one") {
+    relist(world.mergerSide, 1760000060000);
+    world.sendAll();
+    REQUIRE(world.deliverWork().size() == kShards.size());
+  }
+  SECTION("the asking daemon does not tell the life") {
+    relist(world.mergerSide, 1760000000000);
+    world.sendAll();
+    world.toMerger.front().mutable_merge_work()->mutable_parts(0)->clear_leaf_born();
+    REQUIRE(world.deliverWork().size() == kShards.size());
+  }
+}
+
 TEST_CASE("results for an earlier process at the address are not taken", "[serving]") {
   MergeWorld world;
   world.sendAll();
--- a/tests/serving/transport/leaf_pool_test.cpp
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -238,7 +238,7 @@
   world.awaitRequests(1);
   world.send(2, "two");
   const auto retainAs = [&](LeafPool::LeafUse use) {
-    world.pool.retain([use](const std::string&) { return use; });
+    world.pool.retain([use](const LeafLife&) { return use; });
   };
   SECTION("the leaf takes no work") {
     retainAs(LeafPool::LeafUse::kStop);
@@ -257,6 +257,50 @@
   }
 }
 
+TEST_CASE("nothing goes to a leaf that started again on a connection to its earlier life",
+          "[serving][lives]") {
+  PoolWorld world;
+  LeafRegistry registry;
+  const auto reconcile = [&] {
+    registry.reconcile(LeafsByService{{"s", {world.leaf}}}, steadyNow());
+    world.pool.retain([&](const LeafLife& life) {
+      return world.leaf.isOf(life) ? LeafPool::LeafUse::kKeep : LeafPool::LeafUse::kStop;
+    });
+  };
+  world.leaf.bornAt = 1760000000000;
+  reconcile();
+  world.send(1, "one");
+  world.awaitRequests(1);
+  world.connection(0).write(world.reply("one", "body"));
+  world.awaitOutcomes(1);
+  RawServer moved(world.context);
+  const bool elsewhere = GENERATE(false, true);
+  RawServer& server = elsewhere ? moved : world.server;
+  SECTION("the earlier connection rests") {}
+  SECTION("a request is at work there and one waits for it") {
+    world.send(2, "two");
+    world.awaitRequests(2);
+    world.send(3, "three");
+  }
+  const std::size_t sentBefore = world.written;
+  const std::size_t connectionsBefore = server.connections().size();
+  world.leaf.bornAt = 1760000060000;
+  world.leaf.address = server.address();
+  world.leaf.warmupLeft = std::chrono::seconds(3);
+  reconcile();
+  world.send(4, "four");
+  runUntil(world.context, [&] { return server.connections().size() > connectionsBefore; });
+  RawServer::Connection& fresh = *server.connections().back();
+  runUntil(world.context, [&] { return !fresh.received.empty(); });
+  REQUIRE(fresh.received.find("four") != std::string::npos);
+  REQUIRE(fresh.received.find(world.names.expectedInstance + ": leaf-1\r\n") != std::string::npos);
+  REQUIRE(world.connection(0).received.find("four") == std::string::npos);
+  // What waited for the earlier life was never written.
+  REQUIRE(world.written == sentBefore + 1);
+  REQUIRE(registry.leafsOf("s").front()->warmingUp(steadyNow()));
+  REQUIRE(registry.leafsOf("s").front()->inProgress() == 0);
+}
+
 TEST_CASE("a leaf that cannot be reached is tried anew until a connection stands", "[serving]") {
   PoolWorld world;
   std::vector<bool> told;
