Entries that no leaf wrote name no leaf, and the others hold

Cause: the adapter was lenient where a leaf is not: any state but "ready" was taken for draining, a missing capacity for one slot, base64 was read up to its first wrong letter, a huge warm-up was undefined behaviour, a key with a line end would have gone into a header. One item without a readable key, revision or value made the whole answer unreadable, again and again, so that a single writer could blind all daemons. An entry that became unusable left its leaf in use. Change: a leaf's entry is read strictly (all fields in their types, `born` a whole number where it is told). Any other one is an UnusableLeaf: its leaf is dropped at once, without the delay for entries that vanish, and used again with the next good entry. Items without key or revision are passed over and counted; a value that cannot be read is an empty one, so that the record still replaces the one before; an answer without its revision, list or cursor stays no answer. Of many unusable entries eight are logged for one answer (metrics unusable_records_total, leafs_born_again_total). Of two entries of an id the source's revision decides, never the birth: clocks go back.

--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -34,14 +34,15 @@
 }
 
 bool ServingKnowledge::onLeaf(const LeafEntry& entry, std::uint64_t revision) {
-  KnownLeaf& known = leafs_[entry.id];
-  if (known.revision >= revision) {
+  const auto [position, isNew] = leafs_.try_emplace(entry.id);
+  KnownLeaf& known = position->second;
+  if (!isNew && known.revision >= revision) {
     return false;
   }
   const bool coldAgain = entry.warmupLeft > known.entry.warmupLeft;
-  const bool changed =
-      known.revision == 0 || known.removeAt != kNever || coldAgain || !known.entry.sameAs(entry);
+  const bool changed = isNew || known.removeAt != kNever || coldAgain || !known.entry.sameAs(entry);
   changed_ = changed_ || changed;
+  leafsBornAgain_ += !isNew && !known.entry.isOf(entry.life()) ? 1 : 0;
   known.entry = entry;
   known.entry.revision = revision;
   known.revision = revision;
@@ -49,6 +50,16 @@
   return changed;
 }
 
+bool ServingKnowledge::onLeafUnusable(const std::string& id, std::uint64_t revision) {
+  const auto found = leafs_.find(id);
+  if (found == leafs_.end() || found->second.revision >= revision) {
+    return false;
+  }
+  leafs_.erase(found);
+  changed_ = true;
+  return true;
+}
+
 bool ServingKnowledge::onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now) {
   const auto found = leafs_.find(id);
   if (found == leafs_.end() || found->second.revision >= revision) {
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -4,7 +4,9 @@
 ///
 /// Invariants: the configuration version never goes back within a process's life; a configuration with a
 /// problem is never taken over; the state of a leaf, and whether a zone is evacuated, only moves on with the
-/// source's revision.
+/// source's revision. Of two statements about an id the one of the later revision holds, whichever life of
+/// the leaf it is of: the source keeps one entry for an id, and a birth is told by a clock that may be set
+/// back.
 
 #include <cstdint>
 #include <map>
@@ -34,6 +36,9 @@
   std::vector<std::string> onConfiguration(std::shared_ptr<const ServingConfiguration> configuration);
   /// Returns whether anything but its revision has changed.
   bool onLeaf(const LeafEntry& entry, std::uint64_t revision);
+  /// The record of the leaf cannot be used, so that it names no leaf: the one that it named is not used any
+  /// more, without delay, as no leaf writes such a record of itself. Returns whether the leaf was known.
+  bool onLeafUnusable(const std::string& id, std::uint64_t revision);
   /// Returns whether the leaf was known.
   bool onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now);
   /// A whole listing as of `revision` was handed in; leafs it did not name are gone.
@@ -51,6 +56,8 @@
   /// A configuration and a whole listing are known.
   bool complete() const { return configuration_ != nullptr && listed_; }
   std::uint64_t configurationVersion() const { return configuration_ ? configuration_->version : 0; }
+  /// How often an entry has told of another life of a leaf than the one that was known.
+  std::uint64_t leafsBornAgain() const { return leafsBornAgain_; }
   std::size_t leafCount() const { return leafs_.size(); }
   std::vector<std::string> evacuatedZones() const;
 
@@ -77,6 +84,7 @@
   std::map<std::string, KnownLeaf> leafs_;
   /// Zones that the operator has ever named for evacuation.
   std::map<std::string, KnownZone> zones_;
+  std::uint64_t leafsBornAgain_ = 0;
   bool listed_ = false;
   bool changed_ = false;
 };
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -7,6 +7,14 @@
 
 namespace oakpier::serving {
 
+namespace {
+
+/// Entries of leafs that one answer or message may report as unusable: any writer can make any number of
+/// them, and each is a line in the log of every daemon.
+constexpr std::size_t kMostProblemsTold = 8;
+
+}  // namespace
+
 SourceFollower::SourceFollower(const Endpoint& self, const FollowerSettings& settings, Interpreter interpret,
                                RandomEngine random)
     : interpret_(std::move(interpret)),
@@ -64,7 +72,12 @@
     reader_.onFailure(*failure, election_.longestBackoff(), now);
   } else {
     election_.onAnswer();
-    onPage(call, std::get<SourcePage>(answer), now, actions);
+    const auto& page = std::get<SourcePage>(answer);
+    onPage(call, page, now, actions);
+    if (page.unreadable > 0) {
+      counters_.unusableRecords += page.unreadable;
+      actions.problems.push_back(std::to_string(page.unreadable) + " records without a key or a revision");
+    }
   }
   return actions;
 }
@@ -157,6 +170,7 @@
     takeOverConfiguration(std::move(*configuration), actions);
   } else if (const auto* leaf = std::get_if<LeafEntry>(&statement)) {
     knowledge_.onLeaf(*leaf, record.revision);
+    counters_.leafsBornAgain = knowledge_.leafsBornAgain();
     listed.leafs.push_back(leaf->id);
   } else if (const auto* removal = std::get_if<LeafRemoval>(&statement)) {
     knowledge_.onLeafRemoved(removal->id, record.revision, now);
@@ -166,7 +180,19 @@
   } else if (const auto* ended = std::get_if<ZoneEvacuationEnd>(&statement)) {
     knowledge_.onEvacuation(ended->zone, false, record.revision);
   } else if (const auto* unusable = std::get_if<UnusableRecord>(&statement)) {
+    ++counters_.unusableRecords;
     actions.problems.push_back(unusable->problem);
+  } else if (const auto* unusableLeaf = std::get_if<UnusableLeaf>(&statement)) {
+    takeOverUnusable(*unusableLeaf, record.revision, actions);
+  }
+}
+
+void SourceFollower::takeOverUnusable(const UnusableLeaf& leaf, std::uint64_t revision,
+                                      FollowerActions& actions) {
+  knowledge_.onLeafUnusable(leaf.id, revision);
+  ++counters_.unusableRecords;
+  if (actions.problems.size() < kMostProblemsTold) {
+    actions.problems.push_back(leaf.problem);
   }
 }
 
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -33,7 +33,7 @@
   std::vector<OutgoingNews> news;
   /// Ask this daemon for everything after what is known here.
   std::optional<Endpoint> ask;
-  /// Records and configurations that were refused, in plain words.
+  /// Records and configurations that were refused, in plain words; of many leafs' entries some.
   std::vector<std::string> problems;
 };
 
@@ -43,6 +43,10 @@
   std::uint64_t newsAccepted = 0;
   std::uint64_t newsAsked = 0;
   std::uint64_t configurationsRefused = 0;
+  /// Records that were read or heard and cannot be used; each time that they came.
+  std::uint64_t unusableRecords = 0;
+  /// Entries that told of another life of a leaf than the one that was known.
+  std::uint64_t leafsBornAgain = 0;
 };
 
 class SourceFollower {
@@ -99,6 +103,7 @@
   /// Adds what the record lists to `listed`.
   void takeOver(const SourceRecord& record, Moment now, FollowerActions& actions, ListedNames& listed);
   void takeOverNews(const SourceNews& news, Moment now, FollowerActions& actions);
+  void takeOverUnusable(const UnusableLeaf& leaf, std::uint64_t revision, FollowerActions& actions);
   void takeOverConfiguration(ServingConfiguration configuration, FollowerActions& actions);
   /// Unless this daemon is the one that reads, its next call waits for overdue news.
   void leaveReadingToOthers(Moment freshAt, Moment now);
--- a/src/coordination/serving/source_records.h
+++ b/src/coordination/serving/source_records.h
@@ -27,6 +27,8 @@
   bool more = false;
   /// The source's revision at the answer.
   std::uint64_t revision = 0;
+  /// Records of the answer without a readable key or revision; they are not among `records`.
+  std::size_t unreadable = 0;
 };
 
 enum class SourceFailure {
@@ -61,8 +63,14 @@
   std::string problem;
 };
 
+/// A leaf's record that something else than the leaf has written: it names no leaf to use.
+struct UnusableLeaf {
+  std::string id;
+  std::string problem;
+};
+
 /// What one record means; empty for records that do not concern the gateway.
 using SourceStatement = std::variant<std::monostate, ServingConfiguration, LeafEntry, LeafRemoval,
-                                     ZoneEvacuation, ZoneEvacuationEnd, UnusableRecord>;
+                                     ZoneEvacuation, ZoneEvacuationEnd, UnusableRecord, UnusableLeaf>;
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -158,6 +158,10 @@
                figures.source.newsAsked);
   list.counter("configurations_refused_total", "Configurations with a problem",
                figures.source.configurationsRefused);
+  list.counter("unusable_records_total", "Records of the source that name no leaf to use or cannot be read",
+               figures.source.unusableRecords);
+  list.counter("leafs_born_again_total", "Entries that told of another life of a known leaf",
+               figures.source.leafsBornAgain);
   list.gauge("configuration_version", "Version in force", static_cast<double>(figures.configurationVersion));
   list.gauge("leafs", "Leafs listed", static_cast<double>(figures.leafs));
   list.gauge("condemned_requests", "Requests that are rejected at present, as leafs end under them",
--- /dev/null
+++ b/tests/serving/platform/leaf_entries_test.cpp
@@ -0,0 +1,393 @@
+/// Entries of the store that other writers made: each names no leaf, and the leafs beside it hold.
+
+#include <algorithm>
+#include <boost/beast/core/detail/base64.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "coordination/serving/source_follower.h"
+#include "platform/store_dialect.h"
+#include "serving/support/serving_fixtures.h"
+#include "support/property.h"
+
+namespace oakpier::serving::platform {
+
+namespace {
+
+using nlohmann::json;
+
+const json kEntry = {
+    {"service", "s"},   {"address", "10.9.0.1:80"}, {"zone", "a"},   {"version", "v1"},      {"capacity", 2},
+    {"state", "ready"}, {"warmup_left_ms", 15.5},   {"sequence", 4}, {"born", 1760000000000}};
+const std::vector<std::string> kFields{"service",  "address", "zone",     "version",
+                                       "capacity", "state",   "sequence", "warmup_left_ms"};
+const std::vector<std::string> kOthers{"other-1", "other-2", "other-3"};
+const std::string kForged = "forged";
+
+std::string base64Of(const std::string& bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+json itemOf(const std::string& id, const std::string& value, std::uint64_t revision) {
+  return {{"tls_key", "servers/" + id}, {"value", base64Of(value)}, {"revision", revision}};
+}
+
+SourceStatement statementOf(const std::string& value, const std::string& id = "i-1") {
+  return StoreDialect().interpret({"servers/" + id, value, 1, false});
+}
+
+bool namesNoLeaf(const std::string& value, const std::string& id = "i-1") {
+  const SourceStatement statement = statementOf(value, id);
+  const auto* unusable = std::get_if<UnusableLeaf>(&statement);
+  return unusable != nullptr && unusable->id == id;
+}
+
+json with(const char* field, const json& value) {
+  json entry = kEntry;
+  entry[field] = value;
+  return entry;
+}
+
+HttpReply okReply(const json& body) {
+  HttpReply reply;
+  reply.status = 200;
+  reply.body = body.dump();
+  return reply;
+}
+
+const SourceCall kList{SourceCall::Kind::kList, "", 0, {}};
+const SourceCall kChanges{SourceCall::Kind::kChanges, "", 4, {}};
+
+/// A daemon that hears of entries by way of the platform's dialect.
+class Believer {
+ public:
+  Believer()
+      : follower_(
+            Endpoint(1, 1), settings(),
+            [this](const SourceRecord& record) { return dialect_.interpret(record); }, RandomEngine(1)) {}
+
+  void list(const json& items, std::uint64_t revision) {
+    const auto call = *follower_.takeCall(now_);
+    REQUIRE(call.kind == SourceCall::Kind::kList);
+    answer(call, {{"items", items}, {"more", false}, {"at", revision}});
+  }
+  void watch(const json& events, std::uint64_t revision) {
+    now_ = follower_.nextDueAt();
+    const auto call = *follower_.takeCall(now_);
+    answer(call, {{"events", events}, {"at", revision}});
+  }
+  void hear(const std::vector<SourceRecord>& records, std::uint64_t revision, bool whole) {
+    SourceNews news;
+    news.set_revision(revision);
+    news.set_whole(whole);
+    news.set_after_revision(whole ? 0 : follower_.knownRevision());
+    news.set_reader(Endpoint(2, 1).text());
+    for (const SourceRecord& record : records) {
+      SourceRecordNews* added = news.add_records();
+      added->set_key(record.key);
+      added->set_value(record.value);
+      added->set_revision(record.revision);
+      added->set_gone(record.gone);
+    }
+    SourceNews received;
+    RC_ASSERT(received.ParseFromString(news.SerializeAsString()));
+    follower_.onNews(Endpoint(2, 1), received, now_);
+  }
+  /// Ids of all leafs that may be used.
+  std::set<std::string> leafs() {
+    if (auto view = follower_.takeChangedView()) {
+      view_ = std::move(view);
+    }
+    std::set<std::string> ids;
+    for (const auto& [service, entries] : *view_->leafs) {
+      for (const LeafEntry& entry : entries) {
+        ids.insert(entry.id);
+      }
+    }
+    return ids;
+  }
+  const FollowerCounters& counters() const { return follower_.counters(); }
+  const FollowerActions& lastActions() const { return actions_; }
+
+ private:
+  static FollowerSettings settings() {
+    FollowerSettings settings;
+    settings.knowledge.removalDelay = Duration(0);
+    return settings;
+  }
+  void answer(const SourceCall& call, const json& body) {
+    const SourceAnswer answer = dialect_.decode(call, okReply(body));
+    RC_ASSERT(std::holds_alternative<SourcePage>(answer));
+    actions_ = follower_.onAnswer(call, answer, now_);
+  }
+
+  StoreDialect dialect_;
+  SourceFollower follower_;
+  std::shared_ptr<const ServingView> view_;
+  FollowerActions actions_;
+  Moment now_ = at(1);
+};
+
+json goodItems() {
+  json items = json::array();
+  std::uint64_t revision = 1;
+  for (const std::string& id : kOthers) {
+    items.push_back(itemOf(id, kEntry.dump(), revision++));
+  }
+  return items;
+}
+
+/// Of another type than any field of an entry has.
+json wrongValue() {
+  return *rc::gen::element(json(nullptr), json(true), json::array(), json::array({1}), json::object(),
+                           json(-1), json("\x7f"), json(-0.5), json(1e300));
+}
+
+/// What another writer may have put under a leaf's key; none of it is an entry of a leaf.
+std::string forgedValue() {
+  json entry = kEntry;
+  const std::string field = *rc::gen::elementOf(kFields);
+  switch (*rc::gen::inRange(0, 6)) {
+    case 0:
+      entry.erase(field);
+      return entry.dump();
+    case 1:
+      entry[field == "version" || field == "zone" || field == "service" ? "state" : field] = wrongValue();
+      return entry.dump();
+    case 2:
+      entry[*rc::gen::element<std::string>("born", "sequence", "capacity")] =
+          *rc::gen::element(json(-4), json(1.5), json("17"), json(nullptr), json(1e20));
+      return entry.dump();
+    case 3: {
+      const std::string whole = entry.dump();
+      return whole.substr(0, *rc::gen::inRange<std::size_t>(0, whole.size()));
+    }
+    case 4:
+      return wrongValue().dump();
+    default: {
+      // No byte of it can begin an object.
+      const auto bytes =
+          *rc::gen::container<std::string>(rc::gen::suchThat<char>([](char c) { return c != '{'; }));
+      return bytes;
+    }
+  }
+}
+
+/// A valid entry with some of its bytes changed, which may or may not be valid still.
+std::string damagedValue() {
+  std::string value = kEntry.dump();
+  const auto changes = *rc::gen::inRange(1, 6);
+  for (int change = 0; change < changes && !value.empty(); ++change) {
+    const auto place = *rc::gen::inRange<std::size_t>(0, value.size());
+    const char byte = *rc::gen::arbitrary<char>();
+    switch (*rc::gen::inRange(0, 3)) {
+      case 0:
+        value[place] = byte;
+        break;
+      case 1:
+        value.erase(place, 1);
+        break;
+      default:
+        value.insert(place, 1, byte);
+        break;
+    }
+  }
+  return value;
+}
+
+void requireOthers(Believer& believer, bool forgedMayBeUsed) {
+  std::set<std::string> leafs = believer.leafs();
+  if (forgedMayBeUsed) {
+    leafs.erase(kForged);
+  }
+  RC_ASSERT(leafs == std::set<std::string>(kOthers.begin(), kOthers.end()));
+}
+
+/// Tells the value by each of the ways, over a usable entry of the same leaf and without one.
+void tellEveryWay(const std::string& value, bool mayBeUsed) {
+  const SourceRecord record{"servers/" + kForged, value, 9, false};
+  json page = goodItems();
+  page.insert(page.begin() + *rc::gen::inRange(0, 4), itemOf(kForged, value, 9));
+  Believer listing;
+  listing.list(page, 10);
+  requireOthers(listing, mayBeUsed);
+
+  json usable = goodItems();
+  usable.push_back(itemOf(kForged, kEntry.dump(), 4));
+  Believer watch;
+  watch.list(usable, 5);
+  watch.watch(json::array({itemOf(kForged, value, 9), itemOf(kOthers[0], kEntry.dump(), 10)}), 10);
+  requireOthers(watch, mayBeUsed);
+
+  Believer news;
+  news.list(usable, 5);
+  news.hear({record, {"servers/" + kOthers[0], kEntry.dump(), 10, false}}, 10, false);
+  requireOthers(news, mayBeUsed);
+  news.hear({{"servers/" + kForged, kEntry.dump(), 11, false}}, 11, false);
+  RC_ASSERT(news.leafs().count(kForged) == 1);
+}
+
+}  // namespace
+
+TEST_CASE("a leaf's entry tells when its process began, where leafs tell that", "[platform][lives]") {
+  REQUIRE(std::get<LeafEntry>(statementOf(kEntry.dump())).bornAt == 1760000000000);
+  json without = kEntry;
+  without.erase("born");
+  REQUIRE(std::get<LeafEntry>(statementOf(without.dump())).bornAt == 0);
+}
+
+TEST_CASE("an entry with a field missing or of another type names no leaf", "[platform][lives]") {
+  for (const std::string& field : kFields) {
+    json entry = kEntry;
+    entry.erase(field);
+    REQUIRE(namesNoLeaf(entry.dump()));
+    for (const json& wrong : {json(nullptr), json(true), json::array(), json::object()}) {
+      entry[field] = wrong;
+      REQUIRE(namesNoLeaf(entry.dump()));
+    }
+  }
+  REQUIRE(namesNoLeaf(with("service", 7).dump()));
+  REQUIRE(namesNoLeaf(with("version", 7).dump()));
+  REQUIRE(namesNoLeaf(with("zone", 7).dump()));
+  for (const char* address :
+       {"", "leaf.example:80", "10.9.0.1", "10.9.0.1:0", "10.9.0.1:80 ", "10.9.0.1:70000"}) {
+    REQUIRE(namesNoLeaf(with("address", address).dump()));
+  }
+  for (const char* state : {"", "Ready", "starting", "gone"}) {
+    REQUIRE(namesNoLeaf(with("state", state).dump()));
+  }
+  for (const json& capacity : {json(0), json(-1), json(2.0), json("2"), json(1e30), json(5000000000)}) {
+    REQUIRE(namesNoLeaf(with("capacity", capacity).dump()));
+  }
+  for (const json& left : {json(-1), json(-0.1), json("0"), json(1e300), json(1e9)}) {
+    REQUIRE(namesNoLeaf(with("warmup_left_ms", left).dump()));
+  }
+  for (const json& born : {json(-1), json(1.76e12), json("1760000000000"), json(nullptr), json(1e30)}) {
+    REQUIRE(namesNoLeaf(with("born", born).dump()));
+  }
+}
+
+TEST_CASE("bytes that are no entry name no leaf", "[platform][lives]") {
+  const std::string whole = kEntry.dump();
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    REQUIRE(namesNoLeaf(whole.substr(0, length)));
+  }
+  REQUIRE(namesNoLeaf(whole + "x"));
+  REQUIRE(namesNoLeaf("[" + whole + "]"));
+  REQUIRE(namesNoLeaf("null"));
+  REQUIRE(namesNoLeaf(std::string(1U << 20U, '[')));
+  REQUIRE(namesNoLeaf(R"({"service":")" + std::string(1, '\xff') + whole.substr(2)));
+  std::string huge = whole;
+  huge.replace(huge.find("15.5"), 4, "1e999");
+  REQUIRE(namesNoLeaf(huge));
+  const auto statement = statementOf(R"({"service":")" + std::string(1U << 20U, 'x'));
+  REQUIRE(std::get<UnusableLeaf>(statement).problem.size() <= 300);
+}
+
+TEST_CASE("a key that no header can carry names no leaf", "[platform][lives]") {
+  for (const char* id : {"", "i 1", "i\r\nX: 1", "i\x7f", "\xc3\xa9"}) {
+    REQUIRE(namesNoLeaf(kEntry.dump(), id));
+  }
+}
+
+TEST_CASE("one item that cannot be read loses no other item of the answer", "[platform][lives]") {
+  const StoreDialect dialect;
+  const json good = itemOf("i-1", kEntry.dump(), 4);
+  const auto pageOf = [&](const json& item, const char* list, const SourceCall& call) {
+    return std::get<SourcePage>(
+        dialect.decode(call, okReply({{list, json::array({item, good})}, {"more", true}, {"at", 9}})));
+  };
+  for (const json& item : {json(nullptr), json(7), json::array(), json::object(), json({{"tls_key", "k"}}),
+                           json({{"tls_key", 7}, {"revision", 3}, {"value", ""}}),
+                           json({{"tls_key", "k"}, {"revision", "3"}, {"value", ""}}),
+                           json({{"tls_key", "k"}, {"revision", -3}, {"value", ""}}),
+                           json({{"tls_key", "k"}, {"revision", 0}, {"value", ""}})}) {
+    for (const auto& page : {pageOf(item, "items", kList), pageOf(item, "events", kChanges)}) {
+      REQUIRE(page.records.size() == 1);
+      REQUIRE(page.unreadable == 1);
+      REQUIRE(page.records[0].key == "servers/i-1");
+    }
+  }
+  // With key and revision a record replaces the one before it, whatever its value is.
+  for (const json& value :
+       {json(nullptr), json(7), json("a"), json("ab=c"), json("a==="), json("YWI*"), json("=")}) {
+    const auto page =
+        pageOf({{"tls_key", "servers/i-2"}, {"revision", 5}, {"value", value}}, "events", kChanges);
+    REQUIRE(page.records.size() == 2);
+    REQUIRE(page.records[0].value.empty());
+    REQUIRE(std::holds_alternative<UnusableLeaf>(dialect.interpret(page.records[0])));
+  }
+  const auto notGone =
+      pageOf({{"tls_key", "servers/i-2"}, {"revision", 5}, {"gone", "yes"}}, "events", kChanges);
+  REQUIRE_FALSE(notGone.records[0].gone);
+  REQUIRE(std::holds_alternative<UnusableLeaf>(dialect.interpret(notGone.records[0])));
+}
+
+TEST_CASE("a value with bytes after its base64 is not read in part", "[platform][lives]") {
+  const StoreDialect dialect;
+  for (const char* tail : {"!", "!!!!", "====", "\n"}) {
+    json item = itemOf("i-1", kEntry.dump(), 4);
+    item["value"] = item["value"].get<std::string>() + tail;
+    const auto page =
+        std::get<SourcePage>(dialect.decode(kChanges, okReply({{"events", json::array({item})}, {"at", 9}})));
+    REQUIRE(std::holds_alternative<UnusableLeaf>(dialect.interpret(page.records[0])));
+  }
+  const auto page = std::get<SourcePage>(dialect.decode(
+      kChanges, okReply({{"events", json::array({itemOf("i-1", kEntry.dump(), 4)})}, {"at", 9}})));
+  REQUIRE(std::holds_alternative<LeafEntry>(dialect.interpret(page.records[0])));
+}
+
+TEST_CASE("an answer from which nothing can be concluded is no answer", "[platform][lives]") {
+  const StoreDialect dialect;
+  const json good = itemOf("i-1", kEntry.dump(), 4);
+  const json items = json::array({good});
+  for (const json& body :
+       {json({{"items", items}, {"more", false}}), json({{"items", items}, {"more", false}, {"at", "9"}}),
+        json({{"items", items}, {"more", 1}, {"at", 9}}), json({{"items", good}, {"more", false}, {"at", 9}}),
+        json({{"more", false}, {"at", 9}}), json({{"items", json::array({1})}, {"more", true}, {"at", 9}}),
+        json::array()}) {
+    REQUIRE(std::get<SourceFailure>(dialect.decode(kList, okReply(body))) == SourceFailure::kNoAnswer);
+  }
+}
+
+TEST_CASE("entries for services that no configuration names are in no route's way", "[platform][lives]") {
+  Believer believer;
+  believer.list(goodItems(), 5);
+  const auto before = believer.leafs();
+  believer.watch(json::array({itemOf("stranger", with("service", "unnamed").dump(), 6)}), 6);
+  REQUIRE(believer.leafs().size() == before.size() + 1);
+  believer.watch(json::array({{{"tls_key", "servers/stranger"}, {"revision", 7}, {"gone", true}}}), 7);
+  REQUIRE(believer.leafs() == before);
+}
+
+TEST_CASE("of many unusable records some are told, and all are counted", "[platform][lives]") {
+  Believer believer;
+  json items = goodItems();
+  for (std::uint64_t number = 0; number < 400; ++number) {
+    items.push_back(itemOf("forged-" + std::to_string(number), "{}", 10 + number));
+  }
+  items.push_back(7);
+  believer.list(items, 500);
+  REQUIRE(believer.leafs().size() == kOthers.size());
+  REQUIRE(believer.counters().unusableRecords == 401);
+  REQUIRE(believer.lastActions().problems.size() == 9);
+}
+
+TEST_CASE("what another writer put under a leaf's key is not used, and all other leafs hold",
+          "[platform][lives]") {
+  OAKPIER_PROPERTY("forged entries", [] {
+    const std::string value = forgedValue();
+    RC_ASSERT(namesNoLeaf(value));
+    tellEveryWay(value, false);
+  });
+}
+
+TEST_CASE("a leaf's entry that was damaged in any way harms no other leaf", "[platform][lives]") {
+  OAKPIER_PROPERTY("damaged entries", [] { tellEveryWay(damagedValue(), true); });
+}
+
+}  // namespace oakpier::serving::platform
