--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -51,6 +51,8 @@
   /// A configuration and a whole listing are known.
   bool complete() const { return configuration_ != nullptr && listed_; }
   std::uint64_t configurationVersion() const { return configuration_ ? configuration_->version : 0; }
+  /// Callers may need a key.
+  bool hasTenants() const { return configuration_ && !configuration_->tenants.empty(); }
   std::size_t leafCount() const { return leafs_.size(); }
   std::vector<std::string> evacuatedZones() const;
 
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -15,7 +15,8 @@
       election_(self, settings.election),
       recovery_(self, settings.recovery),
       knowledge_(settings.knowledge),
-      relay_(self) {}
+      relay_(self),
+      prover_(self, settings.prover, RandomEngine(random())) {}
 
 void SourceFollower::start(const std::vector<Endpoint>& seeds, Moment now) {
   recovery_.start(seeds, now, random_);
@@ -33,6 +34,7 @@
   relay_.setMembers(members);
   election_.setMembers(members);
   recovery_.setMembers(members);
+  prover_.setMembers(members);
 }
 
 FollowerActions SourceFollower::onTime(Moment now) {
@@ -42,17 +44,35 @@
     actions.ask = recovery_.takeAsk(now, random_);
     counters_.newsAsked += actions.ask ? 1 : 0;
   }
+  prover_.onTime(now, actions.proofs);
   return actions;
 }
 
 std::optional<SourceCall> SourceFollower::takeCall(Moment now) {
+  const bool due = reader_.nextCallAt() <= now;
+  if (prover_.takeReadWish(now)) {
+    reader_.readNow(now);
+  }
   auto call = reader_.takeCall(now);
-  counters_.calls += call ? 1 : 0;
+  if (call) {
+    ++counters_.calls;
+    callSentAt_ = now;
+    readsForItself_ = !due;
+    if (call->kind == SourceCall::Kind::kList && call->afterKey.empty()) {
+      listingSentAt_ = now;
+    }
+  }
   return call;
 }
 
+FollowerCounters SourceFollower::counters() const {
+  FollowerCounters counters = counters_;
+  counters.proofs = prover_.counters();
+  return counters;
+}
+
 Moment SourceFollower::nextDueAt() const {
-  const Moment next = std::min(reader_.nextCallAt(), knowledge_.nextRemovalAt());
+  const Moment next = std::min({reader_.nextCallAt(), knowledge_.nextRemovalAt(), prover_.nextDueAt()});
   return reader_.knownRevision() == 0 ? std::min(next, recovery_.nextAskAt()) : next;
 }
 
@@ -72,15 +92,7 @@
 void SourceFollower::onPage(const SourceCall& call, const SourcePage& page, Moment now,
                             FollowerActions& actions) {
   if (call.kind == SourceCall::Kind::kChanges) {
-    // News may have told more meanwhile; then the page is old and could bring back what is gone.
-    if (page.revision >= reader_.knownRevision()) {
-      const std::vector<SourceRecord> newest = newestOf(page.records);
-      takeOver(newest, now, actions);
-      relay_.setFreshAt(now);
-      actions.news = relay_.onRead(call.afterRevision, page.revision, newest, now).news;
-    }
-    reader_.onPage(page, now);
-    election_.takeOver();
+    onChanges(call, page, now, actions);
     return;
   }
   if (call.afterKey.empty()) {
@@ -98,6 +110,7 @@
     relay_.setFreshAt(now);
   }
   listing_.clear();
+  prover_.onRead(listingSentAt_, now, actions.proofs);
   actions.news = relay_.answerWaiting(reader_.knownRevision(), now);
   if (recovery_.readsFirst()) {
     election_.takeOver();
@@ -105,6 +118,29 @@
   leaveReadingToOthers(now, now);
 }
 
+void SourceFollower::onChanges(const SourceCall& call, const SourcePage& page, Moment now,
+                               FollowerActions& actions) {
+  const bool nothingNew = page.revision <= reader_.knownRevision();
+  // News may have told more meanwhile; then the page is old and could bring back what is gone.
+  if (page.revision >= reader_.knownRevision()) {
+    const std::vector<SourceRecord> newest = newestOf(page.records);
+    takeOver(newest, now, actions);
+    relay_.setFreshAt(now);
+    if (!(readsForItself_ && nothingNew)) {
+      actions.news = relay_.onRead(call.afterRevision, page.revision, newest, now).news;
+    }
+  }
+  reader_.onPage(page, now);
+  // Also if the page is old: what was acknowledged before the call was sent is in it, or was told by news.
+  prover_.onRead(callSentAt_, now, actions.proofs);
+  if (readsForItself_ && nothingNew) {
+    // Others hear the reader; a second one would only double the frames of the tree.
+    leaveReadingToOthers(now, now);
+  } else {
+    election_.takeOver();
+  }
+}
+
 void SourceFollower::leaveReadingToOthers(Moment freshAt, Moment now) {
   if (!election_.reads(now)) {
     reader_.leaveToOther(freshAt, election_.stagger(now, random_));
@@ -154,7 +190,7 @@
                               ListedNames& listed) {
   SourceStatement statement = interpret_(record);
   if (auto* configuration = std::get_if<ServingConfiguration>(&statement)) {
-    takeOverConfiguration(std::move(*configuration), actions);
+    takeOverConfiguration(std::move(*configuration), record.revision, actions);
   } else if (const auto* leaf = std::get_if<LeafEntry>(&statement)) {
     knowledge_.onLeaf(*leaf, record.revision);
     listed.leafs.push_back(leaf->id);
@@ -167,10 +203,14 @@
     knowledge_.onEvacuation(ended->zone, false, record.revision);
   } else if (const auto* unusable = std::get_if<UnusableRecord>(&statement)) {
     actions.problems.push_back(unusable->problem);
+    if (unusable->isConfiguration) {
+      prover_.onConfigurationRecord(record.revision, false);
+    }
   }
 }
 
-void SourceFollower::takeOverConfiguration(ServingConfiguration configuration, FollowerActions& actions) {
+void SourceFollower::takeOverConfiguration(ServingConfiguration configuration, std::uint64_t revision,
+                                           FollowerActions& actions) {
   const std::uint64_t version = configuration.version;
   const auto problems =
       knowledge_.onConfiguration(std::make_shared<const ServingConfiguration>(std::move(configuration)));
@@ -178,6 +218,8 @@
     actions.problems.push_back("configuration " + std::to_string(version) + ": " + problem);
   }
   counters_.configurationsRefused += problems.empty() ? 0 : 1;
+  prover_.onConfigurationRecord(revision, problems.empty());
+  prover_.onVersion(knowledge_.configurationVersion(), knowledge_.hasTenants());
 }
 
 FollowerActions SourceFollower::onNews(const Endpoint& sender, const SourceNews& news, Moment now) {
@@ -190,6 +232,7 @@
       election_.onNews(*reader);
     }
     leaveReadingToOthers(relay_.freshAt(), now);
+    prover_.onNews(sender, now, actions.proofs);
   }
   actions.news.insert(actions.news.end(), relayed.news.begin(), relayed.news.end());
   actions.ask = relayed.ask;
@@ -214,6 +257,20 @@
   }
 }
 
+FollowerActions SourceFollower::onProofRequest(const Endpoint& sender,
+                                               const ConfigurationProofRequest& request, Moment now) {
+  FollowerActions actions;
+  prover_.onRequest(sender, request, now, actions.proofs);
+  return actions;
+}
+
+FollowerActions SourceFollower::onProofReply(const Endpoint& sender, const ConfigurationProofReply& reply,
+                                             Moment now) {
+  FollowerActions actions;
+  prover_.onReply(sender, reply, now, actions.proofs);
+  return actions;
+}
+
 std::optional<OutgoingNews> SourceFollower::onNewsRequest(const Endpoint& sender,
                                                           const SourceNewsRequest& request, Moment now) {
   if (reader_.knownRevision() == 0) {
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/serving/configuration_prover.h"
 #include "coordination/serving/peer_recovery.h"
 #include "coordination/serving/reader_election.h"
 #include "coordination/serving/serving_knowledge.h"
@@ -27,6 +28,7 @@
   KnowledgeSettings knowledge;
   ReaderElectionSettings election;
   PeerRecoverySettings recovery;
+  ProverSettings prover;
 };
 
 struct FollowerActions {
@@ -35,6 +37,7 @@
   std::optional<Endpoint> ask;
   /// Records and configurations that were refused, in plain words.
   std::vector<std::string> problems;
+  ProofActions proofs;
 };
 
 struct FollowerCounters {
@@ -43,6 +46,7 @@
   std::uint64_t newsAccepted = 0;
   std::uint64_t newsAsked = 0;
   std::uint64_t configurationsRefused = 0;
+  ProofCounters proofs;
 };
 
 class SourceFollower {
@@ -65,6 +69,9 @@
   /// What a daemon that asked is to be told; empty while nothing is known, or when it is to ask another one.
   std::optional<OutgoingNews> onNewsRequest(const Endpoint& sender, const SourceNewsRequest& request,
                                             Moment now);
+  FollowerActions onProofRequest(const Endpoint& sender, const ConfigurationProofRequest& request,
+                                 Moment now);
+  FollowerActions onProofReply(const Endpoint& sender, const ConfigurationProofReply& reply, Moment now);
   FollowerActions onTime(Moment now);
   /// When `onTime` or `takeCall` has something to do.
   Moment nextDueAt() const;
@@ -81,7 +88,11 @@
   /// The source has not answered this daemon's last calls.
   bool sourceLost() const { return reader_.failuresInRow() > 0; }
   std::size_t place() const { return election_.place(); }
-  const FollowerCounters& counters() const { return counters_; }
+  const ConfigurationProof& proof() const { return prover_.proof(); }
+  /// The proof is within its bound.
+  bool proofHolds() const { return prover_.holds(); }
+  void setProver(const ProverSettings& settings) { prover_.setSettings(settings); }
+  FollowerCounters counters() const;
 
  private:
   void onPage(const SourceCall& call, const SourcePage& page, Moment now, FollowerActions& actions);
@@ -99,7 +110,9 @@
   /// Adds what the record lists to `listed`.
   void takeOver(const SourceRecord& record, Moment now, FollowerActions& actions, ListedNames& listed);
   void takeOverNews(const SourceNews& news, Moment now, FollowerActions& actions);
-  void takeOverConfiguration(ServingConfiguration configuration, FollowerActions& actions);
+  void takeOverConfiguration(ServingConfiguration configuration, std::uint64_t revision,
+                             FollowerActions& actions);
+  void onChanges(const SourceCall& call, const SourcePage& page, Moment now, FollowerActions& actions);
   /// Unless this daemon is the one that reads, its next call waits for overdue news.
   void leaveReadingToOthers(Moment freshAt, Moment now);
 
@@ -110,6 +123,13 @@
   PeerRecovery recovery_;
   ServingKnowledge knowledge_;
   SourceRelay relay_;
+  ConfigurationProver prover_;
+  /// Of the call in progress.
+  Moment callSentAt_{};
+  /// Of the first page of the listing in progress.
+  Moment listingSentAt_{};
+  /// The call in progress was made for this daemon's own proof only; another reads for all.
+  bool readsForItself_ = false;
   /// The listing in progress; it is taken over when it is whole.
   std::vector<SourceRecord> listing_;
   std::uint64_t listingRevision_ = 0;
--- a/src/coordination/serving/source_reader.cpp
+++ b/src/coordination/serving/source_reader.cpp
@@ -46,6 +46,16 @@
   nextCallAt_ = now + settings_.pace;
 }
 
+void SourceReader::readNow(Moment now) {
+  if (inProgress_ || knownRevision_ == 0) {
+    return;
+  }
+  if (next_.kind == SourceCall::Kind::kChanges) {
+    next_.wait = Duration(0);
+  }
+  nextCallAt_ = std::min(nextCallAt_, std::max(now, backoffUntil_));
+}
+
 void SourceReader::onNews(std::uint64_t revision) {
   if (revision < knownRevision_) {
     return;
@@ -72,6 +82,7 @@
   // Evenly spread, so that daemons that failed together do not come back together.
   const auto half = static_cast<std::size_t>(longest.count() / 2);
   nextCallAt_ = now + longest / 2 + Duration(static_cast<std::int64_t>(drawBelow(half + 1, random_)));
+  backoffUntil_ = nextCallAt_;
 }
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/source_reader.h
+++ b/src/coordination/serving/source_reader.h
@@ -53,6 +53,8 @@
   void holdUntil(Moment moment) { nextCallAt_ = std::max(nextCallAt_, moment); }
   /// The first call is due by that moment, whatever was said of holding it.
   void callBy(Moment moment) { nextCallAt_ = std::min(nextCallAt_, moment); }
+  /// The changes are wanted now, without waiting for one; a wait after failed calls is kept.
+  void readNow(Moment now);
   /// Another daemon has told everything up to `revision`.
   void onNews(std::uint64_t revision);
   /// Another daemon goes on reading and last did so at `freshAt`: this daemon's own next call waits until the
@@ -78,6 +80,8 @@
   std::uint64_t knownRevision_ = 0;
   unsigned failuresInRow_ = 0;
   Moment nextCallAt_{};
+  /// No call before, as the last one has failed.
+  Moment backoffUntil_{};
 };
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/source_records.h
+++ b/src/coordination/serving/source_records.h
@@ -59,6 +59,8 @@
 /// A record that is known but cannot be used.
 struct UnusableRecord {
   std::string problem;
+  /// It would be a configuration: perhaps a newer one than any that is known.
+  bool isConfiguration = false;
 };
 
 /// What one record means; empty for records that do not concern the gateway.
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <limits>
+#include <optional>
 #include <random>
 #include <thread>
 
@@ -37,11 +39,15 @@
 /// One in this many daemons may be added or come back at any time.
 constexpr std::size_t kSpareShare = 3;
 
+/// A key is refused for good under a proof at most this share of the time old in which new keys are to be
+/// known everywhere.
+constexpr int kFinalRefusalParts = 2;
+
 /// Tells whether callers should be sent here, and the figures at the path of metrics.
 class StatusHandler : public RequestHandler {
  public:
-  StatusHandler(const std::atomic<bool>& ready, std::function<std::string()> metrics)
-      : ready_(ready), metrics_(std::move(metrics)) {}
+  StatusHandler(std::function<bool()> ready, std::function<std::string()> metrics)
+      : ready_(std::move(ready)), metrics_(std::move(metrics)) {}
 
   std::function<void()> onRequest(HttpRequest request, ResponseWriter writer) override {
     if (request.target == kMetricsPath) {
@@ -49,19 +55,36 @@
       reply.body = metrics_();
       writer.write(reply);
     } else {
-      writer.write(ready_ ? ownReply(kOk, "ready") : ownReply(kUnavailable, "not ready"));
+      writer.write(ready_() ? ownReply(kOk, "ready") : ownReply(kUnavailable, "not ready"));
     }
     return nullptr;
   }
 
  private:
-  const std::atomic<bool>& ready_;
+  std::function<bool()> ready_;
   std::function<std::string()> metrics_;
 };
 
+/// How old a proof may be under which a key is used; none: without bound.
+std::optional<Duration> proofBoundFor(const GatewaySettings& settings) {
+  return settings.keyRevocationBound ? std::optional(*settings.keyRevocationBound - kProofMargin)
+                                     : std::nullopt;
+}
+
+ProverSettings proverSettings(const GatewaySettings& settings) {
+  ProverSettings prover;
+  prover.bound = proofBoundFor(settings).value_or(prover.bound);
+  return prover;
+}
+
+AuthorizationSettings authorizationSettings(const GatewaySettings& settings) {
+  return AuthorizationSettings{proofBoundFor(settings), settings.configurationBound / kFinalRefusalParts};
+}
+
 FollowerSettings followerSettings(const GatewaySettings& settings) {
   FollowerSettings follower;
   follower.knowledge.removalDelay = removalDelayFor(settings.leaveBound);
+  follower.prover = proverSettings(settings);
   return follower;
 }
 
@@ -93,13 +116,14 @@
                   [this](const Endpoint& to, PeerEnvelope envelope) {
                     source_.sendShardFrame(to, std::move(envelope));
                   }),
-        statusHandler_(ready_, [this] { return metrics(); }),
+        statusHandler_([this] { return takesCallers(); }, [this] { return metrics(); }),
         callers_(requestContext_, requests_),
         status_(requestContext_, statusHandler_),
         source_(controlContext_, settings.sourceAddress, dialect,
                 PeerLinkSettings{settings.peerAddress, settings.zone, settings.seeds},
-                followerSettings(settings), published_,
-                {[this] { onView(); }, [this](const DaemonGroup& daemons) { onDaemons(daemons); },
+                followerSettings(settings), published_, proof_,
+                {[this] { onView(); }, [this] { onProof(); },
+                 [this](const DaemonGroup& daemons) { onDaemons(daemons); },
                  [this](const Endpoint& sender, PeerEnvelope envelope) {
                    boost::asio::post(requestContext_, [this, sender, envelope = std::move(envelope)] {
                      requests_.onFrame(sender, envelope);
@@ -126,6 +150,7 @@
     log(LogLevel::kInfo, "started",
         {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
     requests_.setWarmupTolerance(settings_.warmup);
+    requests_.setAuthorization(authorizationSettings(settings_));
     requests_.setOnStateWanted(
         [this] { boost::asio::post(controlContext_, [this] { source_.onStateWanted(); }); });
     awaitSignal();
@@ -165,6 +190,30 @@
     });
   }
 
+  /// On the control thread.
+  void onProof() {
+    boost::asio::post(requestContext_, [this, counters = source_.counters()] { sourceCounters_ = counters; });
+  }
+
+  /// Callers should be sent here. Where keys are bound to proofs, not without one: all but public routes
+  /// would be refused. If no daemon of a zone has one, the platform sends callers to all the same.
+  bool takesCallers() const {
+    const auto bound = proofBoundFor(settings_);
+    // Before the view, which is published first.
+    const auto proof = proof_.read();
+    const auto view = published_.read();
+    if (!ready_ || !bound || !view->configuration || view->configuration->tenants.empty()) {
+      return ready_;
+    }
+    return proof->covers(view->configuration->version, steadyNow(), *bound);
+  }
+
+  double proofAgeSeconds() const {
+    const auto proof = proof_.read();
+    return proof->version == 0 ? std::numeric_limits<double>::infinity()
+                               : std::chrono::duration<double>(steadyNow() - proof->provenAt).count();
+  }
+
   /// On the control thread. Until the others are known, a usual number is taken.
   void onDaemons(const DaemonGroup& daemons) {
     lastDaemons_ = daemons;
@@ -210,7 +259,8 @@
         requests_.counters(), requests_.poolCounters(), requests_.ownerCounters(), requests_.partsServed(),
         requests_.mergeCounters(), requests_.partsMerged(), source_.peerCounters(), sourceCounters_,
         view->configuration ? view->configuration->version : 0, leafs, daemons_,
-        requests_.condemnedRequests(), ready_, requests_.logLinesLeftOut(), droppedLogLines()});
+        requests_.condemnedRequests(), takesCallers(), requests_.logLinesLeftOut(), droppedLogLines(),
+        proofAgeSeconds()});
   }
 
   void awaitSignal() {
@@ -248,9 +298,11 @@
     budgets_.setBounds(extraSendShare_.bounds());
     ownerShare_.setTotal(settings_.extraSends);
     requests_.setWarmupTolerance(settings_.warmup);
+    requests_.setAuthorization(authorizationSettings(settings_));
     ownerBudgets_.setBounds(ownerShare_.bounds());
-    boost::asio::post(controlContext_,
-                      [this, fresh = settings_] { source_.reload(fresh.sourceAddress, fresh.seeds); });
+    boost::asio::post(controlContext_, [this, fresh = settings_] {
+      source_.reload(fresh.sourceAddress, fresh.seeds, proverSettings(fresh));
+    });
     log(LogLevel::kInfo, "settings reloaded", {{"name", settings_.name}});
   }
 
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -158,6 +158,15 @@
                figures.source.newsAsked);
   list.counter("configurations_refused_total", "Configurations with a problem",
                figures.source.configurationsRefused);
+  list.counter("proof_questions_total", "Times that another daemon was asked for its proof",
+               figures.source.proofs.asked);
+  list.counter("proof_answers_total", "Of these, answered in time", figures.source.proofs.answered);
+  list.counter("proof_questions_timed_out_total", "Of these, not answered in time",
+               figures.source.proofs.timedOut);
+  list.counter("proof_reads_total", "Times that the source was read as no other daemon helped to a proof",
+               figures.source.proofs.readWishes);
+  list.gauge("configuration_proof_age_seconds", "Since the configuration was last proved the newest",
+             figures.proofAgeSeconds);
   list.gauge("configuration_version", "Version in force", static_cast<double>(figures.configurationVersion));
   list.gauge("leafs", "Leafs listed", static_cast<double>(figures.leafs));
   list.gauge("condemned_requests", "Requests that are rejected at present, as leafs end under them",
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -80,6 +80,8 @@
   bool ready = false;
   std::uint64_t logLinesLeftOut = 0;
   std::uint64_t logLinesDropped = 0;
+  /// Since the configuration was last proved the newest; infinite while nothing is proved.
+  double proofAgeSeconds = 0;
 };
 
 std::string metricsText(const GatewayFigures& figures);
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -10,6 +10,11 @@
 constexpr Duration kLongestGrace = std::chrono::minutes(10);
 constexpr Duration kShortestLeaveBound = std::chrono::milliseconds(500);
 constexpr Duration kLongestLeaveBound = std::chrono::minutes(1);
+/// The reader's proof grows 2.25 s old from one answer of the source to the next, that of daemons far down
+/// its tree half a second older, and the death of a reader costs another second.
+constexpr Duration kShortestKeyBound = std::chrono::seconds(4);
+constexpr Duration kLongestKeyBound = std::chrono::minutes(10);
+constexpr Duration kShortestConfigurationBound = std::chrono::milliseconds(500);
 constexpr Duration kShortestWindow = std::chrono::seconds(1);
 
 }  // namespace
@@ -26,6 +31,10 @@
   text << "\nsource_address = " << settings.sourceAddress.text()
        << "\nstop_grace_ms = " << toMilliseconds(settings.stopGrace)
        << "\nleave_bound_ms = " << toMilliseconds(settings.leaveBound)
+       << "\nconfiguration_bound_ms = " << toMilliseconds(settings.configurationBound)
+       << "\nkey_revocation_bound_ms = "
+       << (settings.keyRevocationBound ? std::to_string(toMilliseconds(*settings.keyRevocationBound))
+                                       : "none")
        << "\nextra_send_ratio = " << settings.extraSends.ratio
        << "\nextra_send_slack = " << settings.extraSends.slack
        << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSends.window)
@@ -48,6 +57,11 @@
           "the grace of a stop is not within 1 and 600 seconds");
   require(settings.leaveBound >= kShortestLeaveBound && settings.leaveBound <= kLongestLeaveBound,
           "the bound on use after a leave is not within 0.5 and 60 seconds");
+  require(settings.configurationBound >= kShortestConfigurationBound,
+          "the bound on new configurations is below 0.5 seconds");
+  require(!settings.keyRevocationBound || (*settings.keyRevocationBound >= kShortestKeyBound &&
+                                           *settings.keyRevocationBound <= kLongestKeyBound),
+          "the bound on the use of removed keys is not within 4 and 600 seconds");
   require(settings.extraSends.ratio >= 0 && settings.extraSends.ratio <= 1,
           "the ratio of extra sends is not within 0 and 1");
   require(settings.extraSends.slack >= 0, "the slack of extra sends is negative");
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 /// Settings of one gateway process, whatever form a deployment gives them in. Durations in microseconds.
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,11 @@
   Duration stopGrace = std::chrono::seconds(6);
   /// A leaf may get new requests for this long after the source says that it leaves.
   Duration leaveBound = std::chrono::seconds(3);
+  /// A new configuration is in force at every daemon that is in touch within this time.
+  Duration configurationBound = std::chrono::seconds(5);
+  /// No request that was sent later than this after a key was taken away may use it, at any daemon; none: as
+  /// other changes of the configuration.
+  std::optional<Duration> keyRevocationBound;
   /// Extra sends that all daemons together may make to a service.
   OperatorExtraSends extraSends;
   /// What all daemons together may send to a cold leaf beyond the rate that its service tells.
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -124,6 +124,10 @@
     handlers_.onNews(*sender, *news);
   } else if (envelope.has_source_news_request()) {
     handlers_.onNewsRequest(*sender, envelope.source_news_request());
+  } else if (envelope.has_configuration_proof_request()) {
+    handlers_.onProofRequest(*sender, envelope.configuration_proof_request());
+  } else if (envelope.has_configuration_proof_reply()) {
+    handlers_.onProofReply(*sender, envelope.configuration_proof_reply());
   }
 }
 
@@ -175,6 +179,18 @@
   send(from, std::move(envelope));
 }
 
+void PeerLink::askForProof(const Endpoint& from, const ConfigurationProofRequest& request) {
+  PeerEnvelope envelope;
+  *envelope.mutable_configuration_proof_request() = request;
+  send(from, std::move(envelope));
+}
+
+void PeerLink::sendProof(const Endpoint& to, const ConfigurationProofReply& reply) {
+  PeerEnvelope envelope;
+  *envelope.mutable_configuration_proof_reply() = reply;
+  send(to, std::move(envelope));
+}
+
 void PeerLink::leave() { carryOut(membership_.leave(steadyNow())); }
 
 void PeerLink::publishMembers() {
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -29,6 +29,8 @@
   struct Handlers {
     std::function<void(const Endpoint& sender, const SourceNews& news)> onNews;
     std::function<void(const Endpoint& sender, const SourceNewsRequest& request)> onNewsRequest;
+    std::function<void(const Endpoint& sender, const ConfigurationProofRequest& request)> onProofRequest;
+    std::function<void(const Endpoint& sender, const ConfigurationProofReply& reply)> onProofReply;
     /// The addresses of `daemons` are in rising order.
     std::function<void(const DaemonGroup& daemons)> onMembers;
     /// The process or its machine stood still for longer than any load explains.
@@ -48,6 +50,8 @@
   void sendNews(const Endpoint& to, const SourceNews& news);
   /// Asks for everything after `knownRevision`.
   void askForNews(const Endpoint& from, std::uint64_t knownRevision);
+  void askForProof(const Endpoint& from, const ConfigurationProofRequest& request);
+  void sendProof(const Endpoint& to, const ConfigurationProofReply& reply);
   /// Thread-safe.
   void sendShardFrame(const Endpoint& to, PeerEnvelope envelope);
   /// May be read on any thread.
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -38,9 +38,11 @@
 
 SourceLoop::SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
                        const PeerLinkSettings& peers, const FollowerSettings& follower,
-                       Published<ServingView>& published, Handlers handlers)
+                       Published<ServingView>& published, Published<ConfigurationProof>& publishedProof,
+                       Handlers handlers)
     : dialect_(dialect),
       published_(published),
+      publishedProof_(publishedProof),
       handlers_(std::move(handlers)),
       client_(context, source),
       follower_(
@@ -52,6 +54,12 @@
               [this](const Endpoint& sender, const SourceNewsRequest& request) {
                 onNewsRequest(sender, request);
               },
+              [this](const Endpoint& sender, const ConfigurationProofRequest& request) {
+                carryOut(follower_.onProofRequest(sender, request, steadyNow()));
+              },
+              [this](const Endpoint& sender, const ConfigurationProofReply& reply) {
+                carryOut(follower_.onProofReply(sender, reply, steadyNow()));
+              },
               [this](const DaemonGroup& daemons) { onMembers(daemons); }, [this] { onPause(); },
               handlers_.onShardFrame, handlers_.onShardFrameUndeliverable}),
       timer_(context) {}
@@ -76,7 +84,9 @@
   step();
 }
 
-void SourceLoop::reload(const Endpoint& source, const std::vector<Endpoint>& seeds) {
+void SourceLoop::reload(const Endpoint& source, const std::vector<Endpoint>& seeds,
+                        const ProverSettings& prover) {
+  follower_.setProver(prover);
   client_.setAddress(source);
   peers_.setSeeds(seeds);
 }
@@ -158,6 +168,12 @@
   if (actions.ask) {
     peers_.askForNews(*actions.ask, follower_.knownRevision());
   }
+  for (const OutgoingProofRequest& outgoing : actions.proofs.requests) {
+    peers_.askForProof(outgoing.to, outgoing.request);
+  }
+  for (const OutgoingProofReply& outgoing : actions.proofs.replies) {
+    peers_.sendProof(outgoing.to, outgoing.reply);
+  }
 }
 
 void SourceLoop::publish() {
@@ -170,6 +186,25 @@
     published_.publish(std::move(view));
     handlers_.onView();
   }
+  // After the view: a proof of a version that requests do not use yet would refuse all keys meanwhile.
+  publishProof();
+}
+
+void SourceLoop::publishProof() {
+  const ConfigurationProof& proof = follower_.proof();
+  if (proof.provenAt != provenAt_) {
+    provenAt_ = proof.provenAt;
+    publishedProof_.publish(std::make_shared<const ConfigurationProof>(proof));
+    handlers_.onProof();
+  }
+  if (follower_.proofHolds() != proofHeld_) {
+    proofHeld_ = !proofHeld_;
+    log(proofHeld_ ? LogLevel::kInfo : LogLevel::kWarning,
+        proofHeld_ ? "configuration proved the newest" : "proof of the configuration too old",
+        {{"configuration_version", follower_.configurationVersion()},
+         {"proved_version", proof.version},
+         {"age_ms", toMilliseconds(steadyNow() - proof.provenAt)}});
+  }
 }
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -24,6 +24,8 @@
   struct Handlers {
     /// A view was published.
     std::function<void()> onView;
+    /// A younger proof was published.
+    std::function<void()> onProof;
     std::function<void(const DaemonGroup& daemons)> onDaemons;
     /// As in `PeerLink::Handlers`.
     std::function<void(const Endpoint& sender, PeerEnvelope envelope)> onShardFrame;
@@ -32,7 +34,8 @@
 
   SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
              const PeerLinkSettings& peers, const FollowerSettings& follower,
-             Published<ServingView>& published, Handlers handlers);
+             Published<ServingView>& published, Published<ConfigurationProof>& publishedProof,
+             Handlers handlers);
 
   /// Returns a text when an address cannot be bound, else an empty one.
   std::string start();
@@ -40,7 +43,7 @@
   void leave() { peers_.leave(); }
   /// A caller had to be refused for want of a configuration.
   void onStateWanted();
-  void reload(const Endpoint& source, const std::vector<Endpoint>& seeds);
+  void reload(const Endpoint& source, const std::vector<Endpoint>& seeds, const ProverSettings& prover);
   /// Thread-safe.
   void sendShardFrame(const Endpoint& to, PeerEnvelope envelope) {
     peers_.sendShardFrame(to, std::move(envelope));
@@ -48,7 +51,7 @@
   bool complete() const { return follower_.complete(); }
   /// May be read on any thread.
   const PeerTransportCounters& peerCounters() const { return peers_.counters(); }
-  const FollowerCounters& counters() const { return follower_.counters(); }
+  FollowerCounters counters() const { return follower_.counters(); }
 
  private:
   void schedule();
@@ -62,15 +65,19 @@
   void carryOut(const FollowerActions& actions);
   void askAndSend(const FollowerActions& actions);
   void publish();
+  void publishProof();
 
   const SourceDialect& dialect_;
   Published<ServingView>& published_;
+  Published<ConfigurationProof>& publishedProof_;
   Handlers handlers_;
   SourceClient client_;
   SourceFollower follower_;
   std::vector<Endpoint> seeds_;
   PeerLink peers_;
   boost::asio::steady_timer timer_;
+  Moment provenAt_{};
+  bool proofHeld_ = false;
 };
 
 }  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/coordination/configuration_proof_test.cpp
@@ -0,0 +1,339 @@
+#include "coordination/serving/configuration_proof.h"
+
+#include <catch2/catch.hpp>
+
+#include "serving/support/source_fleet.h"
+#include "support/property.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The operator's bound on the use of keys that were taken away.
+constexpr Duration kBound = seconds(5);
+constexpr Duration kProofBound = kBound - kProofMargin;
+/// Daemons are asked whether they would let a key pass this often.
+constexpr Duration kCheckPeriod = milliseconds(20);
+constexpr Duration kSettling = seconds(12);
+
+SourceFleetSettings fleetOf(std::size_t daemons, std::uint64_t random = 1) {
+  SourceFleetSettings settings;
+  settings.daemons = daemons;
+  settings.random = random;
+  settings.tenants = true;
+  return settings;
+}
+
+/// What was seen while a fleet ran.
+struct Checks {
+  std::size_t made = 0;
+  std::size_t refused = 0;
+  /// A key would have passed longer than the bound after a newer configuration.
+  std::size_t unsafe = 0;
+  Duration oldest{};
+};
+
+/// Runs the fleet and asks each living daemon that `counts` again and again.
+Checks runChecked(
+    SourceFleet& fleet, Duration span,
+    const std::function<bool(std::size_t)>& counts = [](std::size_t) { return true; }) {
+  Checks checks;
+  for (const Moment end = fleet.now() + span; fleet.now() < end;) {
+    fleet.runFor(kCheckPeriod);
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+      if (!fleet.alive(number) || fleet.suspended(number) || !counts(number)) {
+        continue;
+      }
+      const bool covered = fleet.covers(number, kProofBound);
+      ++checks.made;
+      checks.refused += covered ? 0 : 1;
+      checks.unsafe += covered && fleet.outdatedBy(number, kBound) ? 1 : 0;
+      checks.oldest = std::max(checks.oldest, fleet.proofAge(number));
+    }
+  }
+  return checks;
+}
+
+}  // namespace
+
+TEST_CASE("undisturbed daemons can prove their configuration at all times, at little cost", "[serving]") {
+  const auto daemons = GENERATE(1U, 3U, 74U, 300U);
+  CAPTURE(daemons);
+  SourceFleet fleet(fleetOf(daemons));
+  fleet.runFor(kSettling);
+  const std::size_t questions = fleet.proofQuestions();
+  const Checks checks = runChecked(fleet, seconds(20));
+  CAPTURE(checks.oldest.count());
+  REQUIRE(checks.refused == 0);
+  REQUIRE(checks.oldest <= milliseconds(2800));
+  REQUIRE(fleet.unsoundProofs() == 0);
+  // Rounds begin every 1.25 s; for some seconds after a start several daemons may read side by side.
+  CAPTURE(fleet.proofQuestions() - questions);
+  REQUIRE(fleet.proofQuestions() - questions <= 20 * 2 * daemons);
+  REQUIRE(fleet.proofReads() == 0);
+}
+
+TEST_CASE("without tenants no questions are asked", "[serving]") {
+  SourceFleetSettings settings = fleetOf(74);
+  settings.tenants = false;
+  SourceFleet fleet(settings);
+  fleet.runFor(seconds(30));
+  REQUIRE(fleet.proofQuestions() == 0);
+}
+
+TEST_CASE("lost frames leave daemons their proofs", "[serving]") {
+  SourceFleetSettings settings = fleetOf(74, 3);
+  settings.frameLoss = 0.05;
+  settings.longestFrame = milliseconds(60);
+  SourceFleet fleet(settings);
+  fleet.runFor(kSettling);
+  REQUIRE(runChecked(fleet, seconds(20)).refused == 0);
+}
+
+TEST_CASE("the death of readers costs no daemon its proof", "[serving]") {
+  const auto daemons = GENERATE(7U, 74U, 300U);
+  const auto random = GENERATE(1U, 2U, 3U);
+  CAPTURE(daemons, random);
+  SourceFleet fleet(fleetOf(daemons, random));
+  fleet.runFor(kSettling);
+  for (std::size_t dead = 0; dead < 4; ++dead) {
+    // At any point of a round.
+    fleet.runFor(milliseconds(310) * static_cast<int>(dead));
+    fleet.kill(dead);
+    const Checks checks = runChecked(fleet, seconds(6));
+    CAPTURE(dead, checks.oldest.count());
+    REQUIRE(checks.refused == 0);
+  }
+}
+
+TEST_CASE("a third of the daemons that the source refuses prove by the others, also as keys are taken away",
+          "[serving]") {
+  const auto daemons = GENERATE(3U, 74U, 300U);
+  const auto random = GENERATE(1U, 2U, 3U, 4U);
+  CAPTURE(daemons, random);
+  SourceFleet fleet(fleetOf(daemons, random));
+  fleet.runFor(kSettling);
+  for (std::size_t number = 0; number < daemons; ++number) {
+    // The first readers among them.
+    fleet.setRefused(number, number < daemons / 6 || number % 6 == 5);
+  }
+  for (int change = 0; change < 3; ++change) {
+    fleet.changeConfiguration();
+    const Checks checks = runChecked(fleet, seconds(3));
+    CAPTURE(change, checks.oldest.count());
+    REQUIRE(checks.refused == 0);
+    REQUIRE(checks.unsafe == 0);
+  }
+}
+
+TEST_CASE("a daemon that is heard by nobody proves by its own reads while the source answers it",
+          "[serving]") {
+  SourceFleet fleet(fleetOf(74, 2));
+  fleet.runFor(kSettling);
+  for (std::size_t other = 0; other < fleet.size(); ++other) {
+    fleet.setCut(40, other, true);
+  }
+  const Checks checks = runChecked(fleet, seconds(20), [](std::size_t number) { return number == 40; });
+  CAPTURE(checks.oldest.count());
+  REQUIRE(checks.refused == 0);
+  // One for each 3.4 to 3.8 s, and only by that daemon.
+  REQUIRE(fleet.proofReads() <= 8);
+}
+
+TEST_CASE("a daemon without any way to the source loses its proof, and has it again soon after",
+          "[serving]") {
+  SourceFleet fleet(fleetOf(74, 2));
+  fleet.runFor(kSettling);
+  for (std::size_t other = 0; other < fleet.size(); ++other) {
+    fleet.setCut(other, 40, true);
+  }
+  fleet.setAnswersLost(40, true);
+  fleet.runFor(kBound);
+  REQUIRE_FALSE(fleet.covers(40, kProofBound));
+  fleet.changeConfiguration();
+  const auto last = [](std::size_t number) { return number == 40; };
+  REQUIRE(runChecked(fleet, seconds(9), last).unsafe == 0);
+  REQUIRE_FALSE(fleet.covers(40, kProofBound));
+  fleet.mendCuts();
+  fleet.runFor(milliseconds(2000));
+  REQUIRE(fleet.covers(40, kProofBound));
+}
+
+namespace {
+
+/// A fleet with generated faults, in which keys are taken away all the time.
+class TroubledFleet {
+ public:
+  explicit TroubledFleet(const SourceFleetSettings& settings) : fleet_(settings) {}
+
+  void play(int steps) {
+    fleet_.runFor(seconds(4));
+    for (int step = 0; step < steps; ++step) {
+      disturb();
+      fleet_.changeConfiguration();
+      check(milliseconds(*rc::gen::inRange(50, 3000)));
+      if (*rc::gen::inRange(0, 3) == 0) {
+        recover();
+      }
+      fleet_.changeConfiguration();
+      check(milliseconds(*rc::gen::inRange(50, 6000)));
+    }
+    recover();
+    check(seconds(6));
+    RC_ASSERT(allCovered());
+  }
+
+ private:
+  std::size_t draw() const { return *rc::gen::inRange<std::size_t>(0, fleet_.size()); }
+
+  void check(Duration span) {
+    RC_ASSERT(runChecked(fleet_, span).unsafe == 0U);
+    RC_ASSERT(fleet_.unsoundProofs() == 0U);
+  }
+
+  void disturb() {
+    switch (*rc::gen::inRange(0, 9)) {
+      case 0:
+        fleet_.kill(*rc::gen::inRange<std::size_t>(0, std::min<std::size_t>(5, fleet_.size())));
+        break;
+      case 1:
+        fleet_.kill(draw());
+        fleet_.start(draw());
+        break;
+      case 2:
+        cutOff(draw(), *rc::gen::inRange(0, 3));
+        break;
+      case 3:
+        cutApart();
+        break;
+      case 4:
+        fleet_.setAnswersLost(draw(), true);
+        break;
+      case 5:
+        suspendSome();
+        break;
+      case 6:
+        fleet_.setSourceDown(true);
+        break;
+      case 7:
+        fleet_.forgetHistory();
+        break;
+      default:
+        refuseSome();
+        break;
+    }
+  }
+
+  /// `way` 0: nothing reaches it; 1: nothing leaves it; 2: both.
+  void cutOff(std::size_t number, int way) {
+    for (std::size_t other = 0; other < fleet_.size(); ++other) {
+      if (way != 1) {
+        fleet_.setCut(other, number, true);
+      }
+      if (way != 0) {
+        fleet_.setCut(number, other, true);
+      }
+    }
+  }
+
+  /// Two groups; in half of the cases only one way.
+  void cutApart() {
+    const std::size_t first = draw();
+    const bool bothWays = *rc::gen::arbitrary<bool>();
+    for (std::size_t from = 0; from < first; ++from) {
+      for (std::size_t to = first; to < fleet_.size(); ++to) {
+        fleet_.setCut(from, to, true);
+        if (bothWays) {
+          fleet_.setCut(to, from, true);
+        }
+      }
+    }
+  }
+
+  void suspendSome() {
+    const int share = *rc::gen::inRange(1, 6);
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      if (fleet_.alive(number) && *rc::gen::inRange(0, 10) < share) {
+        fleet_.suspend(number);
+      }
+    }
+  }
+
+  void refuseSome() {
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      fleet_.setRefused(number, *rc::gen::inRange(0, 3) == 0);
+    }
+  }
+
+  void recover() {
+    fleet_.setSourceDown(false);
+    fleet_.mendCuts();
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      fleet_.setRefused(number, false);
+      fleet_.setAnswersLost(number, false);
+      if (fleet_.suspended(number)) {
+        fleet_.resume(number);
+      }
+      if (!fleet_.alive(number)) {
+        fleet_.start(number);
+      }
+    }
+  }
+
+  bool allCovered() const {
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      if (!fleet_.covers(number, kProofBound)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  SourceFleet fleet_;
+};
+
+}  // namespace
+
+TEST_CASE("whatever is cut, lost, late, replayed, suspended or refused, no key passes beyond the bound",
+          "[serving]") {
+  OAKPIER_PROPERTY("proofs", [] {
+    SourceFleetSettings settings =
+        fleetOf(*rc::gen::element<std::size_t>(3, 4, 7, 12, 30, 74), *rc::gen::arbitrary<std::uint64_t>());
+    settings.frameLoss = *rc::gen::element(0.0, 0.02);
+    settings.lateFrames = *rc::gen::element(0.0, 0.05, 0.3);
+    settings.replayedFrames = *rc::gen::element(0.0, 0.05, 0.3);
+    TroubledFleet(settings).play(*rc::gen::inRange(1, 6));
+  });
+}
+
+TEST_CASE("no key passes beyond the bound in a large fleet", "[serving]") {
+  SourceFleetSettings settings = fleetOf(300, 11);
+  settings.lateFrames = 0.1;
+  settings.replayedFrames = 0.1;
+  SourceFleet fleet(settings);
+  fleet.runFor(kSettling);
+  for (std::size_t number = 0; number < 300; number += 7) {
+    fleet.suspend(number);
+  }
+  for (std::size_t number = 0; number < 300; number += 3) {
+    fleet.setRefused(number, true);
+  }
+  for (std::size_t to = 100; to < 300; ++to) {
+    fleet.setCut(to % 50, to, true);
+  }
+  for (int change = 0; change < 6; ++change) {
+    fleet.changeConfiguration();
+    REQUIRE(runChecked(fleet, milliseconds(1300)).unsafe == 0);
+  }
+  for (std::size_t number = 0; number < 300; number += 7) {
+    fleet.resume(number);
+    fleet.changeConfiguration();
+  }
+  REQUIRE(runChecked(fleet, seconds(6)).unsafe == 0);
+  REQUIRE(fleet.unsoundProofs() == 0);
+}
+
+}  // namespace oakpier::serving
--- /dev/null
+++ b/tests/serving/coordination/configuration_prover_test.cpp
@@ -0,0 +1,327 @@
+#include "coordination/serving/configuration_prover.h"
+
+#include <catch2/catch.hpp>
+
+#include "coordination/serving/source_follower.h"
+#include "serving/support/serving_fixtures.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const Endpoint kSelf(1, 1);
+const Endpoint kFirst(2, 1);
+const Endpoint kSecond(3, 1);
+
+/// A daemon that uses version 5, proved as of 1,000 ms.
+struct ProvedDaemon {
+  ProvedDaemon() {
+    prover.setMembers({kSelf, kFirst, kSecond});
+    prover.onVersion(5, true);
+    prover.onRead(at(1000), at(1001), actions);
+  }
+
+  /// The number of the one question that was asked since.
+  std::uint64_t takeNumber() {
+    REQUIRE(actions.requests.size() == 1);
+    const std::uint64_t number = actions.requests[0].request.number();
+    actions.requests.clear();
+    return number;
+  }
+
+  ConfigurationProver prover{kSelf, ProverSettings{milliseconds(4800)}, RandomEngine(7)};
+  ProofActions actions;
+};
+
+ConfigurationProofReply replyOf(std::uint64_t number, std::uint64_t version, Duration age) {
+  ConfigurationProofReply reply;
+  reply.set_number(number);
+  reply.set_version(version);
+  reply.set_age_us(static_cast<std::uint64_t>(age.count()));
+  return reply;
+}
+
+ConfigurationProofRequest requestOf(std::uint64_t number) {
+  ConfigurationProofRequest request;
+  request.set_number(number);
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("a read proves the moment at which its call was sent", "[serving]") {
+  ProvedDaemon daemon;
+  daemon.prover.onRead(at(2000), at(3100), daemon.actions);
+  REQUIRE(daemon.prover.proof().provenAt == at(2000));
+  REQUIRE(daemon.prover.proof().covers(5, at(6800), milliseconds(4800)));
+  REQUIRE_FALSE(daemon.prover.proof().covers(5, at(6801), milliseconds(4800)));
+  REQUIRE_FALSE(daemon.prover.proof().covers(4, at(3100), milliseconds(4800)));
+}
+
+TEST_CASE("while the newest configuration is refused reads prove nothing, and nobody is asked", "[serving]") {
+  ProvedDaemon daemon;
+  daemon.prover.onConfigurationRecord(20, false);
+  daemon.prover.onRead(at(2000), at(2001), daemon.actions);
+  daemon.prover.onNews(kFirst, at(4500), daemon.actions);
+  daemon.prover.onTime(at(4500), daemon.actions);
+  REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  REQUIRE(daemon.actions.requests.empty());
+  REQUIRE_FALSE(daemon.prover.takeReadWish(at(9000)));
+  SECTION("an older record, told again, changes nothing") {
+    daemon.prover.onConfigurationRecord(19, true);
+    daemon.prover.onRead(at(3000), at(3001), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  }
+  SECTION("a newer usable one") {
+    daemon.prover.onConfigurationRecord(21, true);
+    daemon.prover.onVersion(7, true);
+    daemon.prover.onRead(at(3000), at(3001), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(3000));
+    REQUIRE(daemon.prover.proof().version == 7);
+  }
+}
+
+TEST_CASE("an answer counts from the moment at which the question was sent, less the age told", "[serving]") {
+  ProvedDaemon daemon;
+  daemon.prover.onNews(kFirst, at(3000), daemon.actions);
+  const std::uint64_t number = daemon.takeNumber();
+  SECTION("in time") {
+    daemon.prover.onReply(kFirst, replyOf(number, 5, milliseconds(400)), at(3700), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(2600));
+    REQUIRE(daemon.prover.counters().answered == 1);
+  }
+  SECTION("once") {
+    daemon.prover.onReply(kFirst, replyOf(number, 5, milliseconds(400)), at(3100), daemon.actions);
+    daemon.prover.onReply(kFirst, replyOf(number, 5, milliseconds(0)), at(3101), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(2600));
+  }
+  SECTION("not from another daemon") {
+    daemon.prover.onReply(kSecond, replyOf(number, 5, milliseconds(0)), at(3100), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  }
+  SECTION("not to a number that was never sent") {
+    daemon.prover.onReply(kFirst, replyOf(number + 1, 5, milliseconds(0)), at(3100), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  }
+  SECTION("not after its time") {
+    daemon.prover.onTime(at(4000), daemon.actions);
+    REQUIRE(daemon.prover.counters().timedOut == 1);
+    daemon.prover.onReply(kFirst, replyOf(number, 5, milliseconds(0)), at(4001), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  }
+  SECTION("not with an age beyond sense") {
+    ConfigurationProofReply reply = replyOf(number, 5, milliseconds(0));
+    reply.set_age_us(~std::uint64_t{0});
+    daemon.prover.onReply(kFirst, reply, at(3001), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  }
+  SECTION("not without a proof") {
+    daemon.prover.onReply(kFirst, replyOf(number, 0, milliseconds(0)), at(3001), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  }
+  SECTION("an older proof does not replace a younger one") {
+    daemon.prover.onReply(kFirst, replyOf(number, 5, milliseconds(2500)), at(3001), daemon.actions);
+    REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  }
+}
+
+TEST_CASE("what is proved of a version that is not known yet counts once it is", "[serving]") {
+  ProvedDaemon daemon;
+  daemon.prover.onNews(kFirst, at(3000), daemon.actions);
+  daemon.prover.onReply(kFirst, replyOf(daemon.takeNumber(), 7, milliseconds(100)), at(3010), daemon.actions);
+  REQUIRE(daemon.prover.proof().version == 5);
+  REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  daemon.prover.onVersion(6, true);
+  REQUIRE(daemon.prover.proof().provenAt == at(1000));
+  daemon.prover.onVersion(7, true);
+  REQUIRE(daemon.prover.proof().version == 7);
+  REQUIRE(daemon.prover.proof().provenAt == at(2900));
+}
+
+TEST_CASE("an asked daemon tells the age at its answer, and waits a little for its own", "[serving]") {
+  ProvedDaemon daemon;
+  SECTION("nothing asked: at once") {
+    daemon.prover.onRequest(kFirst, requestOf(9), at(3000), daemon.actions);
+    REQUIRE(daemon.actions.replies.at(0).reply.number() == 9);
+    REQUIRE(daemon.actions.replies.at(0).reply.version() == 5);
+    REQUIRE(daemon.actions.replies.at(0).reply.age_us() == 2000000);
+    return;
+  }
+  daemon.prover.onNews(kFirst, at(3000), daemon.actions);
+  const std::uint64_t number = daemon.takeNumber();
+  daemon.prover.onRequest(kSecond, requestOf(9), at(3010), daemon.actions);
+  REQUIRE(daemon.actions.replies.empty());
+  SECTION("the answer comes") {
+    daemon.prover.onReply(kFirst, replyOf(number, 5, milliseconds(100)), at(3050), daemon.actions);
+    REQUIRE(daemon.actions.replies.at(0).to == kSecond);
+    REQUIRE(daemon.actions.replies.at(0).reply.age_us() == 150000);
+  }
+  SECTION("it does not") {
+    REQUIRE(daemon.prover.nextDueAt() == at(3150));
+    daemon.prover.onTime(at(3149), daemon.actions);
+    REQUIRE(daemon.actions.replies.empty());
+    daemon.prover.onTime(at(3150), daemon.actions);
+    REQUIRE(daemon.actions.replies.at(0).reply.age_us() == 2150000);
+    daemon.prover.onRequest(kSecond, requestOf(10), at(3160), daemon.actions);
+    REQUIRE(daemon.actions.replies.size() == 2);
+  }
+  SECTION("more ask than can be held: these are answered at once") {
+    for (int asker = 0; asker < 200; ++asker) {
+      daemon.prover.onRequest(kSecond, requestOf(100), at(3020), daemon.actions);
+    }
+    REQUIRE(daemon.actions.replies.size() > 100);
+  }
+}
+
+TEST_CASE("others are asked as the proof grows old, two at a time, less often if all in vain", "[serving]") {
+  ProvedDaemon daemon;
+  daemon.prover.onNews(kFirst, at(1900), daemon.actions);
+  REQUIRE(daemon.actions.requests.empty());
+  daemon.prover.onTime(at(3879), daemon.actions);
+  REQUIRE(daemon.actions.requests.empty());
+  REQUIRE(daemon.prover.nextDueAt() == at(3880));
+  daemon.prover.onTime(at(3880), daemon.actions);
+  REQUIRE(daemon.actions.requests.size() == 2);
+  daemon.prover.onTime(at(4179), daemon.actions);
+  REQUIRE(daemon.actions.requests.size() == 2);
+  daemon.prover.onTime(at(4180), daemon.actions);
+  REQUIRE(daemon.actions.requests.size() == 4);
+  for (int now = 4181; now < 20000; ++now) {
+    daemon.prover.onTime(at(now), daemon.actions);
+  }
+  REQUIRE(daemon.actions.requests.size() <= 2 * (8 + 12));
+  SECTION("a younger proof ends it") {
+    daemon.prover.onRead(at(20000), at(20001), daemon.actions);
+    daemon.actions.requests.clear();
+    daemon.prover.onTime(at(22000), daemon.actions);
+    REQUIRE(daemon.actions.requests.empty());
+  }
+}
+
+TEST_CASE("without tenants nobody is asked, and those who ask are answered", "[serving]") {
+  ProvedDaemon daemon;
+  daemon.prover.onVersion(6, false);
+  daemon.prover.onNews(kFirst, at(9000), daemon.actions);
+  daemon.prover.onTime(at(9000), daemon.actions);
+  REQUIRE(daemon.actions.requests.empty());
+  REQUIRE_FALSE(daemon.prover.takeReadWish(at(9000)));
+  REQUIRE(daemon.prover.nextDueAt() == kNever);
+  daemon.prover.onRequest(kFirst, requestOf(9), at(9000), daemon.actions);
+  REQUIRE(daemon.actions.replies.at(0).reply.version() == 5);
+}
+
+TEST_CASE("the source is read for one's own sake when others do not help, once a second", "[serving]") {
+  ProvedDaemon daemon;
+  REQUIRE_FALSE(daemon.prover.takeReadWish(at(1000 + 3840)));
+  for (int round = 0; round < 3; ++round) {
+    daemon.prover.onTime(at(1000 + 2880 + 300 * round), daemon.actions);
+  }
+  REQUIRE_FALSE(daemon.prover.takeReadWish(at(1000 + 3359)));
+  REQUIRE(daemon.prover.takeReadWish(at(1000 + 3840)));
+  REQUIRE_FALSE(daemon.prover.takeReadWish(at(1000 + 4839)));
+  REQUIRE(daemon.prover.takeReadWish(at(1000 + 4840)));
+}
+
+TEST_CASE("a proof is lost when it grows too old, and regained", "[serving]") {
+  ProvedDaemon daemon;
+  daemon.prover.onTime(at(5800), daemon.actions);
+  REQUIRE(daemon.prover.holds());
+  daemon.prover.onTime(at(5801), daemon.actions);
+  REQUIRE_FALSE(daemon.prover.holds());
+  daemon.prover.onRead(at(6000), at(6010), daemon.actions);
+  REQUIRE(daemon.prover.holds());
+}
+
+namespace {
+
+SourceStatement interpret(const SourceRecord& record) {
+  if (record.value == "unusable") {
+    return UnusableRecord{"unusable", record.key == "configuration"};
+  }
+  if (record.key != "configuration") {
+    return {};
+  }
+  ServingConfiguration configuration;
+  configuration.version = std::stoull(record.value);
+  configuration.tenants.push_back(Tenant{"tenant", {"key"}, {}, {}});
+  return configuration;
+}
+
+SourcePage pageOf(std::uint64_t revision, std::vector<SourceRecord> records, bool more = false) {
+  return SourcePage{std::move(records), more, revision};
+}
+
+SourceRecord configurationRecord(const std::string& value, std::uint64_t revision) {
+  return SourceRecord{"configuration", value, revision, false};
+}
+
+/// The first of two daemons, which has listed the source.
+struct ListedDaemon {
+  ListedDaemon() {
+    follower.setMembers({kSelf, kFirst});
+    const auto listing = follower.takeCall(at(1000));
+    follower.onAnswer(*listing, pageOf(10, {configurationRecord("5", 10)}), at(1300));
+  }
+
+  SourceFollower follower{kSelf, FollowerSettings{}, interpret, RandomEngine(1)};
+};
+
+}  // namespace
+
+TEST_CASE("a listing proves the moment of its first call, once it is whole", "[serving]") {
+  SourceFollower follower(kSelf, FollowerSettings{}, interpret, RandomEngine(1));
+  follower.setMembers({kSelf, kFirst});
+  const auto first = follower.takeCall(at(1000));
+  follower.onAnswer(*first, pageOf(10, {configurationRecord("5", 10)}, true), at(1100));
+  REQUIRE(follower.proof().version == 0);
+  const auto second = follower.takeCall(at(1200));
+  follower.onAnswer(*second, pageOf(11, {}), at(1300));
+  REQUIRE(follower.proof().version == 5);
+  REQUIRE(follower.proof().provenAt == at(1000));
+}
+
+TEST_CASE("a call that waited for changes proves the moment at which it was sent", "[serving]") {
+  ListedDaemon daemon;
+  const Moment sent = daemon.follower.nextDueAt();
+  const auto watch = daemon.follower.takeCall(sent);
+  REQUIRE(watch->wait > Duration(0));
+  SECTION("nothing changed") { daemon.follower.onAnswer(*watch, pageOf(10, {}), sent + watch->wait); }
+  SECTION("another version") {
+    daemon.follower.onAnswer(*watch, pageOf(11, {configurationRecord("6", 11)}), sent + watch->wait);
+    REQUIRE(daemon.follower.proof().version == 6);
+  }
+  REQUIRE(daemon.follower.proof().provenAt == sent);
+}
+
+TEST_CASE("a configuration that cannot be read keeps older ones from being proved, another record does not",
+          "[serving]") {
+  ListedDaemon daemon;
+  const Moment before = daemon.follower.proof().provenAt;
+  const Moment sent = daemon.follower.nextDueAt();
+  const auto watch = daemon.follower.takeCall(sent);
+  SECTION("a configuration") {
+    daemon.follower.onAnswer(*watch, pageOf(11, {configurationRecord("unusable", 11)}), sent);
+    REQUIRE(daemon.follower.proof().provenAt == before);
+  }
+  SECTION("a leaf") {
+    daemon.follower.onAnswer(*watch, pageOf(11, {SourceRecord{"leaf", "unusable", 11, false}}), sent);
+    REQUIRE(daemon.follower.proof().provenAt == sent);
+  }
+}
+
+TEST_CASE("news alone proves nothing; its sender is asked", "[serving]") {
+  ListedDaemon daemon;
+  const Moment before = daemon.follower.proof().provenAt;
+  SourceNews news;
+  news.set_after_revision(10);
+  news.set_revision(10);
+  news.set_reader(kFirst.text());
+  const FollowerActions actions = daemon.follower.onNews(kFirst, news, at(3000));
+  REQUIRE(daemon.follower.proof().provenAt == before);
+  REQUIRE(actions.proofs.requests.size() == 1);
+  REQUIRE(actions.proofs.requests[0].to == kFirst);
+}
+
+}  // namespace oakpier::serving
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -47,6 +47,7 @@
   REQUIRE(settings.warmup.factor == 1.5);
   REQUIRE(settings.warmup.slack == 5);
   REQUIRE(settings.leaveBound == std::chrono::seconds(5));
+  REQUIRE_FALSE(settings.keyRevocationBound);
 }
 
 TEST_CASE("settings that cannot be used say why", "[platform]") {
@@ -76,6 +77,28 @@
   REQUIRE(told.find("stop_grace_ms = 6000\n") != std::string::npos);
 }
 
+TEST_CASE("the use of removed keys is bounded where the operator asks for it", "[platform]") {
+  const auto with = [](const std::string& bounds) {
+    std::string text = kSettings;
+    text.insert(text.find("\"grace_s\""), bounds);
+    return parseSettings(text);
+  };
+  const auto strict = std::get<GatewaySettings>(
+      with(R"("revoke_strict": true, "revoke_ms": 5000, "config_apply_ms": 4000, )"));
+  REQUIRE(strict.keyRevocationBound == std::chrono::seconds(5));
+  REQUIRE(strict.configurationBound == std::chrono::seconds(4));
+  REQUIRE(describe(strict).find("key_revocation_bound_ms = 5000\n") != std::string::npos);
+  const auto lax = std::get<GatewaySettings>(with(R"("revoke_strict": false, "revoke_ms": 5000, )"));
+  REQUIRE_FALSE(lax.keyRevocationBound);
+  REQUIRE(describe(lax).find("key_revocation_bound_ms = none\n") != std::string::npos);
+  REQUIRE(std::get<SettingsError>(with(R"("revoke_strict": true, )")).text ==
+          "setting \"bounds.revoke_ms\" is missing");
+  REQUIRE(std::get<SettingsError>(with(R"("revoke_strict": true, "revoke_ms": 300, )")).text ==
+          "the bound on the use of removed keys is not within 4 and 600 seconds");
+  REQUIRE(std::get<SettingsError>(with(R"("revoke_strict": "yes", "revoke_ms": 5000, )")).text ==
+          "setting \"bounds.revoke_strict\" cannot be \"yes\"");
+}
+
 TEST_CASE("configurations and leaf entries are understood", "[platform]") {
   const StoreDialect dialect;
   const auto configuration =
@@ -105,8 +128,8 @@
   REQUIRE(std::get<ZoneEvacuationEnd>(dialect.interpret({"op/evacuate/ba", "", 4, true})).zone == "ba");
   REQUIRE(std::holds_alternative<UnusableRecord>(dialect.interpret({"op/evacuate/", "{}", 3, false})));
   REQUIRE(std::holds_alternative<std::monostate>(dialect.interpret({"other/key", "x", 1, false})));
-  REQUIRE(std::holds_alternative<UnusableRecord>(dialect.interpret({"op/config", "{", 1, false})));
-  REQUIRE(std::holds_alternative<UnusableRecord>(dialect.interpret({"servers/i", "{}", 1, false})));
+  REQUIRE(std::get<UnusableRecord>(dialect.interpret({"op/config", "{", 1, false})).isConfiguration);
+  REQUIRE_FALSE(std::get<UnusableRecord>(dialect.interpret({"servers/i", "{}", 1, false})).isConfiguration);
 }
 
 TEST_CASE("calls and answers of the store are spelt as it publishes them", "[platform]") {
--- a/tests/serving/support/source_fleet.cpp
+++ b/tests/serving/support/source_fleet.cpp
@@ -21,10 +21,16 @@
 constexpr Duration kLongestStart = std::chrono::milliseconds(300);
 constexpr std::uint64_t kLagSteps = 1000;
 
-SourceStatement interpret(const SourceRecord& record) {
+/// The clocks of daemons differ by up to this.
+constexpr Duration kClockSpread = std::chrono::seconds(1000);
+
+SourceStatement interpret(const SourceRecord& record, bool tenants) {
   if (record.key == kConfigurationKey) {
     ServingConfiguration configuration;
     configuration.version = std::stoull(record.value);
+    if (tenants) {
+      configuration.tenants.push_back(Tenant{"tenant", {"key"}, {}, {}});
+    }
     return configuration;
   }
   if (record.key.compare(0, kEvacuationPrefix.size(), kEvacuationPrefix) == 0) {
@@ -44,13 +50,14 @@
 
 SourceFleet::SourceFleet(const SourceFleetSettings& settings)
     : settings_(settings), random_(settings.random) {
-  change(kConfigurationKey, std::to_string(++version_));
+  changeConfiguration();
   for (std::size_t leaf = 0; leaf < settings.leafs; ++leaf) {
     changeLeaf(leaf);
   }
   for (std::uint32_t number = 0; number < settings.daemons; ++number) {
     Daemon daemon;
     daemon.address = Endpoint(number + 1, 7020);
+    daemon.ahead = Duration(static_cast<std::int64_t>(drawBelow(kClockSpread.count(), random_)));
     numbers_[daemon.address] = number;
     daemons_.push_back(std::move(daemon));
   }
@@ -96,6 +103,7 @@
 
 std::uint64_t SourceFleet::changeConfiguration() {
   change(kConfigurationKey, std::to_string(++version_));
+  acknowledged_[version_] = now_;
   return version_;
 }
 
@@ -115,9 +123,14 @@
   daemon.startedAt = now_;
   daemon.versions.clear();
   daemon.wakeAt = kNever;
-  daemon.follower = std::make_unique<SourceFollower>(daemon.address, FollowerSettings{}, interpret,
+  daemon.suspended = false;
+  daemon.lying.clear();
+  const auto interpreter = [tenants = settings_.tenants](const SourceRecord& record) {
+    return interpret(record, tenants);
+  };
+  daemon.follower = std::make_unique<SourceFollower>(daemon.address, FollowerSettings{}, interpreter,
                                                      RandomEngine(random_()));
-  daemon.follower->start(seeds_, now_);
+  daemon.follower->start(seeds_, clockOf(number));
   pump(number);
 }
 
@@ -147,23 +160,26 @@
 
 void SourceFleet::pump(std::size_t number) {
   Daemon& daemon = daemons_[number];
-  if (!daemon.alive) {
+  if (!daemon.alive || daemon.suspended) {
     return;
   }
-  carryOut(number, daemon.follower->onTime(now_));
-  if (const auto due = daemon.follower->takeCall(now_)) {
+  carryOut(number, daemon.follower->onTime(clockOf(number)));
+  if (const auto due = daemon.follower->takeCall(clockOf(number))) {
     call(number, *due);
   }
   daemon.versions.try_emplace(daemon.follower->configurationVersion(), now_);
-  const Moment next = daemon.follower->nextDueAt();
+  checkProof(number);
+  const Moment due = daemon.follower->nextDueAt();
+  const Moment next = due == kNever ? kNever : due - daemon.ahead;
   if (next != kNever && (daemon.wakeAt <= now_ || next < daemon.wakeAt)) {
     daemon.wakeAt = std::max(next, now_);
     at(daemon.wakeAt, [this, number, life = daemon.life, planned = daemon.wakeAt] {
-      Daemon& woken = daemons_[number];
-      if (woken.alive && woken.life == life && woken.wakeAt == planned) {
-        woken.wakeAt = kNever;
-        pump(number);
-      }
+      runIn(number, life, [this, number, planned] {
+        if (daemons_[number].wakeAt == planned) {
+          daemons_[number].wakeAt = kNever;
+          pump(number);
+        }
+      });
     });
   }
 }
@@ -172,20 +188,96 @@
   const Endpoint sender = daemons_[number].address;
   for (const OutgoingNews& outgoing : actions.news) {
     deliver(number, outgoing.to, [this, sender, news = outgoing.news](std::size_t receiver) {
-      carryOut(receiver, daemons_[receiver].follower->onNews(sender, news, now_));
+      carryOut(receiver, daemons_[receiver].follower->onNews(sender, news, clockOf(receiver)));
     });
   }
   if (actions.ask) {
     SourceNewsRequest request;
     request.set_known_revision(daemons_[number].follower->knownRevision());
     deliver(number, *actions.ask, [this, number, sender, request](std::size_t receiver) {
-      if (const auto told = daemons_[receiver].follower->onNewsRequest(sender, request, now_)) {
+      if (const auto told = daemons_[receiver].follower->onNewsRequest(sender, request, clockOf(receiver))) {
         FollowerActions reply;
         reply.news.push_back(*told);
         carryOut(receiver, reply);
       }
     });
   }
+  carryOutProofs(number, actions.proofs);
+}
+
+void SourceFleet::carryOutProofs(std::size_t number, const ProofActions& actions) {
+  const Endpoint sender = daemons_[number].address;
+  for (const OutgoingProofRequest& outgoing : actions.requests) {
+    ++proofQuestions_;
+    deliver(number, outgoing.to, [this, sender, request = outgoing.request](std::size_t receiver) {
+      carryOut(receiver, daemons_[receiver].follower->onProofRequest(sender, request, clockOf(receiver)));
+    });
+  }
+  for (const OutgoingProofReply& outgoing : actions.replies) {
+    deliver(number, outgoing.to, [this, sender, reply = outgoing.reply](std::size_t receiver) {
+      carryOut(receiver, daemons_[receiver].follower->onProofReply(sender, reply, clockOf(receiver)));
+    });
+  }
+}
+
+void SourceFleet::setCut(std::size_t from, std::size_t to, bool cut) {
+  if (cut) {
+    cuts_.emplace(from, to);
+  } else {
+    cuts_.erase({from, to});
+  }
+}
+
+void SourceFleet::runIn(std::size_t number, std::uint64_t life, std::function<void()> action) {
+  Daemon& daemon = daemons_[number];
+  if (!daemon.alive || daemon.life != life) {
+    return;
+  }
+  if (daemon.suspended) {
+    daemon.lying.push_back(std::move(action));
+  } else {
+    action();
+  }
+}
+
+void SourceFleet::resume(std::size_t number) {
+  daemons_[number].suspended = false;
+  std::vector<std::function<void()>> lying;
+  lying.swap(daemons_[number].lying);
+  for (const auto& action : lying) {
+    action();
+  }
+  pump(number);
+}
+
+bool SourceFleet::covers(std::size_t number, Duration bound) const {
+  const Daemon& daemon = daemons_[number];
+  return daemon.follower->proof().covers(daemon.follower->configurationVersion(), clockOf(number), bound);
+}
+
+Duration SourceFleet::proofAge(std::size_t number) const {
+  return clockOf(number) - daemons_[number].follower->proof().provenAt;
+}
+
+bool SourceFleet::outdatedBy(std::size_t number, Duration bound) const {
+  const auto newer = acknowledged_.upper_bound(versionOf(number));
+  return newer != acknowledged_.end() && now_ - newer->second > bound;
+}
+
+std::size_t SourceFleet::proofReads() const {
+  std::size_t reads = 0;
+  for (const Daemon& daemon : daemons_) {
+    reads += daemon.alive ? daemon.follower->counters().proofs.readWishes : 0;
+  }
+  return reads;
+}
+
+void SourceFleet::checkProof(std::size_t number) {
+  const ConfigurationProof& proof = daemons_[number].follower->proof();
+  const auto newer = acknowledged_.upper_bound(proof.version);
+  if (proof.version != 0 && newer != acknowledged_.end()) {
+    unsoundProofs_ += newer->second < proof.provenAt - daemons_[number].ahead ? 1 : 0;
+  }
 }
 
 void SourceFleet::deliver(std::size_t from, const Endpoint& to,
@@ -198,12 +290,26 @@
   const Duration spread = settings_.longestFrame - settings_.shortestFrame;
   const auto extra = static_cast<std::int64_t>(drawBelow(spread.count() + 1, random_));
   const std::size_t number = receiver->second;
-  at(now_ + settings_.shortestFrame + Duration(extra), [this, number, action = std::move(action)] {
-    if (daemons_[number].alive) {
+  if (cuts_.count({from, number}) > 0) {
+    return;
+  }
+  const auto arrive = [this, number, action = std::move(action)] {
+    runIn(number, daemons_[number].life, [this, number, action] {
       action(number);
       pump(number);
-    }
-  });
+    });
+  };
+  const auto drawLateness = [this] {
+    return Duration(static_cast<std::int64_t>(drawBelow(settings_.longestLateness.count(), random_)));
+  };
+  const auto drawn = [this](double share) {
+    return share > 0 && std::bernoulli_distribution(share)(random_);
+  };
+  const Moment arrival = now_ + settings_.shortestFrame + Duration(extra);
+  at(drawn(settings_.lateFrames) ? arrival + drawLateness() : arrival, arrive);
+  if (drawn(settings_.replayedFrames)) {
+    at(arrival + drawLateness(), arrive);
+  }
 }
 
 void SourceFleet::call(std::size_t number, const SourceCall& call) {
@@ -241,10 +347,17 @@
 void SourceFleet::answer(std::size_t number, std::uint64_t life, const SourceCall& call,
                          const SourceAnswer& answer, Duration delay) {
   at(now_ + delay, [this, number, life, call, answer] {
-    Daemon& daemon = daemons_[number];
-    if (daemon.alive && daemon.life == life) {
-      carryOut(number, daemon.follower->onAnswer(call, answer, now_));
-      pump(number);
+    const bool lost = daemons_[number].answersLost;
+    const auto take = [this, number, life, call](const SourceAnswer& taken) {
+      runIn(number, life, [this, number, call, taken] {
+        carryOut(number, daemons_[number].follower->onAnswer(call, taken, clockOf(number)));
+        pump(number);
+      });
+    };
+    if (lost) {
+      at(now_ + kCallTimeout, [take] { take(SourceFailure::kNoAnswer); });
+    } else {
+      take(answer);
     }
   });
 }
--- a/tests/serving/support/source_fleet.h
+++ b/tests/serving/support/source_fleet.h
@@ -1,14 +1,16 @@
 #pragma once
 
 /// A fleet of daemons that follow one configuration source, in simulated time: the source answers, waits, is
-/// down or refuses some; frames take their time or get lost; daemons die, start, and learn of each other
-/// late.
+/// down or refuses some; frames take their time, get lost, come late or twice; links are cut, also one way;
+/// daemons die, start, stand still while frames and answers lie before them, and learn of each other late.
+/// Each has a clock of its own.
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,12 @@
   double frameLoss = 0.0;
   Duration shortestFrame = std::chrono::milliseconds(1);
   Duration longestFrame = std::chrono::milliseconds(15);
+  /// Share of frames that arrive up to `longestLateness` later, and of those that arrive again by then.
+  double lateFrames = 0.0;
+  double replayedFrames = 0.0;
+  Duration longestLateness = std::chrono::seconds(9);
+  /// The configuration names tenants.
+  bool tenants = false;
 };
 
 class SourceFleet {
@@ -48,11 +56,31 @@
   void setRefused(std::size_t number, bool refused) { daemons_[number].refused = refused; }
   /// The source answers nobody; calls that wait are lost.
   void setSourceDown(bool down);
+  /// The source works on the daemon's calls, but its answers do not reach it.
+  void setAnswersLost(std::size_t number, bool lost) { daemons_[number].answersLost = lost; }
+  /// Frames from one daemon to another vanish.
+  void setCut(std::size_t from, std::size_t to, bool cut);
+  void mendCuts() { cuts_.clear(); }
+  /// The process stands still; what reaches it lies until it goes on.
+  void suspend(std::size_t number) { daemons_[number].suspended = true; }
+  void resume(std::size_t number);
   /// The source forgets the history of changes.
   void forgetHistory() { historyFrom_ = revision_; }
 
   bool refused(std::size_t number) const { return daemons_[number].refused; }
   bool alive(std::size_t number) const { return daemons_[number].alive; }
+  bool suspended(std::size_t number) const { return daemons_[number].suspended; }
+  /// The daemon would let a key pass now under this bound.
+  bool covers(std::size_t number, Duration bound) const;
+  /// Age of the daemon's proof.
+  Duration proofAge(std::size_t number) const;
+  /// A newer configuration than the daemon uses was acknowledged longer ago than that.
+  bool outdatedBy(std::size_t number, Duration bound) const;
+  /// Times that a daemon held a proof of a moment by which a newer version was acknowledged.
+  std::size_t unsoundProofs() const { return unsoundProofs_; }
+  /// Times that a living daemon wanted to read the source for its own sake.
+  std::size_t proofReads() const;
+  std::size_t proofQuestions() const { return proofQuestions_; }
   Moment aliveSince(std::size_t number) const { return daemons_[number].startedAt; }
   std::uint64_t versionOf(std::size_t number) const;
   /// When the process first had that version or a newer one; `kNever` if it has not.
@@ -70,6 +98,11 @@
     std::unique_ptr<SourceFollower> follower;
     bool alive = false;
     bool refused = false;
+    bool answersLost = false;
+    bool suspended = false;
+    std::vector<std::function<void()>> lying;
+    /// Of its clock.
+    Duration ahead{};
     /// Tells processes at the address apart.
     std::uint64_t life = 0;
     Moment startedAt{};
@@ -85,7 +118,12 @@
   };
 
   void at(Moment moment, std::function<void()> action) { events_.emplace(moment, std::move(action)); }
+  Moment clockOf(std::size_t number) const { return now_ + daemons_[number].ahead; }
+  /// Now, or when the process goes on; never if it ends before.
+  void runIn(std::size_t number, std::uint64_t life, std::function<void()> action);
   void pump(std::size_t number);
+  void checkProof(std::size_t number);
+  void carryOutProofs(std::size_t number, const ProofActions& actions);
   void carryOut(std::size_t number, const FollowerActions& actions);
   void deliver(std::size_t from, const Endpoint& to, std::function<void(std::size_t receiver)> action);
   void call(std::size_t number, const SourceCall& call);
@@ -116,6 +154,11 @@
   std::vector<Waiting> waiting_;
   std::uint64_t nextWaiting_ = 1;
   std::size_t calls_ = 0;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  /// By version.
+  std::map<std::uint64_t, Moment> acknowledged_;
+  std::size_t unsoundProofs_ = 0;
+  std::size_t proofQuestions_ = 0;
 };
 
 }  // namespace oakpier::serving
