--- a/tests/serving/coordination/configuration_proof_test.cpp
+++ b/tests/serving/coordination/configuration_proof_test.cpp
@@ -84,13 +84,21 @@
   REQUIRE(fleet.proofQuestions() == 0);
 }
 
-TEST_CASE("lost frames leave daemons their proofs", "[serving]") {
-  SourceFleetSettings settings = fleetOf(74, 3);
+TEST_CASE("lost frames, and frames that wait for processor time, leave daemons their proofs", "[serving]") {
+  const auto daemons = GENERATE(74U, 300U);
+  SourceFleetSettings settings = fleetOf(daemons, 3);
   settings.frameLoss = 0.05;
-  settings.longestFrame = milliseconds(60);
+  // One period of a processor's quota.
+  settings.longestFrame = milliseconds(100);
   SourceFleet fleet(settings);
   fleet.runFor(kSettling);
-  REQUIRE(runChecked(fleet, seconds(20)).refused == 0);
+  const Checks checks = runChecked(fleet, seconds(20));
+  CAPTURE(daemons, checks.oldest.count());
+  REQUIRE(checks.refused == 0);
+  fleet.kill(0);
+  const Checks later = runChecked(fleet, seconds(6));
+  CAPTURE(later.oldest.count());
+  REQUIRE(later.refused == 0);
 }
 
 TEST_CASE("the death of readers costs no daemon its proof", "[serving]") {
@@ -162,6 +170,25 @@
   REQUIRE(fleet.covers(40, kProofBound));
 }
 
+TEST_CASE("proofs outlive the source by two seconds, end by the bound, and are back soon after it",
+          "[serving]") {
+  const auto daemons = GENERATE(3U, 74U, 300U);
+  const auto random = GENERATE(1U, 2U, 3U);
+  CAPTURE(daemons, random);
+  SourceFleet fleet(fleetOf(daemons, random));
+  fleet.runFor(kSettling);
+  fleet.setSourceDown(true);
+  REQUIRE(runChecked(fleet, seconds(2)).refused == 0);
+  fleet.changeConfiguration();
+  const Checks during = runChecked(fleet, seconds(8));
+  REQUIRE(during.unsafe == 0);
+  const Checks atEnd = runChecked(fleet, milliseconds(100));
+  REQUIRE(atEnd.refused == atEnd.made);
+  fleet.setSourceDown(false);
+  fleet.runFor(milliseconds(2000));
+  REQUIRE(runChecked(fleet, seconds(3)).refused == 0);
+}
+
 namespace {
 
 /// A fleet with generated faults, in which keys are taken away all the time.
