--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -58,6 +58,8 @@
   std::uint64_t configurationVersion() const { return configuration_ ? configuration_->version : 0; }
   /// How often an entry has told of another life of a leaf than the one that was known.
   std::uint64_t leafsBornAgain() const { return leafsBornAgain_; }
+  /// Callers may need a key.
+  bool hasTenants() const { return configuration_ && !configuration_->tenants.empty(); }
   std::size_t leafCount() const { return leafs_.size(); }
   std::vector<std::string> evacuatedZones() const;
 
--- a/src/coordination/serving/source_records.h
+++ b/src/coordination/serving/source_records.h
@@ -61,6 +61,8 @@
 /// A record that is known but cannot be used.
 struct UnusableRecord {
   std::string problem;
+  /// It would be a configuration: perhaps a newer one than any that is known.
+  bool isConfiguration = false;
 };
 
 /// A leaf's record that something else than the leaf has written: it names no leaf to use.
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -170,6 +170,15 @@
                figures.source.unusableRecords);
   list.counter("leafs_born_again_total", "Entries that told of another life of a known leaf",
                figures.source.leafsBornAgain);
+  list.counter("proof_questions_total", "Times that another daemon was asked for its proof",
+               figures.source.proofs.asked);
+  list.counter("proof_answers_total", "Of these, answered in time", figures.source.proofs.answered);
+  list.counter("proof_questions_timed_out_total", "Of these, not answered in time",
+               figures.source.proofs.timedOut);
+  list.counter("proof_reads_total", "Times that the source was read as no other daemon helped to a proof",
+               figures.source.proofs.readWishes);
+  list.gauge("configuration_proof_age_seconds", "Since the configuration was last proved the newest",
+             figures.proofAgeSeconds);
   list.gauge("configuration_version", "Version in force", static_cast<double>(figures.configurationVersion));
   list.gauge("leafs", "Leafs listed", static_cast<double>(figures.leafs));
   list.gauge("keys", "Keys of all tenants in the configuration", static_cast<double>(figures.keys));
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -86,6 +86,8 @@
   std::uint64_t fleetCapacity = 0;
   /// Keys of all tenants in the configuration.
   std::size_t keys = 0;
+  /// Since the configuration was last proved the newest; infinite while nothing is proved.
+  double proofAgeSeconds = 0;
 };
 
 std::string metricsText(const GatewayFigures& figures);
--- a/tests/serving/platform/leaf_entries_test.cpp
+++ b/tests/serving/platform/leaf_entries_test.cpp
@@ -110,7 +110,7 @@
     }
     return ids;
   }
-  const FollowerCounters& counters() const { return follower_.counters(); }
+  FollowerCounters counters() const { return follower_.counters(); }
   const FollowerActions& lastActions() const { return actions_; }
 
  private:
