Ask homes for tokens over the daemons' link; settings and figures of limits

The control thread tells how many daemons are suspected. Settings: window, tolerance and slack; absent, no excess is allowed. LatencyHistogram has a header of its own, since the link keeps one. TenantTable::named answers by name, for the home's side.

The count of suspects is published apart from the members, whose version does not change when one is suspected.

--- a/src/programs/gateway/active_query.h
+++ b/src/programs/gateway/active_query.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "programs/gateway/request_gateway.h"
@@ -24,6 +25,8 @@
   std::shared_ptr<const OwnerClient::Listener> ownerListener;
   /// Of the caller: its tenant's, or else the route's.
   unsigned rank = 0;
+  /// What the request was let through on, where its tenant has a limit.
+  std::optional<Token> token;
 };
 
 /// A request until its query begins: it may wait for a decision on its tenant's allowance.
@@ -40,6 +43,7 @@
   /// Null: none. Belongs to `view`.
   const Tenant* tenant = nullptr;
   RequestQuarantine::Judgement judgement;
+  std::optional<Token> token;
   bool callerGone = false;
   /// Set once the query has begun.
   std::weak_ptr<ActiveQuery> active;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -109,6 +109,10 @@
                    boost::asio::post(requestContext_, [this, envelope = std::move(envelope)] {
                      requests_.onUndeliverable(envelope);
                    });
+                 },
+                 [this](std::size_t suspected) {
+                   boost::asio::post(requestContext_,
+                                     [this, suspected] { requests_.setSuspectedDaemons(suspected); });
                  }}),
         signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
         stopTimer_(requestContext_),
@@ -126,6 +130,7 @@
     log(LogLevel::kInfo, "started",
         {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
     requests_.setWarmupTolerance(settings_.warmup);
+    requests_.setQuotaTolerance(settings_.quota);
     requests_.setOnStateWanted(
         [this] { boost::asio::post(controlContext_, [this] { source_.onStateWanted(); }); });
     awaitSignal();
@@ -210,7 +215,8 @@
         requests_.counters(), requests_.poolCounters(), requests_.ownerCounters(), requests_.partsServed(),
         requests_.mergeCounters(), requests_.partsMerged(), source_.peerCounters(), sourceCounters_,
         view->configuration ? view->configuration->version : 0, leafs, daemons_,
-        requests_.condemnedRequests(), ready_, requests_.logLinesLeftOut(), droppedLogLines()});
+        requests_.condemnedRequests(), ready_, requests_.logLinesLeftOut(), droppedLogLines(),
+        requests_.quotaFigures()});
   }
 
   void awaitSignal() {
@@ -248,6 +254,7 @@
     budgets_.setBounds(extraSendShare_.bounds());
     ownerShare_.setTotal(settings_.extraSends);
     requests_.setWarmupTolerance(settings_.warmup);
+    requests_.setQuotaTolerance(settings_.quota);
     ownerBudgets_.setBounds(ownerShare_.bounds());
     boost::asio::post(controlContext_,
                       [this, fresh = settings_] { source_.reload(fresh.sourceAddress, fresh.seeds); });
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -4,7 +4,6 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 #include <vector>
 
@@ -16,7 +15,6 @@
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
-constexpr double kFirstBoundSeconds = 0.001;
 /// In the order of `FrameKind`.
 constexpr std::array<const char*, kFrameKinds> kFrameKindNames = {"membership", "configuration", "work"};
 
@@ -53,12 +51,19 @@
     }
     families_.push_back(std::move(family));
   }
+  void histogram(const std::string& name, const std::string& help, const LatencyHistogram& histogram) {
+    families_.push_back({"oakpier_gateway_" + name, help, MetricType::Histogram, {figuresOf(histogram)}});
+  }
   const std::vector<MetricFamily>& families() const { return families_; }
 
  private:
   static ClientMetric metricOf(const std::string& route, const LatencyHistogram& histogram) {
-    ClientMetric metric;
+    ClientMetric metric = figuresOf(histogram);
     metric.label.push_back({"route", route});
+    return metric;
+  }
+  static ClientMetric figuresOf(const LatencyHistogram& histogram) {
+    ClientMetric metric;
     metric.histogram.sample_count = histogram.count();
     metric.histogram.sample_sum = histogram.sumSeconds();
     std::uint64_t cumulative = 0;
@@ -72,23 +77,29 @@
   std::vector<MetricFamily> families_;
 };
 
-}  // namespace
-
-double LatencyHistogram::upperBoundSeconds(std::size_t bucket) {
-  return bucket + 1 == kBuckets ? std::numeric_limits<double>::infinity()
-                                : kFirstBoundSeconds * static_cast<double>(1U << bucket);
+void listQuota(const QuotaFigures& quota, FamilyList& list) {
+  list.counter("token_asks_total", "Frames that asked homes of tenants for tokens", quota.holder.asks);
+  list.counter("token_asks_unanswered_total", "Of these, left unanswered in time", quota.holder.unanswered);
+  list.counter("tenant_grants_total", "Requests of limited tenants let through", quota.holder.granted);
+  list.counter("tenant_grants_at_once_total", "Of these, on a token that was at hand",
+               quota.holder.grantedAtOnce);
+  list.counter("tenant_refusals_total", "Requests refused beyond their tenant's limit", quota.holder.refused);
+  list.counter("tenant_refusals_at_once_total", "Of these, without asking", quota.holder.refusedAtOnce);
+  list.counter("tenant_refusals_unanswered_total", "Of these, as no daemon that counts answered",
+               quota.holder.refusedUnanswered);
+  list.counter("tokens_lapsed_total", "Tokens that nobody used in time", quota.holder.lapsed);
+  list.counter("tokens_given_back_total", "Tokens of requests that ran nowhere", quota.holder.givenBack);
+  list.counter("home_tokens_granted_total", "Tokens counted out as the home of tenants", quota.home.granted);
+  list.counter("home_tokens_advanced_total", "Of these, ahead of a request", quota.home.advanced);
+  list.counter("home_tokens_refused_total", "Requests refused as the home of tenants", quota.home.refused);
+  list.counter("home_tokens_returned_total", "Tokens taken back as the home of tenants", quota.home.returned);
+  list.counter("home_frames_ignored_total", "Asks that came again or out of order", quota.home.framesIgnored);
+  list.gauge("tenant_homes_held", "Tenants that this daemon counts for", static_cast<double>(quota.buckets));
+  list.gauge("tokens_held", "Tokens that lie here unused", static_cast<double>(quota.tokensHeld));
+  list.histogram("token_wait_seconds", "Time that requests waited for a token or its refusal", quota.waits);
 }
 
-void LatencyHistogram::record(Duration latency) {
-  const double seconds = std::chrono::duration<double>(latency).count();
-  std::size_t bucket = 0;
-  while (seconds > upperBoundSeconds(bucket)) {
-    ++bucket;
-  }
-  ++buckets_.at(bucket);
-  sumSeconds_ += seconds;
-  ++count_;
-}
+}  // namespace
 
 std::string metricsText(const GatewayFigures& figures) {
   FamilyList list;
@@ -158,6 +169,7 @@
                figures.source.newsAsked);
   list.counter("configurations_refused_total", "Configurations with a problem",
                figures.source.configurationsRefused);
+  listQuota(figures.quota, list);
   list.gauge("configuration_version", "Version in force", static_cast<double>(figures.configurationVersion));
   list.gauge("leafs", "Leafs listed", static_cast<double>(figures.leafs));
   list.gauge("condemned_requests", "Requests that are rejected at present, as leafs end under them",
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -2,36 +2,20 @@
 
 /// The gateway's figures in the text format of Prometheus.
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
 
 #include "coordination/serving/source_follower.h"
+#include "programs/gateway/latency_histogram.h"
 #include "programs/gateway/merge_client.h"
 #include "programs/gateway/owner_client.h"
+#include "programs/gateway/quota_link.h"
 #include "transport/peer_transport.h"
 #include "transport/serving/leaf_pool.h"
 
 namespace oakpier::serving {
 
-/// Counts durations by buckets whose bounds double from one millisecond on.
-class LatencyHistogram {
- public:
-  static constexpr std::size_t kBuckets = 16;
-
-  void record(Duration latency);
-  const std::array<std::uint64_t, kBuckets>& buckets() const { return buckets_; }
-  static double upperBoundSeconds(std::size_t bucket);
-  double sumSeconds() const { return sumSeconds_; }
-  std::uint64_t count() const { return count_; }
-
- private:
-  std::array<std::uint64_t, kBuckets> buckets_{};
-  double sumSeconds_ = 0;
-  std::uint64_t count_ = 0;
-};
-
 struct RequestCounters {
   std::uint64_t received = 0;
   std::uint64_t answered = 0;
@@ -80,6 +64,7 @@
   bool ready = false;
   std::uint64_t logLinesLeftOut = 0;
   std::uint64_t logLinesDropped = 0;
+  QuotaFigures quota;
 };
 
 std::string metricsText(const GatewayFigures& figures);
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -30,6 +30,8 @@
        << "\nextra_send_slack = " << settings.extraSends.slack
        << "\nextra_send_window_ms = " << toMilliseconds(settings.extraSends.window)
        << "\nwarmup_factor = " << settings.warmup.factor << "\nwarmup_slack_per_s = " << settings.warmup.slack
+       << "\nquota_window_ms = " << toMilliseconds(settings.quota.window)
+       << "\nquota_tolerance = " << settings.quota.tolerance << "\nquota_slack = " << settings.quota.slack
        << "\n";
   return text.str();
 }
@@ -54,6 +56,9 @@
   require(settings.extraSends.window >= kShortestWindow, "the window of extra sends is below 1 second");
   require(settings.warmup.factor >= 0, "the factor on the rate of cold leafs is negative");
   require(settings.warmup.slack >= 0, "the slack on the rate of cold leafs is negative");
+  require(settings.quota.window >= kShortestWindow, "the window of tenants' limits is below 1 second");
+  require(settings.quota.tolerance >= 0, "the tolerance of tenants' limits is negative");
+  require(settings.quota.slack >= 0, "the slack of tenants' limits is negative");
   return problems;
 }
 
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "coordination/serving/extra_send_budget.h"
+#include "coordination/serving/quota_plan.h"
 #include "coordination/serving/warmup_allowance.h"
 #include "state/endpoint.h"
 #include "state/time.h"
@@ -33,6 +34,8 @@
   OperatorExtraSends extraSends;
   /// What all daemons together may send to a cold leaf beyond the rate that its service tells.
   WarmupTolerance warmup;
+  /// What all daemons together may let through beyond a tenant's limit.
+  QuotaTolerance quota;
 };
 
 /// One line a setting, with its unit.
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -37,7 +37,8 @@
 bool isAboutShards(const PeerEnvelope& envelope) {
   return envelope.has_owner_work() || envelope.has_owner_results() || envelope.has_owner_cancel() ||
          envelope.has_silent_daemons() || envelope.has_merge_work() || envelope.has_merge_results() ||
-         envelope.has_merge_cancel() || envelope.has_ending_requests();
+         envelope.has_merge_cancel() || envelope.has_ending_requests() || envelope.has_token_request() ||
+         envelope.has_token_reply();
 }
 
 void insertInOrder(const Endpoint& address, std::vector<Endpoint>& addresses) {
@@ -106,6 +107,7 @@
     lastTickAt_ = now;
     carryOut(membership_.onTime(now));
     publishMembers();
+    publishSuspects();
     scheduleTick();
   });
 }
@@ -177,6 +179,18 @@
 
 void PeerLink::leave() { carryOut(membership_.leave(steadyNow())); }
 
+void PeerLink::publishSuspects() {
+  const auto& records = membership_.members().records();
+  const auto suspects =
+      static_cast<std::size_t>(std::count_if(records.begin(), records.end(), [](const MemberRecord& record) {
+        return record.condition == MEMBER_SUSPECT;
+      }));
+  if (suspects != publishedSuspects_) {
+    publishedSuspects_ = suspects;
+    handlers_.onSuspected(suspects);
+  }
+}
+
 void PeerLink::publishMembers() {
   if (membership_.version() == publishedVersion_) {
     return;
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -37,6 +37,8 @@
     std::function<void(const Endpoint& sender, PeerEnvelope envelope)> onShardFrame;
     /// A frame about shards was not handed to the network. Called on the transport's thread.
     std::function<void(PeerEnvelope envelope)> onShardFrameUndeliverable;
+    /// How many of the serving daemons are suspected to have ended, whenever that changes.
+    std::function<void(std::size_t suspected)> onSuspected;
   };
 
   PeerLink(boost::asio::io_context& context, const PeerLinkSettings& settings, Handlers handlers);
@@ -62,6 +64,7 @@
   void send(const Endpoint& to, PeerEnvelope envelope);
   void scheduleTick();
   void publishMembers();
+  void publishSuspects();
   /// Tells a daemon that has just started whom this one knows.
   void introduceMembers(const Endpoint& to);
 
@@ -76,6 +79,7 @@
   boost::asio::steady_timer tick_;
   Moment lastTickAt_{};
   std::uint64_t publishedVersion_ = 0;
+  std::size_t publishedSuspects_ = 0;
 };
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -49,7 +49,8 @@
                     sendFrame),
       mergeClient_(context, queryContext_, mergers_, sendFrame),
       mergeService_(context, names, pool_, sender_, queryContext_, sendFrame),
-      quarantineLink_(context, quarantine_, queryContext_.random, self, sendFrame) {
+      quarantineLink_(context, quarantine_, queryContext_.random, self, sendFrame),
+      quota_(context, queryContext_.random, self, sendFrame) {
   queryContext_.quarantine = &quarantine_;
   pool_.setReachabilityListener(
       [this](const LeafEntry& leaf, bool reachable) { leafs_.onReachability(leaf, reachable, steadyNow()); });
@@ -83,6 +84,7 @@
 
 void RequestGateway::setDaemons(const DaemonGroup& daemons, std::size_t planned, bool settled) {
   quarantineLink_.setDaemons(daemons.all);
+  quota_.setDaemons(daemons.all, planned, settled);
   owners_.setDaemons(daemons.ownZone);
   mergers_.setDaemons(daemons.otherZones);
   daemons_.planned = planned;
@@ -117,6 +119,10 @@
     mergeService_.onCancel(sender, envelope.merge_cancel());
   } else if (envelope.has_ending_requests()) {
     quarantineLink_.onFrame(envelope.ending_requests());
+  } else if (envelope.has_token_request()) {
+    quota_.onRequest(sender, envelope.token_request());
+  } else if (envelope.has_token_reply()) {
+    quota_.onReply(sender, envelope.token_reply());
   }
 }
 
@@ -138,11 +144,14 @@
     ownerClient_.onUndeliverable(envelope.owner_work());
   } else if (envelope.has_merge_work()) {
     mergeClient_.onUndeliverable(envelope.merge_work());
+  } else if (envelope.has_token_request()) {
+    quota_.onUndeliverable(envelope.token_request());
   }
 }
 
 void RequestGateway::onView() {
   view_ = published_.read();
+  quota_.setTenants(view_->tenants);
   owners_.dropUnasked(steadyNow());
   const LeafAssignment assignment = assignLeafs(*view_, daemons_, self_, owners_);
   ownerService_.setOwnedShards(assignment.firstOwned);
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -54,6 +54,9 @@
   /// Takes effect with the next view.
   void setWarmupTolerance(const WarmupTolerance& tolerance) { daemons_.warmup = tolerance; }
   void setAuthorization(const AuthorizationSettings& settings) { authorization_ = settings; }
+  void setQuotaTolerance(const QuotaTolerance& tolerance) { quota_.setTolerance(tolerance); }
+  /// How many of the daemons are suspected to have ended.
+  void setSuspectedDaemons(std::size_t suspected) { quota_.setSuspected(suspected); }
   /// Called once, when a caller is refused as no configuration is known.
   void setOnStateWanted(std::function<void()> handler) { onStateWanted_ = std::move(handler); }
   /// `planned`: how many daemons share each leaf's connections. `settled`: that can be relied on.
@@ -68,6 +71,7 @@
   /// Requests that are rejected at present, as leafs end under them.
   std::size_t condemnedRequests() const;
   const RequestCounters& counters() const { return counters_; }
+  QuotaFigures quotaFigures() const { return quota_.figures(); }
   const LeafPoolCounters& poolCounters() const { return pool_.counters(); }
   const OwnerClientCounters& ownerCounters() const { return ownerClient_.counters(); }
   std::uint64_t partsServed() const { return ownerService_.partsServed(); }
--- a/src/programs/gateway/request_intake.cpp
+++ b/src/programs/gateway/request_intake.cpp
@@ -169,11 +169,12 @@
 void RequestGateway::onQuota(ArrivedRequest& arrived, const QuotaDecision& decision) {
   if (arrived.callerGone) {
     if (decision.granted) {
-      quota_.giveBack(arrived.tenant->name);
+      quota_.giveBack(arrived.tenant->name, decision.token);
     }
     return;
   }
   if (decision.granted) {
+    arrived.token = decision.token;
     begin(arrived);
     return;
   }
@@ -201,6 +202,7 @@
   auto active = std::make_shared<ActiveQuery>(context_, std::move(arrived.writer));
   arrived.active = active;
   active->rank = arrived.rank();
+  active->token = arrived.token;
   active->request = std::make_shared<const LeafRequestTemplate>(arrived.request, names_);
   active->original = std::make_shared<const HttpRequest>(std::move(arrived.request));
   const bool trial = arrived.judgement.verdict == RequestQuarantine::Verdict::kTrial;
--- a/src/programs/gateway/request_queries.cpp
+++ b/src/programs/gateway/request_queries.cpp
@@ -101,6 +101,7 @@
 void RequestGateway::answer(const ActivePointer& active, const FinalAnswer& answer) {
   if (std::holds_alternative<Refusal>(answer)) {
     ++counters_.refused;
+    quota_.giveBack(active->original->tenant, active->token);
   } else if (std::holds_alternative<Failure>(answer)) {
     ++counters_.failed;
   } else {
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -53,7 +53,7 @@
                 onNewsRequest(sender, request);
               },
               [this](const DaemonGroup& daemons) { onMembers(daemons); }, [this] { onPause(); },
-              handlers_.onShardFrame, handlers_.onShardFrameUndeliverable}),
+              handlers_.onShardFrame, handlers_.onShardFrameUndeliverable, handlers_.onSuspected}),
       timer_(context) {}
 
 std::string SourceLoop::start() {
--- a/src/state/serving/tenant_table.cpp
+++ b/src/state/serving/tenant_table.cpp
@@ -10,10 +10,17 @@
   return hash;
 }
 
-TenantTable::TenantTable(const std::vector<Tenant>& tenants) : tenants_(tenants) {}
+TenantTable::TenantTable(const std::vector<Tenant>& tenants) : tenants_(tenants) {
+  for (std::uint32_t place = 0; place < tenants_.size(); ++place) {
+    names_.emplace(tenants_[place].name, place);
+  }
+}
 
 const Tenant* TenantTable::holderOf(std::string_view /*key*/) const { return nullptr; }
 
-const Tenant* TenantTable::named(std::string_view /*name*/) const { return nullptr; }
+const Tenant* TenantTable::named(std::string_view name) const {
+  const auto found = names_.find(name);
+  return found == names_.end() ? nullptr : &tenants_[found->second];
+}
 
 }  // namespace oakpier::serving
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -12,7 +12,8 @@
   "bind_addresses": {"http": "10.1.0.9:8104", "readiness": "10.1.0.9:8108", "admin": "10.1.0.9:8106"},
   "internal_port_range": [7380, 7395], "seeds": ["10.1.0.9:8106", "10.2.0.21:8106"],
   "bounds": {"grace_s": 6, "drain_ms": 5000, "retry_budget_ratio": 0.2, "budget_slack": 56, "budget_window_s": 10,
-             "warmup_tolerance": 1.5, "warmup_slack": 5},
+             "warmup_tolerance": 1.5, "warmup_slack": 5,
+             "quota_window_s": 4, "quota_tolerance": 0.25, "quota_burst": 20},
   "platform": {"address": "10.200.1.7:8102"}})";
 
 const char* const kConfiguration = R"({"version": 7, "routes": [
@@ -46,6 +47,9 @@
   REQUIRE(settings.extraSends.slack == 56);
   REQUIRE(settings.warmup.factor == 1.5);
   REQUIRE(settings.warmup.slack == 5);
+  REQUIRE(settings.quota.window == std::chrono::seconds(4));
+  REQUIRE(settings.quota.tolerance == 0.25);
+  REQUIRE(settings.quota.slack == 20);
   REQUIRE(settings.leaveBound == std::chrono::seconds(5));
 }
 
@@ -72,8 +76,23 @@
   wrong.replace(wrong.find("\"retry_budget_ratio\": 0.2"), 25, "\"retry_budget_ratio\": 7.0");
   REQUIRE(std::get<SettingsError>(parseSettings(wrong)).text ==
           "the ratio of extra sends is not within 0 and 1");
+  std::string negative = kSettings;
+  negative.replace(negative.find("\"quota_tolerance\": 0.25"), 23, "\"quota_tolerance\": -0.5");
+  REQUIRE(std::get<SettingsError>(parseSettings(negative)).text ==
+          "the tolerance of tenants' limits is negative");
+  // Without them no excess is allowed.
+  std::string without = kSettings;
+  for (const std::string name : {"quota_window_s", "quota_tolerance", "quota_burst"}) {
+    without.replace(without.find(name), name.size(), std::string(name.size(), 'x'));
+  }
+  const auto strict = std::get<GatewaySettings>(parseSettings(without));
+  REQUIRE(strict.quota.tolerance == 0);
+  REQUIRE(strict.quota.slack == 0);
+  REQUIRE(allowedInWindow(TenantLimit{2, 3}, strict.quota) == 13);
   const std::string told = describe(std::get<GatewaySettings>(parseSettings(kSettings)));
   REQUIRE(told.find("stop_grace_ms = 6000\n") != std::string::npos);
+  REQUIRE(told.find("quota_window_ms = 4000\nquota_tolerance = 0.25\nquota_slack = 20\n") !=
+          std::string::npos);
 }
 
 TEST_CASE("configurations and leaf entries are understood", "[platform]") {
--- a/tests/serving/programs/gateway_log_test.cpp
+++ b/tests/serving/programs/gateway_log_test.cpp
@@ -47,15 +47,22 @@
   mergers.incomplete = 3;
   PeerTransportCounters peers;
   peers.bytesSentByKind.at(static_cast<std::size_t>(FrameKind::kWork)) = 77;
+  QuotaFigures quota;
+  quota.holder.asks = 31;
+  quota.home.granted = 32;
+  quota.buckets = 33;
+  quota.waits.record(std::chrono::milliseconds(3));
   const std::string text = metricsText(
-      GatewayFigures{requests, pool, owners, 9, mergers, 22, peers, {}, 12, 70, 8, 4, true, 1, 2});
+      GatewayFigures{requests, pool, owners, 9, mergers, 22, peers, {}, 12, 70, 8, 4, true, 1, 2, quota});
   for (const char* line :
        {"oakpier_gateway_requests_total 7", "oakpier_gateway_configuration_version 12",
         "oakpier_gateway_log_lines_dropped_total 2", "oakpier_gateway_ready 1",
         "oakpier_gateway_owner_probes_total 4", "oakpier_gateway_parts_served_total 9",
         "oakpier_gateway_parts_by_way_of_mergers_total 21",
         "oakpier_gateway_merger_answers_incomplete_total 3", "oakpier_gateway_parts_merged_total 22",
-        "oakpier_gateway_peer_bytes_sent_total{kind=\"work\"} 77",
+        "oakpier_gateway_peer_bytes_sent_total{kind=\"work\"} 77", "oakpier_gateway_token_asks_total 31",
+        "oakpier_gateway_home_tokens_granted_total 32", "oakpier_gateway_tenant_homes_held 33",
+        "oakpier_gateway_token_wait_seconds_bucket{le=\"0.004\"} 1",
         "oakpier_gateway_answer_seconds_bucket{route=\"page\",le=\"0.004\"} 1",
         "oakpier_gateway_answer_seconds_bucket{route=\"page\",le=\"+Inf\"} 2"}) {
     REQUIRE(text.find(line) != std::string::npos);
