Hear of a living home with a third of frames late; lint

Change: a daemon that was heard from counts as alive for 0.2 s in place of 0.1 s, so that four signs of life fit in.

--- a/src/coordination/serving/token_holder.cpp
+++ b/src/coordination/serving/token_holder.cpp
@@ -140,6 +140,7 @@
     }
   }
   std::vector<TokenAsk> out;
+  out.reserve(asks.size());
   for (auto& [home, ask] : asks) {
     out.push_back(std::move(ask));
   }
--- a/src/coordination/serving/token_home.cpp
+++ b/src/coordination/serving/token_home.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// A daemon that was heard from in this time counts as alive.
-constexpr Duration kHeardLately = std::chrono::milliseconds(100);
+/// A daemon that was heard from in this time counts as alive. Four signs of life fit in: with two, and 30% of
+/// all frames 50 to 400 ms late, a window held 248 of the 245 requests allowed (30/s, 7 daemons, generated
+/// fleet).
+constexpr Duration kHeardLately = std::chrono::milliseconds(200);
 /// A bucket that nobody asked for in this time is forgotten.
 constexpr Duration kIdle = std::chrono::seconds(60);
 /// Nobody is told to stay away for longer than this many windows.
--- a/src/coordination/serving/token_homes.cpp
+++ b/src/coordination/serving/token_homes.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Signs of life are asked of the daemons before this one at most so often. Two fit into the time in which a
+/// Signs of life are asked of the daemons before this one at most so often. Four fit into the time in which a
 /// daemon that was heard from counts as alive (`kHeardLately`).
 constexpr Duration kProbePeriod = std::chrono::milliseconds(50);
 
--- a/src/programs/gateway/quota_link.cpp
+++ b/src/programs/gateway/quota_link.cpp
@@ -104,8 +104,8 @@
 void QuotaLink::flush() {
   const Moment now = steadyNow();
   for (auto asks = holder_.takeAsks(now); !asks.empty(); asks = holder_.takeAsks(now)) {
-    for (TokenAsk& ask : asks) {
-      send(std::move(ask), now);
+    for (const TokenAsk& ask : asks) {
+      send(ask, now);
     }
   }
   for (const Endpoint& silent : homes_.takeProbes(now)) {
@@ -117,7 +117,7 @@
 /// Nothing is asked, so that no request has to wait to find out.
 void QuotaLink::askForSignOfLife(const Endpoint& daemon, Moment now) { send(TokenAsk{daemon, 0, {}}, now); }
 
-void QuotaLink::send(TokenAsk ask, Moment now) {
+void QuotaLink::send(const TokenAsk& ask, Moment now) {
   if (ask.home == self_) {
     decide(holder_.onGrants(self_, ask.number, grant(ask.wishes, now), now));
     return;
--- a/src/programs/gateway/quota_link.h
+++ b/src/programs/gateway/quota_link.h
@@ -89,7 +89,7 @@
   /// Sends what is due, at the end of what is being handled: so requests that came together ask together.
   void scheduleFlush();
   void flush();
-  void send(TokenAsk ask, Moment now);
+  void send(const TokenAsk& ask, Moment now);
   void askForSignOfLife(const Endpoint& daemon, Moment now);
   std::vector<TokenGrantDecision> grant(const std::vector<TokenWish>& wishes, Moment now);
   void decide(const std::vector<TokenDecision>& decisions);
--- a/tests/serving/coordination/tenant_tokens_test.cpp
+++ b/tests/serving/coordination/tenant_tokens_test.cpp
@@ -144,6 +144,26 @@
   }
 }
 
+TEST_CASE("the window holds while three in ten frames come late", "[serving]") {
+  const TenantLimit busy{30, 30};
+  for (std::uint64_t seed = 11; seed <= 20; ++seed) {
+    TokenFleetSettings settings;
+    settings.daemons = 7;
+    settings.seed = seed;
+    settings.lost = 0.02;
+    settings.twice = 0.02;
+    settings.late = 0.3;
+    settings.ranNowhere = 0.1;
+    TokenFleet fleet(settings);
+    fleet.setLimit("busy", busy);
+    fleet.load("busy", busy.perSecond * 0.2, second(0), second(10));
+    fleet.load("busy", busy.perSecond * kUsualShare * 9, second(9.8), second(30));
+    fleet.run(second(31));
+    CAPTURE(seed);
+    requireWindowHolds(fleet, "busy", busy, settings.tolerance);
+  }
+}
+
 TEST_CASE("the window holds in cuts, with clients of a hot tenant on all sides", "[serving]") {
   for (const std::size_t pieces : {2, 3, 4}) {
     for (const std::size_t daemons : {12, 40, 74}) {
--- a/tests/serving/support/token_fleet.cpp
+++ b/tests/serving/support/token_fleet.cpp
@@ -288,7 +288,7 @@
   });
 }
 
-void TokenFleet::carry(std::size_t from, std::size_t to, std::function<void(Daemon&)> deliver) {
+void TokenFleet::carry(std::size_t from, std::size_t to, const std::function<void(Daemon&)>& deliver) {
   ++frames;
   if (!reaches(from, to)) {
     return;
--- a/tests/serving/support/token_fleet.h
+++ b/tests/serving/support/token_fleet.h
@@ -106,7 +106,7 @@
   bool reaches(std::size_t from, std::size_t to) const;
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
   Duration drawBetween(int fromMilliseconds, int toMilliseconds);
-  void carry(std::size_t from, std::size_t to, std::function<void(Daemon&)> deliver);
+  void carry(std::size_t from, std::size_t to, const std::function<void(Daemon&)>& deliver);
   void arrive(const std::string& tenant, std::size_t daemon);
   void settle(const std::string& tenant, std::size_t daemon, std::size_t request,
               const std::variant<Token, TokenRefusal>& decision);
