--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -134,6 +134,10 @@
                    boost::asio::post(requestContext_, [this, envelope = std::move(envelope)] {
                      requests_.onUndeliverable(envelope);
                    });
+                 },
+                 [this](std::size_t suspected) {
+                   boost::asio::post(requestContext_,
+                                     [this, suspected] { requests_.setSuspectedDaemons(suspected); });
                  }}),
         signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
         stopTimer_(requestContext_),
@@ -152,6 +156,7 @@
         {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
     requests_.setWarmupTolerance(settings_.warmup);
     requests_.setAuthorization(authorizationSettings(settings_));
+    requests_.setQuotaTolerance(settings_.quota);
     requests_.setOnStateWanted(
         [this] { boost::asio::post(controlContext_, [this] { source_.onStateWanted(); }); });
     awaitSignal();
@@ -257,13 +262,26 @@
     for (const auto& [service, entries] : *view->leafs) {
       leafs += entries.size();
     }
-    return metricsText(GatewayFigures{
-        requests_.counters(), requests_.poolCounters(), requests_.ownerCounters(), requests_.partsServed(),
-        requests_.mergeCounters(), requests_.partsMerged(), source_.peerCounters(), sourceCounters_,
-        view->configuration ? view->configuration->version : 0, leafs, daemons_,
-        requests_.condemnedRequests(), takesCallers(), requests_.logLinesLeftOut(), droppedLogLines(),
-        capacityOf(settings_.machine), fleetCapacity_, view->tenants ? view->tenants->keyCount() : 0,
-        proofAgeSeconds()});
+    return metricsText(GatewayFigures{requests_.counters(),
+                                      requests_.poolCounters(),
+                                      requests_.ownerCounters(),
+                                      requests_.partsServed(),
+                                      requests_.mergeCounters(),
+                                      requests_.partsMerged(),
+                                      source_.peerCounters(),
+                                      sourceCounters_,
+                                      view->configuration ? view->configuration->version : 0,
+                                      leafs,
+                                      daemons_,
+                                      requests_.condemnedRequests(),
+                                      takesCallers(),
+                                      requests_.logLinesLeftOut(),
+                                      droppedLogLines(),
+                                      capacityOf(settings_.machine),
+                                      fleetCapacity_,
+                                      view->tenants ? view->tenants->keyCount() : 0,
+                                      proofAgeSeconds(),
+                                      requests_.quotaFigures()});
   }
 
   void awaitSignal() {
@@ -302,6 +320,7 @@
     ownerShare_.setTotal(settings_.extraSends);
     requests_.setWarmupTolerance(settings_.warmup);
     requests_.setAuthorization(authorizationSettings(settings_));
+    requests_.setQuotaTolerance(settings_.quota);
     ownerBudgets_.setBounds(ownerShare_.bounds());
     boost::asio::post(controlContext_, [this, fresh = settings_] {
       source_.reload(fresh.sourceAddress, fresh.seeds, capacityOf(fresh.machine), proverSettings(fresh));
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -50,7 +50,10 @@
        << "\nmachine_memory_mb = " << told(settings.machine.memoryMegabytes)
        << "\nmachine_descriptors = " << told(settings.machine.descriptors)
        << "\nmachine_link_mbit_per_s = " << told(settings.machine.linkMegabits)
-       << "\ncapacity_core_hundredths = " << told(capacityOf(settings.machine)) << "\n";
+       << "\ncapacity_core_hundredths = " << told(capacityOf(settings.machine))
+       << "\nquota_window_ms = " << toMilliseconds(settings.quota.window)
+       << "\nquota_tolerance = " << settings.quota.tolerance << "\nquota_slack = " << settings.quota.slack
+       << "\n";
   return text.str();
 }
 
@@ -81,6 +84,9 @@
   require(settings.warmup.slack >= 0, "the slack on the rate of cold leafs is negative");
   const auto ofMachine = problemsOf(settings.machine);
   problems.insert(problems.end(), ofMachine.begin(), ofMachine.end());
+  require(settings.quota.window >= kShortestWindow, "the window of tenants' limits is below 1 second");
+  require(settings.quota.tolerance >= 0, "the tolerance of tenants' limits is negative");
+  require(settings.quota.slack >= 0, "the slack of tenants' limits is negative");
   return problems;
 }
 
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 
 #include "coordination/serving/extra_send_budget.h"
 #include "coordination/serving/machine_limits.h"
+#include "coordination/serving/quota_plan.h"
 #include "coordination/serving/warmup_allowance.h"
 #include "state/endpoint.h"
 #include "state/time.h"
@@ -42,6 +43,8 @@
   WarmupTolerance warmup;
   /// What this daemon's machine allows; other daemons place work by it.
   MachineLimits machine;
+  /// What all daemons together may let through beyond a tenant's limit.
+  QuotaTolerance quota;
 };
 
 /// One line a setting, with its unit.
