--- a/tests/serving/platform/leaf_entries_test.cpp
+++ b/tests/serving/platform/leaf_entries_test.cpp
@@ -170,8 +170,7 @@
       return wrongValue().dump();
     default: {
       // No byte of it can begin an object.
-      const auto bytes =
-          *rc::gen::container<std::string>(rc::gen::suchThat<char>([](char c) { return c != '{'; }));
+      auto bytes = *rc::gen::container<std::string>(rc::gen::suchThat<char>([](char c) { return c != '{'; }));
       return bytes;
     }
   }
