--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -72,18 +72,6 @@
   std::vector<MetricFamily> families_;
 };
 
-void addSourceFigures(const FollowerCounters& source, FamilyList& list) {
-  list.counter("source_calls_total", "Calls to the configuration source", source.calls);
-  list.counter("source_failures_total", "Of these, without a usable answer", source.failures);
-  list.counter("news_accepted_total", "News taken over from other daemons", source.newsAccepted);
-  list.counter("news_asked_total", "Times that everything was asked of another daemon", source.newsAsked);
-  list.counter("configurations_refused_total", "Configurations with a problem", source.configurationsRefused);
-  list.counter("unusable_records_total", "Records of the source that name no leaf to use or cannot be read",
-               source.unusableRecords);
-  list.counter("leafs_born_again_total", "Entries that told of another life of a known leaf",
-               source.leafsBornAgain);
-}
-
 }  // namespace
 
 double LatencyHistogram::upperBoundSeconds(std::size_t bucket) {
@@ -163,7 +151,17 @@
   list.bytesByKind(figures.peers);
   list.counter("peer_reconnections_total", "Connections made anew, as an unreachable daemon was heard",
                figures.peers.reconnections);
-  addSourceFigures(figures.source, list);
+  list.counter("source_calls_total", "Calls to the configuration source", figures.source.calls);
+  list.counter("source_failures_total", "Of these, without a usable answer", figures.source.failures);
+  list.counter("news_accepted_total", "News taken over from other daemons", figures.source.newsAccepted);
+  list.counter("news_asked_total", "Times that everything was asked of another daemon",
+               figures.source.newsAsked);
+  list.counter("configurations_refused_total", "Configurations with a problem",
+               figures.source.configurationsRefused);
+  list.counter("unusable_records_total", "Records of the source that name no leaf to use or cannot be read",
+               figures.source.unusableRecords);
+  list.counter("leafs_born_again_total", "Entries that told of another life of a known leaf",
+               figures.source.leafsBornAgain);
   list.gauge("configuration_version", "Version in force", static_cast<double>(figures.configurationVersion));
   list.gauge("leafs", "Leafs listed", static_cast<double>(figures.leafs));
   list.gauge("condemned_requests", "Requests that are rejected at present, as leafs end under them",
