--- a/src/coordination/serving/token_homes.h
+++ b/src/coordination/serving/token_homes.h
@@ -35,9 +35,10 @@
 /// Not thread-safe.
 class TokenHomes {
  public:
-  explicit TokenHomes(const Endpoint& self) : self_(self), daemons_{self} {}
+  explicit TokenHomes(const Endpoint& self) : self_(self), daemons_{ServingDaemon(self)} {}
 
-  /// All serving daemons, this one included. The strong count for more tenants.
+  /// All serving daemons, this one included, in rising order of their addresses. Rankings in use are carried
+  /// over, since making one anew costs 0.5 ms at 7,100 daemons.
   void setDaemons(std::vector<ServingDaemon> daemons);
   std::size_t count() const { return daemons_.size(); }
   /// In the order in which they are to be asked.
@@ -54,11 +55,14 @@
   std::vector<Endpoint> takeProbes(Moment now) { return silence_.takeTries(now); }
 
  private:
-  const std::vector<Endpoint>& ranked(const std::string& tenant);
+  const std::vector<ServingDaemon>& ranked(const std::string& tenant);
+  /// Forgets the rankings that cannot be carried over.
+  void carryOver(const std::vector<ServingDaemon>& gone, const std::vector<ServingDaemon>& added);
 
   Endpoint self_;
   std::vector<ServingDaemon> daemons_;
-  std::unordered_map<std::string, std::vector<Endpoint>> ranked_;
+  /// The first of each ranking: all of it, or some.
+  std::unordered_map<std::string, std::vector<ServingDaemon>> ranked_;
   PeerSilence silence_;
   std::unordered_map<Endpoint, Moment> heardAt_;
   std::unordered_map<Endpoint, Moment> probedAt_;
--- a/tests/serving/programs/quota_link_test.cpp
+++ b/tests/serving/programs/quota_link_test.cpp
@@ -34,10 +34,11 @@
     for (std::uint32_t number = 1; number <= daemons; ++number) {
       all_.emplace_back(Endpoint(number, kPort));
     }
-    for (const Endpoint& self : addressesOf(all_)) {
-      auto link = std::make_unique<QuotaLink>(
-          context, random, self,
-          [this, self](const Endpoint& to, PeerEnvelope frame) { carry(self, to, std::move(frame)); });
+    for (const auto& [self, capacity] : all_) {
+      auto link = std::make_unique<QuotaLink>(context, random, self,
+                                              [this, address = self](const Endpoint& to, PeerEnvelope frame) {
+                                                carry(address, to, std::move(frame));
+                                              });
       link->setTolerance(kTolerance);
       link->setTenants(std::make_shared<const TenantTable>(std::vector<Tenant>{tenant}));
       link->setDaemons(all_, daemons, true);
