--- a/tests/serving/coordination/token_homes_test.cpp
+++ b/tests/serving/coordination/token_homes_test.cpp
@@ -25,6 +25,7 @@
       }
     }
     std::vector<ServingDaemon> daemons;
+    daemons.reserve(members.size());
     for (const auto& [address, capacity] : members) {
       daemons.emplace_back(address, capacity);
     }
