--- a/bench/simulation/simulated_fleet.h
+++ b/bench/simulation/simulated_fleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// The real control planes of many daemons in one process, under a simulated clock and network with a seed, for
-/// property tests.
+/// The real control planes of many daemons in one process, under a simulated clock and network with a seed,
+/// for property tests.
 
 #include <cstdint>
 #include <functional>
