--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -356,6 +356,9 @@
 
 void PlatformDay::startWhenEnded(Gateway& gateway) {
   after(kEndedCheck, [this, &gateway] {
+    if (!playing_) {
+      return;
+    }
     if (gateway.process->running()) {
       startWhenEnded(gateway);
       return;
@@ -438,7 +441,7 @@
   });
   after(part * 5, [this] { gateways_[1]->process->signal(SIGTERM); });
   after(part * 8, [this] {
-    if (!gateways_[1]->process->running()) {
+    if (playing_ && !gateways_[1]->process->running()) {
       startGateway(*gateways_[1]);
     }
   });
