A process that ends before it stops listening is seen to have ended

Cause: after a request is broken off, one new connection tells whether the leaf's process has ended. A connection opened in between is accepted and reset, and counted as a sign of life: the evidence was dropped ("no usable answer"), and requests that end leafs went to leafs again and again. Sending was not late; the gateways had never heard of the ends.

Change: a connection that is accepted and reset at once, also one that is reset before the gateway has seen it open, is asked about a second time. A refusal then counts as the end; a second reset as a sign of life, as before.

Seen: the new sections of the test fail without the change (no answer in place of an ended leaf; one connection in place of two).

--- a/src/transport/serving/leaf_connection.cpp
+++ b/src/transport/serving/leaf_connection.cpp
@@ -35,6 +35,8 @@
     self->connectTimer_.cancel();
     if (error) {
       self->wasRefused_ = error == boost::asio::error::connection_refused;
+      // One that is turned away is refused; a reset one was accepted before.
+      self->wasAccepted_ = error == boost::asio::error::connection_reset;
       self->fail();
       return;
     }
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -60,6 +60,8 @@
   std::vector<std::shared_ptr<RequestRecord>> brokenOff;
   /// Those of them whose queries still wait to be told.
   std::list<Order> unconfirmed;
+  /// A connection that was to tell was accepted and reset at once, and a second one was opened.
+  bool askedTwice = false;
 
   std::shared_ptr<LeafConnection> idleConnection(Moment now) const {
     const auto found = std::find_if(connections.begin(), connections.end(),
@@ -273,6 +275,12 @@
     ++counters_.connectionsFailed;
     if (kept->wasRefused()) {
       reportEnd(*channel);
+    } else if (asksAgain(*channel, *kept)) {
+      if (connections.empty()) {
+        refuseWaiting(channel);
+      }
+      open(channel);
+      return;
     } else {
       channel->brokenOff.clear();
       endBrokenOff(*channel, LeafOutcome::Kind::kNoAnswer);
@@ -287,7 +295,15 @@
   }
 }
 
+bool LeafPool::asksAgain(Channel& channel, const LeafConnection& closed) {
+  if (channel.brokenOff.empty() || !closed.wasAccepted()) {
+    return false;
+  }
+  return !std::exchange(channel.askedTwice, true);
+}
+
 void LeafPool::onBroken(const ChannelPointer& channel, Order order) {
+  channel->askedTwice = channel->askedTwice && !channel->brokenOff.empty();
   channel->brokenOff.push_back(order.request->record());
   channel->unconfirmed.push_back(std::move(order));
   if (channel->connecting == 0) {
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -110,6 +110,10 @@
   /// A request ended with its connection. A new one tells whether the leaf's process has ended, too; the next
   /// request there needs it anyway.
   void onBroken(const ChannelPointer& channel, Order order);
+  /// True when a second connection is to tell what became of the leaf. A process that ends may reset its
+  /// connections before it stops listening; one that is opened in between is accepted and reset, as by a leaf
+  /// that lives and has too many connections.
+  static bool asksAgain(Channel& channel, const LeafConnection& closed);
   /// A new connection is refused: no process listens at the leaf's address any more.
   void reportEnd(Channel& channel);
   /// Ends the requests that were broken off and wait for what became of the leaf.
--- a/tests/serving/support/loopback.h
+++ b/tests/serving/support/loopback.h
@@ -51,6 +51,7 @@
 
   /// From now on connections are accepted and reset at once.
   void resetNewConnections() { resets_ = true; }
+  std::size_t resets() const { return resetCount_; }
   /// From now on connections are refused; `reopen` takes them at the same address again.
   void close() {
     closedAt_ = acceptor_.local_endpoint();
@@ -86,8 +87,10 @@
           connections_.push_back(std::make_shared<Connection>(std::move(socket)));
           if (resets_) {
             // After the peer has seen that it is connected.
-            boost::asio::post(acceptor_.get_executor(),
-                              [connection = connections_.back()] { connection->reset(); });
+            boost::asio::post(acceptor_.get_executor(), [this, connection = connections_.back()] {
+              connection->reset();
+              ++resetCount_;
+            });
           } else {
             read(connections_.back());
           }
@@ -110,6 +113,7 @@
 
   boost::asio::ip::tcp::acceptor acceptor_;
   bool resets_ = false;
+  std::size_t resetCount_ = 0;
   boost::asio::ip::tcp::endpoint closedAt_;
   std::vector<std::shared_ptr<Connection>> connections_;
 };
--- a/tests/serving/transport/leaf_pool_test.cpp
+++ b/tests/serving/transport/leaf_pool_test.cpp
@@ -357,6 +357,26 @@
     world.awaitOutcomes(3);
     REQUIRE(world.pool.counters().leafsEnded == 0);
   }
+  SECTION("the process resets its connections, a new one too, before it stops listening") {
+    world.server.resetNewConnections();
+    world.connection(0).reset();
+    runUntil(world.context, [&] { return world.server.resets() == 1; });
+    world.server.close();
+    world.awaitOutcomes(1);
+    REQUIRE(world.outcomes[0].kind == Kind::kLeafEnded);
+    REQUIRE(under.size() == 1);
+  }
+  SECTION("the leaf lives and resets all new connections") {
+    world.server.resetNewConnections();
+    world.connection(0).reset();
+    world.awaitOutcomes(1);
+    REQUIRE(world.outcomes[0].kind == Kind::kNoAnswer);
+    REQUIRE(world.server.resets() == 2);
+    world.server.close();
+    world.send(2, "two");
+    world.awaitOutcomes(2);
+    REQUIRE(world.pool.counters().leafsEnded == 0);
+  }
   SECTION("an answer had begun") {
     world.server.close();
     world.connection(0).write("HTTP/1.1 200 OK\r\n");
