Explain refusals for keys, proofs and limits

Cause: explain printed a 401, 429 or 503 of a caller without saying what decided; lines on tenants beyond their limits, up to 20 a second, pushed what the daemon had told of its view out of the four lines shown. Change: for the five outcomes a sentence with the tenant (never a key), what decided and where to look next; a refusal beyond a limit shows the last line on its tenant at that daemon, and such lines no longer count as beliefs. causes knew the new causes by their text already; its column now holds the longest one. Conclusion: an operator with an id gets to the daemon and the figure to look at.

--- a/src/programs/control/causes.cpp
+++ b/src/programs/control/causes.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
 constexpr double kPercent = 100.0;
-constexpr int kCauseWidth = 34;
+/// Holds the longest cause.
+constexpr int kCauseWidth = 44;
 
 /// As the gateway's ledger writes them.
 constexpr const char* kTotalLine = "requests ended";
--- a/src/programs/control/explain.cpp
+++ b/src/programs/control/explain.cpp
@@ -1,7 +1,9 @@
 #include "programs/control/explain.h"
 
+#include <array>
 #include <deque>
 #include <map>
+#include <utility>
 
 #include "programs/control/log_lines.h"
 
@@ -14,6 +16,40 @@
 /// Lines on leafs that ended under a request that are shown after it.
 constexpr std::size_t kEnds = 6;
 
+/// As the gateway writes it for a request beyond a limit, before the request's own line.
+constexpr const char* kOverLimitLine = "tenant beyond its limit";
+constexpr const char* kOverLimitOutcome = "refused: tenant over its limit";
+
+/// What a refusal of a caller means, by the outcome that the gateway writes.
+struct RefusalMeaning {
+  const char* outcome;
+  const char* decidedBy;
+  const char* next;
+};
+
+constexpr std::array<RefusalMeaning, 5> kRefusalMeanings = {{
+    {"refused: no readable key",
+     "refused for good, by the request alone: it has not exactly one Authorization header with a key",
+     "what the caller, or a proxy before the gateway, sends"},
+    {"refused: key unknown",
+     "refused for good, by the configuration in force, proved fresh: no tenant holds the key",
+     "the tenant's keys in the source, and whether the caller has an earlier one"},
+    {"refused: key unknown, configuration not proved fresh",
+     "refused with a time, by the age of the proof: no tenant is known to hold the key, but it may be newer",
+     "configuration_proof_age_seconds of this daemon, its lines on the source and the members"},
+    {"refused: configuration not proved fresh",
+     "refused with a time, by the age of the proof: the key is known, but may have been taken away since",
+     "configuration_proof_age_seconds of this daemon, its lines on the source and the members"},
+    {kOverLimitOutcome,
+     "refused with a time, by the tenant's limit over all daemons: no token came for the request",
+     "tenant_refusals_unanswered_total of this daemon, and the daemon that counts (home)"},
+}};
+
+std::string textField(const LogLine& line, const std::string& name) {
+  const auto found = line.fields.find(name);
+  return found != line.fields.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
 void print(const LogLine& line, const std::string& indent, std::ostream& out) {
   out << indent << line.message();
   for (const auto& [key, value] : line.fields.items()) {
@@ -64,11 +100,49 @@
   std::map<std::string, std::deque<LogLine>> lines_;
 };
 
+/// Explains requests that were refused for their key or their tenant's limit.
+class CallerRefusals {
+ public:
+  /// Whether the line tells of a tenant's limit. Such lines are many, and no belief of the daemon.
+  bool add(const LogLine& line) {
+    if (line.message() != kOverLimitLine) {
+      return false;
+    }
+    overLimit_[{line.process, textField(line, "tenant")}] = line;
+    return true;
+  }
+  void print(const LogLine& line, std::ostream& out) const {
+    const std::string outcome = textField(line, "outcome");
+    for (const RefusalMeaning& meaning : kRefusalMeanings) {
+      if (outcome == meaning.outcome) {
+        const std::string tenant = textField(line, "tenant");
+        out << "  " << (tenant.empty() ? "no known tenant" : "tenant " + tenant) << ": " << meaning.decidedBy
+            << "\n";
+        printLimit(line, outcome, out);
+        out << "  look next at: " << meaning.next << "\n";
+      }
+    }
+  }
+
+ private:
+  void printLimit(const LogLine& line, const std::string& outcome, std::ostream& out) const {
+    const auto found = overLimit_.find({line.process, textField(line, "tenant")});
+    if (outcome == kOverLimitOutcome && found != overLimit_.end()) {
+      out << "  last told of the tenant here:\n";
+      oakpier::print(found->second, "    ", out);
+    }
+  }
+
+  /// By process and tenant.
+  std::map<std::pair<std::string, std::string>, LogLine> overLimit_;
+};
+
 }  // namespace
 
 bool explainRequest(const std::string& id, std::istream& lines, std::ostream& out) {
   std::map<std::string, std::deque<LogLine>> beliefs;
   EndedLeafs endedLeafs;
+  CallerRefusals callerRefusals;
   std::string shownProcess;
   std::string fingerprint;
   bool found = false;
@@ -79,6 +153,9 @@
       continue;
     }
     const LogLine& line = *parsed;
+    if (callerRefusals.add(line)) {
+      continue;
+    }
     if (!line.fields.contains("id")) {
       endedLeafs.add(line);
       auto& recent = beliefs[line.process];
@@ -104,6 +181,7 @@
       fingerprint = line.fields["fingerprint"].get<std::string>();
     }
     print(line, "  ", out);
+    callerRefusals.print(line, out);
   }
   endedLeafs.print(fingerprint, out);
   return found;
--- a/tests/serving/programs/causes_test.cpp
+++ b/tests/serving/programs/causes_test.cpp
@@ -139,4 +139,34 @@
   REQUIRE(text.find("lost by second from 7 on") != std::string::npos);
 }
 
+TEST_CASE("refusals for keys, proofs and limits are losses with causes of their own", "[serving]") {
+  const CapturedLog captured;
+  const std::vector<LossCause> causes = {LossCause::kKeyMissing, LossCause::kKeyUnknown,
+                                         LossCause::kKeyMaybeNew, LossCause::kProofTooOld,
+                                         LossCause::kTenantOverLimit};
+  {
+    LossLedger ledger;
+    for (const LossCause cause : causes) {
+      Loss loss;
+      loss.add(cause, 1.0);
+      ledger.add("page", loss, at(1000));
+    }
+  }
+  LossReport report;
+  std::istringstream lines(captured.text());
+  addLosses(lines, report);
+  std::ostringstream out;
+  printLosses(report, false, out);
+  CAPTURE(out.str());
+  REQUIRE(report.unreadable == 0);
+  REQUIRE(report.routes.at("page").causes.size() == causes.size());
+  // Every figure stands in one column, also that of the longest cause.
+  const std::string share = "      1.00   20.00 %\n";
+  for (const LossCause cause : causes) {
+    std::string line = std::string("    ") + textOf(cause);
+    line.resize(4 + 44, ' ');
+    REQUIRE(out.str().find(line + share) != std::string::npos);
+  }
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/programs/quota_link_test.cpp
+++ b/tests/serving/programs/quota_link_test.cpp
@@ -8,9 +8,11 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
+#include "serving/support/captured_log.h"
 #include "serving/support/loopback.h"
 #include "transport/steady_clock.h"
 
@@ -156,6 +158,23 @@
   REQUIRE(fleet.entry().figures().holder.refusedAtOnce >= kMore);
 }
 
+TEST_CASE("a refusal beyond a limit is logged with the tenant, the time and the home", "[serving]") {
+  const CapturedLog captured;
+  Fleet fleet(8, tenantOf("t", 1, 1));
+  while (fleet.decide(fleet.entry()).granted) {
+  }
+  const std::string start = R"("message":"tenant beyond its limit","tenant":"t","retry_after_ms":)";
+  const std::string home = R"(,"home":")" + fleet.order.front().text() + "\"";
+  const std::string atEntry = captured.text();
+  CAPTURE(atEntry);
+  REQUIRE(atEntry.find(start) != std::string::npos);
+  REQUIRE(atEntry.find(home + "}") != std::string::npos);
+  while (fleet.decide(fleet.at(fleet.order.front())).granted) {
+  }
+  // The home itself knows what is left.
+  REQUIRE(captured.text().find(home + R"(,"tokens_left":)") != std::string::npos);
+}
+
 TEST_CASE("the next daemon is asked while the home is silent", "[serving]") {
   Fleet fleet(8, tenantOf("t", 8, 8));
   fleet.silent.insert(fleet.order.front());
