Keep the test of limits in a cut as it was first written, known to fail

Cause: its bound of 1% was not reached and had been changed to 3.2% before it was committed; that eased a check to pass. A test that shows a fault stays as written.

--- a/tests/serving/coordination/tenant_tokens_test.cpp
+++ b/tests/serving/coordination/tenant_tokens_test.cpp
@@ -280,12 +280,17 @@
   REQUIRE(errors <= requests / 100);
 }
 
-TEST_CASE("a tenant below its limit is mostly served on both sides of a cut", "[serving]") {
-  // 150 of 3,733 requests were refused in error while the second daemon that steps in and those after it
-  // began empty; 117 with a token each. The rest meet daemons that nobody has found silent yet.
+namespace {
+
+struct RefusedInCut {
   std::size_t errors = 0;
   std::size_t requests = 0;
+};
+
+/// Of 40 small tenants in fleets of 74 daemons, from 10 s before a cut of 18 to 5 s after it.
+RefusedInCut refusedInCut() {
   constexpr std::size_t kTenants = 40;
+  RefusedInCut refused;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     TokenFleetSettings settings;
     settings.daemons = 74;
@@ -304,12 +309,30 @@
     fleet.run(second(16));
     for (std::size_t number = 0; number < kTenants; ++number) {
       const std::string tenant = "tenant-" + std::to_string(number);
-      errors += fleet.refusedInError(tenant, kSmall);
-      requests += fleet.requestsOf(tenant).size();
+      refused.errors += fleet.refusedInError(tenant, kSmall);
+      refused.requests += fleet.requestsOf(tenant).size();
     }
   }
-  CAPTURE(errors, requests);
-  REQUIRE(errors <= requests * 32 / 1000);
+  return refused;
+}
+
+}  // namespace
+
+// Fails: 117 of 3,733 requests meet daemons beyond the cut that nobody has found silent yet. A test of its
+// own for ctest, so that the others are not passed over with it.
+TEST_CASE("a tenant below its limit is served on both sides of a cut", "[open]") {
+  const RefusedInCut refused = refusedInCut();
+  CAPTURE(refused.errors, refused.requests);
+  REQUIRE(refused.errors <= refused.requests / 100);
+}
+
+TEST_CASE("daemons that step in late in a cut serve tenants below their limit with a token each",
+          "[serving]") {
+  // 150 of 3,733 requests were refused in error while the second daemon that steps in and those after it
+  // began empty; 117 with a token each.
+  const RefusedInCut refused = refusedInCut();
+  CAPTURE(refused.errors, refused.requests);
+  REQUIRE(refused.errors <= 120);
 }
 
 TEST_CASE("a lowered limit holds after one window", "[serving]") {
