Show which epoch the source tells, and which listings are dropped

Cause: of three hypotheses for configurations that were not in force, the logs could not tell two apart: a daemon that drops a listing as older than what it knows said only that the source was lost and regained, and the epoch that the source tells in its answers was not read. Ruled out: nothing yet; no decision is changed. Change: answers carry the told epoch, refusals too; EpochWatch judges it; notices become log lines, counters and gauges.

--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -75,6 +75,8 @@
 
 FollowerCounters SourceFollower::counters() const {
   FollowerCounters counters = counters_;
+  counters.epochs = epochs_.counters();
+  counters.known = known();
   counters.proofs = prover_.counters();
   return counters;
 }
@@ -86,13 +88,14 @@
 
 FollowerActions SourceFollower::onAnswer(const SourceCall& call, const SourceAnswer& answer, Moment now) {
   FollowerActions actions;
-  if (const auto* failure = std::get_if<SourceFailure>(&answer)) {
+  noteEpoch(answer.epoch, actions);
+  if (const auto* failure = std::get_if<SourceFailure>(&answer.content)) {
     ++counters_.failures;
     election_.onFailure();
     reader_.onFailure(*failure, election_.longestBackoff(), now);
   } else {
     election_.onAnswer();
-    const auto& page = std::get<SourcePage>(answer);
+    const auto& page = std::get<SourcePage>(answer.content);
     onPage(call, page, now, actions);
     if (page.unreadable > 0) {
       counters_.unusableRecords += page.unreadable;
@@ -102,6 +105,21 @@
   return actions;
 }
 
+void SourceFollower::noteEpoch(const ToldEpoch& told, FollowerActions& actions) {
+  const bool toldBefore = epochs_.counters().told > 0;
+  const EpochVerdict verdict = epochs_.judge(told);
+  if (!toldBefore && epochs_.counters().told > 0) {
+    actions.notices.emplace_back(EpochsTold{told.epoch});
+  }
+  if (verdict != EpochVerdict::kKnown && (verdict != lastVerdict_ || verdict == EpochVerdict::kNewer)) {
+    actions.notices.emplace_back(EpochNotice{verdict, told.epoch, epochs_.known(), reader_.knownRevision()});
+  }
+  lastVerdict_ = verdict;
+  if (verdict == EpochVerdict::kNewer) {
+    epochs_.adopt(told.epoch);
+  }
+}
+
 void SourceFollower::onPage(const SourceCall& call, const SourcePage& page, Moment now,
                             FollowerActions& actions) {
   if (call.kind == SourceCall::Kind::kChanges) {
@@ -121,6 +139,9 @@
   if (listingRevision_ >= knownBefore) {
     takeOverListing(newestOf(listing_), listingRevision_, now, actions);
     relay_.setFreshAt(now);
+  } else {
+    ++counters_.listingsOutdated;
+    actions.notices.emplace_back(OutdatedListing{listingRevision_, knownBefore});
   }
   listing_.clear();
   prover_.onRead(listingSentAt_, now, actions.proofs);
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -15,11 +15,14 @@
 #include <vector>
 
 #include "coordination/serving/configuration_prover.h"
+#include "coordination/serving/epoch_watch.h"
 #include "coordination/serving/peer_recovery.h"
 #include "coordination/serving/reader_election.h"
 #include "coordination/serving/serving_knowledge.h"
+#include "coordination/serving/source_notices.h"
 #include "coordination/serving/source_reader.h"
 #include "coordination/serving/source_relay.h"
+#include "state/serving/source_position.h"
 
 namespace oakpier::serving {
 
@@ -37,6 +40,7 @@
   std::optional<Endpoint> ask;
   /// Records and configurations that were refused, in plain words; of many leafs' entries some.
   std::vector<std::string> problems;
+  std::vector<SourceNotice> notices;
   ProofActions proofs;
 };
 
@@ -50,6 +54,11 @@
   std::uint64_t unusableRecords = 0;
   /// Entries that told of another life of a leaf than the one that was known.
   std::uint64_t leafsBornAgain = 0;
+  /// Listings that were older than what was known.
+  std::uint64_t listingsOutdated = 0;
+  EpochCounters epochs;
+  /// Everything that the source held there is known.
+  SourcePosition known;
   ProofCounters proofs;
 };
 
@@ -89,6 +98,8 @@
   std::size_t leafCount() const { return knowledge_.leafCount(); }
   std::vector<std::string> evacuatedZones() const { return knowledge_.evacuatedZones(); }
   std::uint64_t knownRevision() const { return reader_.knownRevision(); }
+  /// Its epoch is the newest that the source has told this daemon, 0 when it tells none.
+  SourcePosition known() const { return SourcePosition{epochs_.known(), reader_.knownRevision()}; }
   /// The source has not answered this daemon's last calls.
   bool sourceLost() const { return reader_.failuresInRow() > 0; }
   std::size_t place() const { return election_.place(); }
@@ -99,6 +110,8 @@
   FollowerCounters counters() const;
 
  private:
+  /// Notes what the answer tells of the epoch, and a notice when that is not what was told before.
+  void noteEpoch(const ToldEpoch& told, FollowerActions& actions);
   void onPage(const SourceCall& call, const SourcePage& page, Moment now, FollowerActions& actions);
   /// The last record of each key.
   static std::vector<SourceRecord> newestOf(const std::vector<SourceRecord>& records);
@@ -129,6 +142,9 @@
   ServingKnowledge knowledge_;
   SourceRelay relay_;
   ConfigurationProver prover_;
+  EpochWatch epochs_;
+  /// Of the answer before.
+  EpochVerdict lastVerdict_ = EpochVerdict::kKnown;
   /// Of the call in progress.
   Moment callSentAt_{};
   /// Of the first page of the listing in progress.
--- a/src/coordination/serving/source_records.h
+++ b/src/coordination/serving/source_records.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -41,7 +42,37 @@
   kNoAnswer,
 };
 
-using SourceAnswer = std::variant<SourcePage, SourceFailure>;
+/// What an answer says of the epoch of the source's history. Each time that the source comes back from an
+/// older copy of its records a new epoch begins: revisions go back then and are given out again.
+struct ToldEpoch {
+  enum class Kind {
+    /// The answer names none.
+    kMissing,
+    /// What it names is no whole number, or it names several.
+    kMalformed,
+    kTold,
+  };
+  Kind kind = Kind::kMissing;
+  std::uint64_t epoch = 0;
+
+  static ToldEpoch of(std::uint64_t epoch) { return ToldEpoch{Kind::kTold, epoch}; }
+};
+
+/// An answer of the source, or the lack of one.
+struct SourceAnswer {
+  using Content = std::variant<SourcePage, SourceFailure>;
+
+  // NOLINTNEXTLINE(google-explicit-constructor): a page is an answer of a source that tells no epoch.
+  SourceAnswer(SourcePage page) : content(std::move(page)) {}
+  // NOLINTNEXTLINE(google-explicit-constructor): likewise a failure.
+  SourceAnswer(SourceFailure failure) : content(failure) {}
+  SourceAnswer(Content answerContent, ToldEpoch toldEpoch)
+      : content(std::move(answerContent)), epoch(toldEpoch) {}
+
+  Content content;
+  /// Refusals tell it as well.
+  ToldEpoch epoch;
+};
 
 /// A record that says that a leaf is no longer listed.
 struct LeafRemoval {
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -174,6 +174,24 @@
                figures.peers.reconnections);
   list.counter("source_calls_total", "Calls to the configuration source", figures.source.calls);
   list.counter("source_failures_total", "Of these, without a usable answer", figures.source.failures);
+  list.gauge("source_epoch", "Rises each time that the configuration source comes back from a copy",
+             static_cast<double>(figures.source.known.epoch));
+  list.gauge("source_revision", "Everything that the source held at this revision of the epoch is known",
+             static_cast<double>(figures.source.known.revision));
+  list.counter("source_restorations_total", "Times that a newer epoch of the source became known",
+               figures.source.epochs.restorations);
+  list.counter("source_epochs_told_total", "Answers of the source that told an epoch",
+               figures.source.epochs.told);
+  list.counter("source_epochs_skipped_total", "Epochs of the source that were never heard of",
+               figures.source.epochs.skipped);
+  list.counter("source_epochs_older_total", "Answers of an epoch before the known one",
+               figures.source.epochs.older);
+  list.counter("source_epochs_missing_total", "Answers without an epoch of a source that has told one",
+               figures.source.epochs.missing);
+  list.counter("source_epochs_malformed_total", "Answers whose epoch is not a whole number",
+               figures.source.epochs.malformed);
+  list.counter("source_listings_outdated_total", "Listings older than what was known, not taken over",
+               figures.source.listingsOutdated);
   list.counter("news_accepted_total", "News taken over from other daemons", figures.source.newsAccepted);
   list.counter("news_asked_total", "Times that everything was asked of another daemon",
                figures.source.newsAsked);
--- /dev/null
+++ b/src/programs/gateway/source_log.cpp
@@ -0,0 +1,47 @@
+#include "programs/gateway/source_log.h"
+
+#include "programs/common/logging.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+const char* textOf(EpochVerdict verdict) {
+  switch (verdict) {
+    case EpochVerdict::kNewer:
+      return "newer";
+    case EpochVerdict::kOlder:
+      return "older";
+    case EpochVerdict::kMissing:
+      return "missing";
+    case EpochVerdict::kMalformed:
+      return "malformed";
+    default:
+      return "known";
+  }
+}
+
+void logLine(const EpochNotice& notice) {
+  log(LogLevel::kWarning, "configuration source told another epoch",
+      {{"verdict", textOf(notice.verdict)},
+       {"told_epoch", notice.told},
+       {"known_epoch", notice.known},
+       {"known_revision", notice.knownRevision}});
+}
+
+void logLine(const OutdatedListing& notice) {
+  log(LogLevel::kWarning, "listing older than what is known was dropped",
+      {{"listed_revision", notice.listedRevision}, {"known_revision", notice.knownRevision}});
+}
+
+void logLine(const EpochsTold& notice) {
+  log(LogLevel::kInfo, "configuration source tells epochs", {{"first_epoch", notice.first}});
+}
+
+}  // namespace
+
+void logNotice(const SourceNotice& notice) {
+  std::visit([](const auto& told) { logLine(told); }, notice);
+}
+
+}  // namespace oakpier::serving
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "programs/common/logging.h"
+#include "programs/gateway/source_log.h"
 #include "transport/steady_clock.h"
 
 namespace oakpier::serving {
@@ -112,7 +113,8 @@
   if (const auto call = follower_.takeCall(now)) {
     client_.call(dialect_.requestFor(*call), call->wait + kCallTimeout,
                  [this, call = *call](std::optional<HttpReply> reply) {
-                   onAnswer(call, reply ? dialect_.decode(call, *reply) : SourceFailure::kNoAnswer);
+                   onAnswer(call,
+                            reply ? dialect_.decode(call, *reply) : SourceAnswer(SourceFailure::kNoAnswer));
                  });
   }
   publish();
@@ -124,7 +126,7 @@
   const FollowerActions actions = follower_.onAnswer(call, answer, steadyNow());
   if (follower_.sourceLost() && !wasLost) {
     log(LogLevel::kWarning, "configuration source lost",
-        {{"failure", textOf(std::get<SourceFailure>(answer))},
+        {{"failure", textOf(std::get<SourceFailure>(answer.content))},
          {"known_revision", follower_.knownRevision()}});
   } else if (wasLost && !follower_.sourceLost()) {
     log(LogLevel::kInfo, "configuration source regained", {{"known_revision", follower_.knownRevision()}});
@@ -159,6 +161,9 @@
   for (const std::string& problem : actions.problems) {
     log(LogLevel::kError, "record refused", {{"problem", problem}});
   }
+  for (const SourceNotice& notice : actions.notices) {
+    logNotice(notice);
+  }
   askAndSend(actions);
   publish();
   schedule();
@@ -185,6 +190,7 @@
         {{"configuration_version", follower_.configurationVersion()},
          {"leafs", follower_.leafCount()},
          {"evacuated_zones", joined(follower_.evacuatedZones())},
+         {"source_epoch", follower_.known().epoch},
          {"source_revision", follower_.knownRevision()}});
     published_.publish(std::move(view));
     handlers_.onView();
--- a/tests/serving/platform/leaf_entries_test.cpp
+++ b/tests/serving/platform/leaf_entries_test.cpp
@@ -121,7 +121,7 @@
   }
   void answer(const SourceCall& call, const json& body) {
     const SourceAnswer answer = dialect_.decode(call, okReply(body));
-    RC_ASSERT(std::holds_alternative<SourcePage>(answer));
+    RC_ASSERT(std::holds_alternative<SourcePage>(answer.content));
     actions_ = follower_.onAnswer(call, answer, now_);
   }
 
@@ -297,7 +297,8 @@
   const json good = itemOf("i-1", kEntry.dump(), 4);
   const auto pageOf = [&](const json& item, const char* list, const SourceCall& call) {
     return std::get<SourcePage>(
-        dialect.decode(call, okReply({{list, json::array({item, good})}, {"more", true}, {"at", 9}})));
+        dialect.decode(call, okReply({{list, json::array({item, good})}, {"more", true}, {"at", 9}}))
+            .content);
   };
   for (const json& item : {json(nullptr), json(7), json::array(), json::object(), json({{"tls_key", "k"}}),
                            json({{"tls_key", 7}, {"revision", 3}, {"value", ""}}),
@@ -330,12 +331,14 @@
   for (const char* tail : {"!", "!!!!", "====", "\n"}) {
     json item = itemOf("i-1", kEntry.dump(), 4);
     item["value"] = item["value"].get<std::string>() + tail;
-    const auto page =
-        std::get<SourcePage>(dialect.decode(kChanges, okReply({{"events", json::array({item})}, {"at", 9}})));
+    const auto page = std::get<SourcePage>(
+        dialect.decode(kChanges, okReply({{"events", json::array({item})}, {"at", 9}})).content);
     REQUIRE(std::holds_alternative<UnusableLeaf>(dialect.interpret(page.records[0])));
   }
-  const auto page = std::get<SourcePage>(dialect.decode(
-      kChanges, okReply({{"events", json::array({itemOf("i-1", kEntry.dump(), 4)})}, {"at", 9}})));
+  const auto page = std::get<SourcePage>(
+      dialect
+          .decode(kChanges, okReply({{"events", json::array({itemOf("i-1", kEntry.dump(), 4)})}, {"at", 9}}))
+          .content);
   REQUIRE(std::holds_alternative<LeafEntry>(dialect.interpret(page.records[0])));
 }
 
@@ -348,7 +351,8 @@
         json({{"items", items}, {"more", 1}, {"at", 9}}), json({{"items", good}, {"more", false}, {"at", 9}}),
         json({{"more", false}, {"at", 9}}), json({{"items", json::array({1})}, {"more", true}, {"at", 9}}),
         json::array()}) {
-    REQUIRE(std::get<SourceFailure>(dialect.decode(kList, okReply(body))) == SourceFailure::kNoAnswer);
+    REQUIRE(std::get<SourceFailure>(dialect.decode(kList, okReply(body)).content) ==
+            SourceFailure::kNoAnswer);
   }
 }
 
@@ -395,7 +399,7 @@
     const StoreDialect dialect;
     const SourceCall& call = listing ? kList : kChanges;
     const SourceAnswer answer = dialect.decode(call, reply);
-    if (const auto* read = std::get_if<SourcePage>(&answer)) {
+    if (const auto* read = std::get_if<SourcePage>(&answer.content)) {
       for (const SourceRecord& record : read->records) {
         RC_ASSERT(record.revision > 0U);
         dialect.interpret(record);
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -252,26 +252,59 @@
   const SourceCall changes{SourceCall::Kind::kChanges, "", 411, std::chrono::milliseconds(1500)};
   REQUIRE(dialect.requestFor(list).target == "/kv-range?path_prefix=&after=a%20b/c");
   REQUIRE(dialect.requestFor(changes).target == "/kv-watch?path_prefix=&after=411&wait_ms=1500");
-  const auto page = std::get<SourcePage>(dialect.decode(
-      list,
-      okReply(R"({"items":[{"tls_key":"k","value":"bm9kZS0x","revision":4,"created":4,"lease":0}],"more":true,
-                  "at":530})")));
+  const auto page = std::get<SourcePage>(
+      dialect
+          .decode(
+              list,
+              okReply(
+                  R"({"items":[{"tls_key":"k","value":"bm9kZS0x","revision":4,"created":4,"lease":0}],"more":true,
+                  "at":530})"))
+          .content);
   REQUIRE(page.more);
   REQUIRE(page.revision == 530);
   REQUIRE(page.records[0].value == "node-1");
   const auto events = std::get<SourcePage>(
-      dialect.decode(changes, okReply(R"({"events":[{"tls_key":"k","revision":5,"gone":true}],"at":531})")));
+      dialect.decode(changes, okReply(R"({"events":[{"tls_key":"k","revision":5,"gone":true}],"at":531})"))
+          .content);
   REQUIRE(events.records[0].gone);
   const auto failureOf = [&](unsigned status) {
     HttpReply reply;
     reply.status = status;
-    return std::get<SourceFailure>(dialect.decode(changes, reply));
+    return std::get<SourceFailure>(dialect.decode(changes, reply).content);
   };
   REQUIRE(failureOf(410) == SourceFailure::kHistoryGone);
   REQUIRE(failureOf(429) == SourceFailure::kThrottled);
   REQUIRE(failureOf(503) == SourceFailure::kUnavailable);
   REQUIRE(failureOf(404) == SourceFailure::kNoAnswer);
-  REQUIRE(std::get<SourceFailure>(dialect.decode(changes, okReply("{}"))) == SourceFailure::kNoAnswer);
+  REQUIRE(std::get<SourceFailure>(dialect.decode(changes, okReply("{}")).content) ==
+          SourceFailure::kNoAnswer);
+}
+
+TEST_CASE("every answer of the store tells its epoch, refusals too", "[platform]") {
+  const StoreDialect dialect;
+  const SourceCall changes{SourceCall::Kind::kChanges, "", 411, std::chrono::milliseconds(1500)};
+  const auto told = [&](unsigned status, const HeaderList& headers) {
+    HttpReply reply;
+    reply.status = status;
+    reply.headers = headers;
+    reply.body = R"({"events":[],"at":531})";
+    return dialect.decode(changes, reply).epoch;
+  };
+  for (const unsigned status : {200U, 404U, 410U, 429U, 503U}) {
+    CAPTURE(status);
+    const ToldEpoch epoch = told(status, {{"store-era", "7"}});
+    REQUIRE(epoch.kind == ToldEpoch::Kind::kTold);
+    REQUIRE(epoch.epoch == 7);
+    REQUIRE(told(status, {}).kind == ToldEpoch::Kind::kMissing);
+  }
+  REQUIRE(told(200, {{"Store-Era", "0"}}).kind == ToldEpoch::Kind::kTold);
+  REQUIRE(told(200, {{"Store-Era", "18446744073709551615"}}).epoch == 18446744073709551615U);
+  REQUIRE(told(200, {{"Store-Era", "7"}, {"Store-Era", "7"}}).epoch == 7);
+  for (const char* malformed : {"", " ", "-1", "+7", "7.0", "7 8", "0x7", "seven", "18446744073709551616"}) {
+    CAPTURE(malformed);
+    REQUIRE(told(200, {{"Store-Era", malformed}}).kind == ToldEpoch::Kind::kMalformed);
+  }
+  REQUIRE(told(200, {{"Store-Era", "7"}, {"Store-Era", "8"}}).kind == ToldEpoch::Kind::kMalformed);
 }
 
 }  // namespace oakpier::serving::platform
