A source that comes back from a copy, as a test that fails

Ruled out: a record that was refused, and news that a daemon lost: in the generated fleet nothing is lost or refused, and all daemons fall behind. Change: the simulated source goes back to a copy, tells epochs, and its writers write again; the test tells the story. No decision is changed.

--- a/tests/serving/support/source_fleet.cpp
+++ b/tests/serving/support/source_fleet.cpp
@@ -49,7 +49,7 @@
 }  // namespace
 
 SourceFleet::SourceFleet(const SourceFleetSettings& settings)
-    : settings_(settings), random_(settings.random) {
+    : settings_(settings), random_(settings.random), epoch_(settings.firstEpoch) {
   changeConfiguration();
   for (std::size_t leaf = 0; leaf < settings.leafs; ++leaf) {
     changeLeaf(leaf);
@@ -92,14 +92,71 @@
   } else {
     records_[key] = record;
   }
-  history_.push_back(record);
+  history_.push_back(Change{record, now_});
   if (sourceDown_) {
     return;
   }
-  std::vector<Waiting> told;
-  told.swap(waiting_);
-  for (const Waiting& waiting : told) {
-    answer(waiting.daemon, waiting.life, waiting.call, contentFor(waiting.call), kSourceDelay / 2);
+  std::vector<Waiting> ended;
+  ended.swap(waiting_);
+  for (const Waiting& waiting : ended) {
+    answer(waiting.daemon, waiting.life, waiting.call, told(contentFor(waiting.call)), kSourceDelay / 2);
+  }
+}
+
+SourceAnswer SourceFleet::told(SourceAnswer::Content content) const {
+  return epoch_ == 0 ? SourceAnswer(std::move(content), ToldEpoch{})
+                     : SourceAnswer(std::move(content), ToldEpoch::of(epoch_));
+}
+
+void SourceFleet::restoreSource(Duration age, Duration writtenAgainWithin) {
+  for (const Waiting& waiting : waiting_) {
+    answer(waiting.daemon, waiting.life, waiting.call, SourceFailure::kNoAnswer, Duration(0));
+  }
+  waiting_.clear();
+  const std::map<std::string, SourceRecord> before = records_;
+  while (!history_.empty() && history_.back().madeAt > now_ - age) {
+    history_.pop_back();
+  }
+  records_.clear();
+  revision_ = std::min(revision_, historyFrom_);
+  for (const Change& change : history_) {
+    revision_ = change.record.revision;
+    if (change.record.gone) {
+      records_.erase(change.record.key);
+    } else {
+      records_[change.record.key] = change.record;
+    }
+  }
+  historyFrom_ = std::min(historyFrom_, revision_);
+  restoredRevision_ = revision_;
+  ++epoch_;
+  for (const auto& [key, lost] : before) {
+    const auto copied = records_.find(key);
+    if (copied == records_.end() || copied->second.revision != lost.revision) {
+      const auto delay = static_cast<std::int64_t>(drawBelow(writtenAgainWithin.count() + 1, random_));
+      at(now_ + Duration(delay), [this, lost = lost, epoch = epoch_] {
+        if (epoch_ == epoch) {
+          writeAgain(lost);
+        }
+      });
+    }
+  }
+  for (const auto& [key, copied] : records_) {
+    if (before.count(key) == 0) {
+      at(now_ + writtenAgainWithin, [this, key = key, epoch = epoch_] {
+        const auto listed = records_.find(key);
+        if (epoch_ == epoch && listed != records_.end() && listed->second.revision <= restoredRevision_) {
+          change(key, "", true);
+        }
+      });
+    }
+  }
+}
+
+void SourceFleet::writeAgain(const SourceRecord& lost) {
+  const auto listed = records_.find(lost.key);
+  if (listed == records_.end() || listed->second.revision <= restoredRevision_) {
+    change(lost.key, lost.value);
   }
 }
 
@@ -326,11 +383,11 @@
     return;
   }
   if (daemons_[number].refused) {
-    answer(number, life, call, SourceFailure::kUnavailable, kSourceDelay / 2);
+    answer(number, life, call, told(SourceFailure::kUnavailable), kSourceDelay / 2);
     return;
   }
   if (call.kind == SourceCall::Kind::kList || hasChangesFor(call) || call.wait.count() == 0) {
-    answer(number, life, call, contentFor(call), kSourceDelay / 2);
+    answer(number, life, call, told(contentFor(call)), kSourceDelay / 2);
     return;
   }
   const std::uint64_t held = nextWaiting_++;
@@ -341,7 +398,7 @@
     if (found != waiting_.end()) {
       const Waiting ended = *found;
       waiting_.erase(found);
-      answer(ended.daemon, ended.life, ended.call, contentFor(ended.call), kSourceDelay / 2);
+      answer(ended.daemon, ended.life, ended.call, told(contentFor(ended.call)), kSourceDelay / 2);
     }
   });
 }
@@ -365,19 +422,22 @@
 }
 
 bool SourceFleet::hasChangesFor(const SourceCall& call) const {
-  return call.afterRevision < historyFrom_ ||
-         (!history_.empty() && history_.back().revision > call.afterRevision);
+  return call.afterRevision < historyFrom_ || call.afterRevision > revision_ ||
+         revision_ > call.afterRevision;
 }
 
-SourceAnswer SourceFleet::contentFor(const SourceCall& call) const {
+SourceAnswer::Content SourceFleet::contentFor(const SourceCall& call) const {
   SourcePage page;
   page.revision = revision_;
   if (call.kind == SourceCall::Kind::kChanges) {
-    if (call.afterRevision < historyFrom_) {
+    if (call.afterRevision < historyFrom_ || call.afterRevision > revision_) {
       return SourceFailure::kHistoryGone;
     }
-    std::copy_if(history_.begin(), history_.end(), std::back_inserter(page.records),
-                 [&](const SourceRecord& record) { return record.revision > call.afterRevision; });
+    for (const Change& change : history_) {
+      if (change.record.revision > call.afterRevision) {
+        page.records.push_back(change.record);
+      }
+    }
     return page;
   }
   for (auto record = records_.upper_bound(call.afterKey); record != records_.end(); ++record) {
--- a/tests/serving/support/source_fleet.h
+++ b/tests/serving/support/source_fleet.h
@@ -36,6 +36,8 @@
   Duration longestLateness = std::chrono::seconds(9);
   /// The configuration names tenants.
   bool tenants = false;
+  /// The source's epoch at the start. 0: it tells none before it has come back from a copy.
+  std::uint64_t firstEpoch = 0;
 };
 
 class SourceFleet {
@@ -66,6 +68,10 @@
   /// The process stands still; what reaches it lies until it goes on.
   void suspend(std::size_t number) { daemons_[number].suspended = true; }
   void resume(std::size_t number);
+  /// The source goes on from a copy of its records that is that old: revisions go back, and what was written
+  /// since is lost until its writers write it again, each at a moment of its own within `writtenAgainWithin`.
+  /// Calls that wait are lost.
+  void restoreSource(Duration age, Duration writtenAgainWithin);
   /// The source forgets the history of changes.
   void forgetHistory() { historyFrom_ = revision_; }
 
@@ -93,6 +99,10 @@
   bool complete(std::size_t number) const { return daemons_[number].follower->complete(); }
   /// Calls that the source got, refused ones too.
   std::size_t calls() const { return calls_; }
+  std::uint64_t sourceRevision() const { return revision_; }
+  std::uint64_t knownRevisionOf(std::size_t number) const {
+    return daemons_[number].follower->knownRevision();
+  }
 
  private:
   struct Daemon {
@@ -133,7 +143,11 @@
   void onCall(std::size_t number, std::uint64_t life, const SourceCall& call);
   void answer(std::size_t number, std::uint64_t life, const SourceCall& call, const SourceAnswer& answer,
               Duration delay);
-  SourceAnswer contentFor(const SourceCall& call) const;
+  SourceAnswer::Content contentFor(const SourceCall& call) const;
+  /// What the source says to anything.
+  SourceAnswer told(SourceAnswer::Content content) const;
+  /// Its writer writes the record again as it stood, unless it has written it meanwhile.
+  void writeAgain(const SourceRecord& lost);
   bool hasChangesFor(const SourceCall& call) const;
   void change(const std::string& key, const std::string& value, bool gone = false);
   /// What each daemon knows of the others at this moment.
@@ -153,7 +167,14 @@
   std::uint64_t version_ = 0;
   bool sourceDown_ = false;
   std::map<std::string, SourceRecord> records_;
-  std::vector<SourceRecord> history_;
+  struct Change {
+    SourceRecord record;
+    Moment madeAt{};
+  };
+  std::vector<Change> history_;
+  std::uint64_t epoch_ = 0;
+  /// The source's revision just after it came back from a copy.
+  std::uint64_t restoredRevision_ = 0;
   std::vector<Waiting> waiting_;
   std::uint64_t nextWaiting_ = 1;
   std::size_t calls_ = 0;
