--- a/src/coordination/serving/configuration_prover.cpp
+++ b/src/coordination/serving/configuration_prover.cpp
@@ -76,9 +76,9 @@
   }
 }
 
-void ConfigurationProver::onConfigurationRecord(std::uint64_t revision, bool usable) {
-  if (revision >= newestRecord_) {
-    newestRecord_ = revision;
+void ConfigurationProver::onConfigurationRecord(const SourcePosition& position, bool usable) {
+  if (position >= newestRecord_) {
+    newestRecord_ = position;
     newestUsable_ = usable;
   }
 }
@@ -96,7 +96,7 @@
 }
 
 void ConfigurationProver::onRead(Moment sentAt, Moment now, ProofActions& actions) {
-  if (newestUsable_) {
+  if (newestUsable_ && sentAt >= claimsFrom_) {
     claim(ConfigurationProof{version_, sentAt});
   }
   answerHeld(now, true, actions);
@@ -206,7 +206,9 @@
 }
 
 bool ConfigurationProver::takeReadWish(Moment now) {
-  if (!active() || vainRounds_ < kRoundsBeforeRead || ageAt(now) < share(readShare_) || now < readAfter_) {
+  const bool wouldProve = now >= claimsFrom_;
+  if (!active() || !wouldProve || vainRounds_ < kRoundsBeforeRead || ageAt(now) < share(readShare_) ||
+      now < readAfter_) {
     return false;
   }
   drawReadShare();
@@ -227,7 +229,7 @@
     next = std::min(next, std::max(proof_.provenAt + share(kAskShare), askAfter_));
     next = vainRounds_ < kRoundsBeforeRead
                ? next
-               : std::min(next, std::max(proof_.provenAt + share(readShare_), readAfter_));
+               : std::min(next, std::max({proof_.provenAt + share(readShare_), readAfter_, claimsFrom_}));
   }
   if (holds_) {
     // A microsecond on it does not hold any more.
--- a/src/coordination/serving/configuration_prover.h
+++ b/src/coordination/serving/configuration_prover.h
@@ -4,7 +4,8 @@
 /// answers of other daemons to its own questions; and answers theirs.
 ///
 /// Invariants: a proof never names a later moment than one at which its version was the newest that the
-/// source had acknowledged, whatever frames are lost, late or replayed and whoever stands still; without
+/// source had acknowledged, whatever frames are lost, late or replayed, whoever stands still and whatever the
+/// source loses by coming back from a copy; without
 /// tenants in the configuration nobody is asked; questions, held answers and tries are bounded.
 
 #include <cstdint>
@@ -16,6 +17,7 @@
 #include "oakpier/peer.pb.h"
 #include "state/endpoint.h"
 #include "state/random.h"
+#include "state/serving/source_position.h"
 #include "state/time.h"
 
 namespace oakpier::serving {
@@ -65,9 +67,15 @@
 
   /// The configuration in force here. `hasTenants`: requests may need a proof.
   void onVersion(std::uint64_t version, bool hasTenants);
-  /// A record of the configuration as of a revision of the source. While the newest is not usable, this
+  /// A record of the configuration as of a position of the source. While the newest is not usable, this
   /// daemon cannot say that it uses the newest.
-  void onConfigurationRecord(std::uint64_t revision, bool usable);
+  void onConfigurationRecord(const SourcePosition& position, bool usable);
+  /// The source's state of an epoch became known that may have begun just now. Until `until`, or until the
+  /// operator has written the configuration again, a read proves nothing: the source may have lost a newer
+  /// one that it had acknowledged.
+  void holdClaims(Moment until) { claimsFrom_ = until; }
+  /// The operator has written the configuration since the source came back: whatever was lost is older.
+  void onConfigurationWritten() { claimsFrom_ = Moment{}; }
   /// A linearizable answer of the source was taken over whole; its (first) call was sent at `sentAt`.
   void onRead(Moment sentAt, Moment now, ProofActions& actions);
   /// News of the source was accepted: its sender has heard of a round of reading.
@@ -119,8 +127,10 @@
   std::vector<Endpoint> others_;
   std::uint64_t version_ = 0;
   bool hasTenants_ = false;
-  std::uint64_t newestRecord_ = 0;
+  SourcePosition newestRecord_;
   bool newestUsable_ = true;
+  /// Reads that were sent earlier prove nothing.
+  Moment claimsFrom_{};
   ConfigurationProof proof_;
   /// Proved of a version that is not known here yet.
   ConfigurationProof ahead_;
--- a/src/coordination/serving/epoch_watch.cpp
+++ b/src/coordination/serving/epoch_watch.cpp
@@ -2,32 +2,33 @@
 
 namespace oakpier::serving {
 
-EpochVerdict EpochWatch::judge(const ToldEpoch& told) {
+EpochVerdict EpochWatch::judge(const ToldEpoch& told, std::uint64_t known) {
   switch (told.kind) {
+    case ToldEpoch::Kind::kUnanswered:
+      return EpochVerdict::kKnown;
     case ToldEpoch::Kind::kMalformed:
       ++counters_.malformed;
       return EpochVerdict::kMalformed;
     case ToldEpoch::Kind::kMissing:
-      counters_.missing += counters_.told > 0 ? 1 : 0;
-      return counters_.told > 0 ? EpochVerdict::kMissing : EpochVerdict::kKnown;
+      if (counters_.told == 0 && known == 0) {
+        return EpochVerdict::kKnown;
+      }
+      ++counters_.missing;
+      return EpochVerdict::kMissing;
     default:
       break;
   }
   ++counters_.told;
-  if (told.epoch < known_) {
+  if (told.epoch < known) {
     ++counters_.older;
     return EpochVerdict::kOlder;
   }
-  return told.epoch > known_ ? EpochVerdict::kNewer : EpochVerdict::kKnown;
+  return told.epoch > known ? EpochVerdict::kNewer : EpochVerdict::kKnown;
 }
 
-void EpochWatch::adopt(std::uint64_t epoch) {
-  if (everKnown_ && epoch > known_) {
-    ++counters_.restorations;
-    counters_.skipped += epoch - known_ - 1;
-  }
-  everKnown_ = true;
-  known_ = epoch > known_ ? epoch : known_;
+void EpochWatch::onRestored(std::uint64_t before, std::uint64_t now) {
+  ++counters_.restorations;
+  counters_.skipped += now - before - 1;
 }
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/epoch_watch.h
+++ b/src/coordination/serving/epoch_watch.h
@@ -2,8 +2,8 @@
 
 /// Judges what the epoch in each answer of the configuration source means for what is known here.
 ///
-/// Invariants: the known epoch never goes back; once an epoch was told, an answer without a usable one is
-/// never taken for one of the known epoch.
+/// Invariant: once an epoch was told, an answer without a usable one is never taken for one of the known
+/// epoch. Whether a rise skips some epochs does not matter for what is done: the source is listed anew.
 
 #include <cstdint>
 
@@ -12,7 +12,7 @@
 namespace oakpier::serving {
 
 enum class EpochVerdict {
-  /// Of the epoch that is known, or of a source that has never told one.
+  /// Of the epoch that is known, or of a source that has never told one, or there is no answer to judge.
   kKnown,
   /// The source has come back from a copy since.
   kNewer,
@@ -37,17 +37,13 @@
 
 class EpochWatch {
  public:
-  /// An answer came that tells this.
-  EpochVerdict judge(const ToldEpoch& told);
-  /// What the source holds in this epoch is known now.
-  void adopt(std::uint64_t epoch);
-
-  std::uint64_t known() const { return known_; }
+  /// An answer came that tells this, while the source's state of `known` is known.
+  EpochVerdict judge(const ToldEpoch& told, std::uint64_t known);
+  /// The source's state of one epoch was taken over after that of another.
+  void onRestored(std::uint64_t before, std::uint64_t now);
   const EpochCounters& counters() const { return counters_; }
 
  private:
-  std::uint64_t known_ = 0;
-  bool everKnown_ = false;
   EpochCounters counters_;
 };
 
--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -47,26 +47,76 @@
   return {};
 }
 
-bool ServingKnowledge::onLeaf(const LeafEntry& entry, std::uint64_t revision) {
-  const auto [position, isNew] = leafs_.try_emplace(entry.id);
-  KnownLeaf& known = position->second;
-  if (!isNew && known.revision >= revision) {
+void ServingKnowledge::onRestored(const SourcePosition& position, Moment now) {
+  restored_ = position;
+  restoredAt_ = now;
+  disputed_.clear();
+}
+
+bool ServingKnowledge::maybeOfCopy(const SourcePosition& position) const {
+  return position.epoch == restored_.epoch && position <= restored_;
+}
+
+bool ServingKnowledge::onLeaf(const LeafEntry& entry, const SourcePosition& position) {
+  const auto found = leafs_.find(entry.id);
+  if (found != leafs_.end() && found->second.position >= position) {
+    return false;
+  }
+  return maybeOfCopy(position) ? takeCopiedLeaf(entry, position) : takeLeaf(entry, position);
+}
+
+bool ServingKnowledge::takeCopiedLeaf(const LeafEntry& entry, const SourcePosition& position) {
+  const auto found = leafs_.find(entry.id);
+  if (found == leafs_.end()) {
+    if (!departed_.include(entry.life())) {
+      return takeLeaf(entry, position);
+    }
+    dispute(entry, position, restoredAt_ + settings_.lapseWithin);
     return false;
   }
+  KnownLeaf& known = found->second;
+  const bool sameLife = known.entry.isOf(entry.life());
+  if (sameLife && known.removeAt == kNever) {
+    LeafEntry believed = entry;
+    believed.draining = entry.draining || known.entry.draining;
+    return takeLeaf(believed, position);
+  }
+  known.position = position;
+  const Duration wait = sameLife ? settings_.lapseWithin : settings_.writtenAgainWithin;
+  dispute(entry, position, restoredAt_ + wait);
+  return false;
+}
+
+void ServingKnowledge::dispute(const LeafEntry& entry, const SourcePosition& position, Moment takeAt) {
+  disputed_[entry.id] = DisputedLeaf{entry, position, takeAt};
+}
+
+void ServingKnowledge::endDispute(const std::string& id, const SourcePosition& position) {
+  const auto disputed = disputed_.find(id);
+  if (disputed != disputed_.end() && disputed->second.position < position) {
+    disputed_.erase(disputed);
+  }
+}
+
+bool ServingKnowledge::takeLeaf(const LeafEntry& entry, const SourcePosition& position) {
+  disputed_.erase(entry.id);
+  const auto [place, isNew] = leafs_.try_emplace(entry.id);
+  KnownLeaf& known = place->second;
   const bool coldAgain = entry.warmupLeft > known.entry.warmupLeft;
   const bool changed = isNew || known.removeAt != kNever || coldAgain || !known.entry.sameAs(entry);
   changed_ = changed_ || changed;
   leafsBornAgain_ += !isNew && !known.entry.isOf(entry.life()) ? 1 : 0;
   known.entry = entry;
-  known.entry.revision = revision;
-  known.revision = revision;
+  known.entry.position = position;
+  known.position = position;
   known.removeAt = kNever;
   return changed;
 }
 
-bool ServingKnowledge::onLeafUnusable(const std::string& id, std::uint64_t revision) {
+bool ServingKnowledge::onLeafUnusable(const std::string& id, const SourcePosition& position) {
+  endDispute(id, position);
   const auto found = leafs_.find(id);
-  if (found == leafs_.end() || found->second.revision >= revision) {
+  if (found == leafs_.end() || found->second.position >= position) {
     return false;
   }
   leafs_.erase(found);
@@ -74,42 +124,58 @@
   return true;
 }
 
-bool ServingKnowledge::onLeafRemoved(const std::string& id, std::uint64_t revision, Moment now) {
+bool ServingKnowledge::onLeafRemoved(const std::string& id, const SourcePosition& position, Moment now) {
+  endDispute(id, position);
   const auto found = leafs_.find(id);
-  if (found == leafs_.end() || found->second.revision >= revision) {
+  if (found == leafs_.end() || found->second.position >= position) {
     return false;
   }
-  beginRemoval(found->second, revision, now);
+  beginRemoval(found->second, position, settings_.removalDelay, now);
   onTime(now);
   return true;
 }
 
-void ServingKnowledge::onListing(const std::vector<std::string>& listedIds, std::uint64_t revision,
+void ServingKnowledge::onListing(const std::vector<std::string>& listedIds, const SourcePosition& position,
                                  Moment now) {
   changed_ = changed_ || !listed_;
   listed_ = true;
   const std::set<std::string> listed(listedIds.begin(), listedIds.end());
   for (auto& [id, leaf] : leafs_) {
-    if (listed.count(id) == 0 && leaf.revision <= revision && leaf.removeAt == kNever) {
-      beginRemoval(leaf, revision, now);
+    if (listed.count(id) > 0 || leaf.position > position || leaf.removeAt != kNever) {
+      continue;
     }
+    const bool lostBySource = leaf.position.epoch < position.epoch;
+    const Duration delay = lostBySource ? std::max(settings_.removalDelay, settings_.writtenAgainWithin)
+                                        : settings_.removalDelay;
+    beginRemoval(leaf, position, delay, now);
+  }
+  for (auto disputed = disputed_.begin(); disputed != disputed_.end();) {
+    const bool dropped = listed.count(disputed->first) == 0 && disputed->second.position <= position;
+    disputed = dropped ? disputed_.erase(disputed) : std::next(disputed);
   }
   onTime(now);
 }
 
-void ServingKnowledge::onEvacuation(const std::string& zone, bool evacuated, std::uint64_t revision) {
+void ServingKnowledge::onEvacuation(const std::string& zone, bool evacuated, const SourcePosition& position) {
   KnownZone& known = zones_[zone];
-  if (known.revision >= revision) {
+  if (known.position >= position) {
     return;
   }
   changed_ = changed_ || known.evacuated != evacuated;
-  known = KnownZone{evacuated, revision};
+  known = KnownZone{evacuated, position, kNever};
 }
 
-void ServingKnowledge::onEvacuationListing(const std::set<std::string>& zones, std::uint64_t revision) {
+void ServingKnowledge::onEvacuationListing(const std::set<std::string>& zones, const SourcePosition& position,
+                                           Moment now) {
   for (auto& [zone, known] : zones_) {
-    if (known.evacuated && zones.count(zone) == 0) {
-      onEvacuation(zone, false, revision);
+    if (!known.evacuated || zones.count(zone) > 0) {
+      continue;
+    }
+    if (known.position.epoch == position.epoch) {
+      onEvacuation(zone, false, position);
+    } else if (known.position < position) {
+      known.position = position;
+      known.endAt = now + settings_.writtenAgainWithin;
     }
   }
 }
@@ -124,27 +190,69 @@
   return evacuated;
 }
 
-void ServingKnowledge::beginRemoval(KnownLeaf& leaf, std::uint64_t revision, Moment now) {
-  leaf.revision = revision;
-  leaf.removeAt = leaf.entry.draining ? now : now + settings_.removalDelay;
+std::size_t ServingKnowledge::leafsLeaving() const {
+  return static_cast<std::size_t>(std::count_if(
+      leafs_.begin(), leafs_.end(), [](const auto& leaf) { return leaf.second.removeAt != kNever; }));
+}
+
+void ServingKnowledge::beginRemoval(KnownLeaf& leaf, const SourcePosition& position, Duration delay,
+                                    Moment now) {
+  leaf.position = position;
+  leaf.removeAt = leaf.entry.draining ? now : now + delay;
 }
 
 void ServingKnowledge::onTime(Moment now) {
+  removeDueLeafs(now);
+  takeDueDisputes(now);
+  endDueEvacuations(now);
+  departed_.onTime(now);
+}
+
+void ServingKnowledge::removeDueLeafs(Moment now) {
   for (auto leaf = leafs_.begin(); leaf != leafs_.end();) {
     if (leaf->second.removeAt > now) {
       ++leaf;
       continue;
     }
+    departed_.add(leaf->second.entry.life(), now);
     leaf = leafs_.erase(leaf);
     changed_ = true;
   }
 }
 
-Moment ServingKnowledge::nextRemovalAt() const {
+void ServingKnowledge::takeDueDisputes(Moment now) {
+  std::vector<DisputedLeaf> due;
+  for (const auto& [id, disputed] : disputed_) {
+    if (disputed.takeAt <= now) {
+      due.push_back(disputed);
+    }
+  }
+  for (const DisputedLeaf& disputed : due) {
+    takeLeaf(disputed.entry, disputed.position);
+  }
+}
+
+void ServingKnowledge::endDueEvacuations(Moment now) {
+  for (auto& [zone, known] : zones_) {
+    if (known.endAt <= now) {
+      known.evacuated = false;
+      known.endAt = kNever;
+      changed_ = true;
+    }
+  }
+}
+
+Moment ServingKnowledge::nextDueAt() const {
   Moment next = kNever;
   for (const auto& [id, leaf] : leafs_) {
     next = std::min(next, leaf.removeAt);
   }
+  for (const auto& [id, disputed] : disputed_) {
+    next = std::min(next, disputed.takeAt);
+  }
+  for (const auto& [zone, known] : zones_) {
+    next = std::min(next, known.endAt);
+  }
   return next;
 }
 
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -24,7 +24,8 @@
       recovery_(self, settings.recovery),
       knowledge_(settings.knowledge),
       relay_(self),
-      prover_(self, settings.prover, RandomEngine(random())) {}
+      prover_(self, settings.prover, RandomEngine(random())),
+      writtenAgainWithin_(settings.knowledge.writtenAgainWithin) {}
 
 void SourceFollower::start(const std::vector<Endpoint>& seeds, Moment now) {
   recovery_.start(seeds, now, random_);
@@ -33,7 +34,7 @@
 }
 
 void SourceFollower::onStateWanted(Moment now) {
-  if (counters_.calls == 0 && reader_.knownRevision() == 0) {
+  if (counters_.calls == 0 && reader_.known().revision == 0) {
     reader_.callBy(now);
   }
 }
@@ -48,7 +49,7 @@
 FollowerActions SourceFollower::onTime(Moment now) {
   FollowerActions actions;
   knowledge_.onTime(now);
-  if (reader_.knownRevision() == 0) {
+  if (reader_.known().revision == 0) {
     actions.ask = recovery_.takeAsk(now, random_);
     counters_.newsAsked += actions.ask ? 1 : 0;
   }
@@ -82,70 +83,116 @@
 }
 
 Moment SourceFollower::nextDueAt() const {
-  const Moment next = std::min({reader_.nextCallAt(), knowledge_.nextRemovalAt(), prover_.nextDueAt()});
-  return reader_.knownRevision() == 0 ? std::min(next, recovery_.nextAskAt()) : next;
+  const Moment next = std::min({reader_.nextCallAt(), knowledge_.nextDueAt(), prover_.nextDueAt()});
+  return reader_.known().revision == 0 ? std::min(next, recovery_.nextAskAt()) : next;
 }
 
 FollowerActions SourceFollower::onAnswer(const SourceCall& call, const SourceAnswer& answer, Moment now) {
   FollowerActions actions;
-  noteEpoch(answer.epoch, actions);
-  if (const auto* failure = std::get_if<SourceFailure>(&answer.content)) {
-    ++counters_.failures;
-    election_.onFailure();
-    reader_.onFailure(*failure, election_.longestBackoff(), now);
+  const EpochVerdict verdict = judgeEpoch(answer.epoch, actions);
+  const auto* failure = std::get_if<SourceFailure>(&answer.content);
+  const bool historyGone = failure != nullptr && *failure == SourceFailure::kHistoryGone;
+  const bool unusable = verdict == EpochVerdict::kMissing || verdict == EpochVerdict::kMalformed;
+  const bool restored = verdict == EpochVerdict::kNewer;
+  actions.reconnect = verdict == EpochVerdict::kOlder || unusable;
+  if (verdict == EpochVerdict::kOlder) {
+    onFailure(SourceFailure::kOlderEpoch, false, now);
+  } else if (unusable) {
+    onFailure(failure == nullptr ? SourceFailure::kNoUsableEpoch : *failure, false, now);
+  } else if (restored && historyGone) {
+    onSourceBack(now);
+  } else if (failure != nullptr) {
+    onFailure(*failure, restored, now);
   } else {
-    election_.onAnswer();
-    const auto& page = std::get<SourcePage>(answer.content);
-    onPage(call, page, now, actions);
-    if (page.unreadable > 0) {
-      counters_.unusableRecords += page.unreadable;
-      actions.problems.push_back(std::to_string(page.unreadable) + " records without a key or a revision");
-    }
+    onPage(call, std::get<SourcePage>(answer.content), answer.epoch.epoch, now, actions);
   }
   return actions;
 }
 
-void SourceFollower::noteEpoch(const ToldEpoch& told, FollowerActions& actions) {
+EpochVerdict SourceFollower::judgeEpoch(const ToldEpoch& told, FollowerActions& actions) {
   const bool toldBefore = epochs_.counters().told > 0;
-  const EpochVerdict verdict = epochs_.judge(told);
+  const EpochVerdict verdict = epochs_.judge(told, known().epoch);
   if (!toldBefore && epochs_.counters().told > 0) {
     actions.notices.emplace_back(EpochsTold{told.epoch});
   }
-  if (verdict != EpochVerdict::kKnown && (verdict != lastVerdict_ || verdict == EpochVerdict::kNewer)) {
-    actions.notices.emplace_back(EpochNotice{verdict, told.epoch, epochs_.known(), reader_.knownRevision()});
+  if (verdict != EpochVerdict::kKnown && verdict != lastVerdict_) {
+    actions.notices.emplace_back(EpochNotice{verdict, told.epoch, known()});
   }
   lastVerdict_ = verdict;
-  if (verdict == EpochVerdict::kNewer) {
-    epochs_.adopt(told.epoch);
-  }
+  return verdict;
 }
 
-void SourceFollower::onPage(const SourceCall& call, const SourcePage& page, Moment now,
+void SourceFollower::onFailure(SourceFailure failure, bool restored, Moment now) {
+  ++counters_.failures;
+  election_.onFailure();
+  // Whoever is refused by a source that has come back knows that the changes since are of no use.
+  const SourceFailure consequence = restored ? SourceFailure::kHistoryGone : failure;
+  reader_.onFailure(consequence, election_.longestBackoff(), now);
+}
+
+void SourceFollower::onSourceBack(Moment now) {
+  election_.onAnswer();
+  listing_.clear();
+  // The first in order lists for all; the others only if they do not hear of it.
+  reader_.listAnew(election_.stagger(now, random_), now);
+}
+
+void SourceFollower::onPage(const SourceCall& call, const SourcePage& page, std::uint64_t epoch, Moment now,
                             FollowerActions& actions) {
+  const bool begins = call.kind == SourceCall::Kind::kList && call.afterKey.empty();
+  if (!begins && epoch != call.epoch) {
+    // Revisions of one epoch, or the rest of its listing, mean nothing in another.
+    if (epoch > known().epoch) {
+      onSourceBack(now);
+    } else {
+      reader_.dropAnswer(now);
+      leaveReadingToOthers(relay_.freshAt(), now);
+    }
+    return;
+  }
+  election_.onAnswer();
   if (call.kind == SourceCall::Kind::kChanges) {
     onChanges(call, page, now, actions);
-    return;
+  } else {
+    onListingPage(call, page, epoch, now, actions);
+  }
+  if (page.unreadable > 0) {
+    counters_.unusableRecords += page.unreadable;
+    actions.problems.push_back(std::to_string(page.unreadable) + " records without a key or a revision");
   }
+}
+
+void SourceFollower::onListingPage(const SourceCall& call, const SourcePage& page, std::uint64_t epoch,
+                                   Moment now, FollowerActions& actions) {
   if (call.afterKey.empty()) {
     listing_.clear();
-    listingRevision_ = page.revision;
+    listingPosition_ = SourcePosition{epoch, page.revision};
   }
   listing_.insert(listing_.end(), page.records.begin(), page.records.end());
-  const std::uint64_t knownBefore = reader_.knownRevision();
-  reader_.onPage(page, now);
-  if (!reader_.listingComplete()) {
-    return;
+  const SourcePosition knownBefore = known();
+  reader_.onPage(page, epoch, now);
+  if (reader_.listingComplete()) {
+    onListingComplete(knownBefore, now, actions);
   }
-  if (listingRevision_ >= knownBefore) {
-    takeOverListing(newestOf(listing_), listingRevision_, now, actions);
+}
+
+void SourceFollower::onListingComplete(const SourcePosition& knownBefore, Moment now,
+                                       FollowerActions& actions) {
+  const bool restored = knownBefore.revision > 0 && listingPosition_.epoch > knownBefore.epoch;
+  if (listingPosition_ >= knownBefore) {
+    takeOverListing(newestOf(listing_, listingPosition_.epoch), listingPosition_, now, actions);
     relay_.setFreshAt(now);
   } else {
     ++counters_.listingsOutdated;
-    actions.notices.emplace_back(OutdatedListing{listingRevision_, knownBefore});
+    actions.notices.emplace_back(OutdatedListing{listingPosition_, knownBefore});
   }
   listing_.clear();
   prover_.onRead(listingSentAt_, now, actions.proofs);
-  actions.news = relay_.answerWaiting(reader_.knownRevision(), now);
+  actions.news = relay_.answerWaiting(known(), now);
+  if (restored) {
+    const std::vector<OutgoingNews> told = relay_.onRestored(known(), now);
+    actions.news.insert(actions.news.end(), told.begin(), told.end());
+  }
   if (recovery_.readsFirst()) {
     election_.takeOver();
   }
@@ -154,17 +201,18 @@
 
 void SourceFollower::onChanges(const SourceCall& call, const SourcePage& page, Moment now,
                                FollowerActions& actions) {
-  const bool nothingNew = page.revision <= reader_.knownRevision();
+  const SourcePosition position{call.epoch, page.revision};
+  const bool nothingNew = position <= known();
   // News may have told more meanwhile; then the page is old and could bring back what is gone.
-  if (page.revision >= reader_.knownRevision()) {
-    const std::vector<SourceRecord> newest = newestOf(page.records);
+  if (position >= known()) {
+    const std::vector<SourceRecord> newest = newestOf(page.records, call.epoch);
     takeOver(newest, now, actions);
     relay_.setFreshAt(now);
     if (!(readsForItself_ && nothingNew)) {
-      actions.news = relay_.onRead(call.afterRevision, page.revision, newest, now).news;
+      actions.news = relay_.onRead(call.afterRevision, position, newest, now).news;
     }
   }
-  reader_.onPage(page, now);
+  reader_.onPage(page, call.epoch, now);
   // Also if the page is old: what was acknowledged before the call was sent is in it, or was told by news.
   prover_.onRead(callSentAt_, now, actions.proofs);
   if (readsForItself_ && nothingNew) {
@@ -181,7 +229,8 @@
   }
 }
 
-std::vector<SourceRecord> SourceFollower::newestOf(const std::vector<SourceRecord>& records) {
+std::vector<SourceRecord> SourceFollower::newestOf(const std::vector<SourceRecord>& records,
+                                                   std::uint64_t epoch) {
   std::map<std::string, const SourceRecord*> newest;
   for (const SourceRecord& record : records) {
     const SourceRecord*& known = newest[record.key];
@@ -193,22 +242,45 @@
   result.reserve(newest.size());
   for (const auto& [key, record] : newest) {
     result.push_back(*record);
+    result.back().epoch = epoch;
   }
   return result;
 }
 
-void SourceFollower::takeOverListing(const std::vector<SourceRecord>& records, std::uint64_t revision,
+void SourceFollower::beginEpoch(const SourcePosition& position, Moment now) {
+  const SourcePosition before = known();
+  if (position.epoch <= before.epoch) {
+    return;
+  }
+  epochBegan_ = position;
+  // To a daemon that has just started, any epoch but the first may have begun just now.
+  prover_.holdClaims(now + writtenAgainWithin_);
+  if (before.revision > 0) {
+    epochs_.onRestored(before.epoch, position.epoch);
+    knowledge_.onRestored(position, now);
+  }
+}
+
+void SourceFollower::takeOverListing(const std::vector<SourceRecord>& records, const SourcePosition& position,
                                      Moment now, FollowerActions& actions) {
+  const SourcePosition before = known();
+  beginEpoch(position, now);
   ListedNames listed;
   std::set<std::string> keys;
   for (const SourceRecord& record : records) {
     keys.insert(record.key);
     takeOver(record, now, actions, listed);
-    relay_.keep(record);
   }
-  relay_.dropUnlisted(keys, revision);
-  knowledge_.onListing(listed.leafs, revision, now);
-  knowledge_.onEvacuationListing(listed.evacuatedZones, revision);
+  // The configuration in force is kept for others also where the source has lost it.
+  keys.insert(configurationKey_);
+  relay_.dropUnlisted(keys, position);
+  knowledge_.onListing(listed.leafs, position, now);
+  knowledge_.onEvacuationListing(listed.evacuatedZones, position, now);
+  if (before.revision > 0 && position.epoch > before.epoch) {
+    actions.notices.emplace_back(SourceRestored{before, position, knowledge_.configurationVersion(),
+                                                listed.leafs.size(), knowledge_.leafsLeaving(),
+                                                knowledge_.leafsDisputed()});
+  }
 }
 
 void SourceFollower::takeOver(const std::vector<SourceRecord>& records, Moment now,
@@ -216,47 +288,55 @@
   ListedNames listed;
   for (const SourceRecord& record : records) {
     takeOver(record, now, actions, listed);
-    relay_.keep(record);
   }
 }
 
+bool SourceFollower::keepsUp(const SourceStatement& statement) const {
+  const auto* configuration = std::get_if<ServingConfiguration>(&statement);
+  return configuration == nullptr || configuration->version >= knowledge_.configurationVersion();
+}
+
 void SourceFollower::takeOver(const SourceRecord& record, Moment now, FollowerActions& actions,
                               ListedNames& listed) {
   SourceStatement statement = interpret_(record);
+  if (keepsUp(statement)) {
+    relay_.keep(record);
+  }
+  const SourcePosition position = record.position();
   if (auto* configuration = std::get_if<ServingConfiguration>(&statement)) {
-    takeOverConfiguration(std::move(*configuration), record.revision, actions);
+    takeOverConfiguration(std::move(*configuration), record, actions);
   } else if (const auto* leaf = std::get_if<LeafEntry>(&statement)) {
-    knowledge_.onLeaf(*leaf, record.revision);
+    knowledge_.onLeaf(*leaf, position);
     counters_.leafsBornAgain = knowledge_.leafsBornAgain();
     listed.leafs.push_back(leaf->id);
   } else if (const auto* removal = std::get_if<LeafRemoval>(&statement)) {
-    knowledge_.onLeafRemoved(removal->id, record.revision, now);
+    knowledge_.onLeafRemoved(removal->id, position, now);
   } else if (const auto* evacuation = std::get_if<ZoneEvacuation>(&statement)) {
-    knowledge_.onEvacuation(evacuation->zone, true, record.revision);
+    knowledge_.onEvacuation(evacuation->zone, true, position);
     listed.evacuatedZones.insert(evacuation->zone);
   } else if (const auto* ended = std::get_if<ZoneEvacuationEnd>(&statement)) {
-    knowledge_.onEvacuation(ended->zone, false, record.revision);
+    knowledge_.onEvacuation(ended->zone, false, position);
   } else if (const auto* unusable = std::get_if<UnusableRecord>(&statement)) {
     ++counters_.unusableRecords;
     actions.problems.push_back(unusable->problem);
     if (unusable->isConfiguration) {
-      prover_.onConfigurationRecord(record.revision, false);
+      prover_.onConfigurationRecord(position, false);
     }
   } else if (const auto* unusableLeaf = std::get_if<UnusableLeaf>(&statement)) {
-    takeOverUnusable(*unusableLeaf, record.revision, actions);
+    takeOverUnusable(*unusableLeaf, position, actions);
   }
 }
 
-void SourceFollower::takeOverUnusable(const UnusableLeaf& leaf, std::uint64_t revision,
+void SourceFollower::takeOverUnusable(const UnusableLeaf& leaf, const SourcePosition& position,
                                       FollowerActions& actions) {
-  knowledge_.onLeafUnusable(leaf.id, revision);
+  knowledge_.onLeafUnusable(leaf.id, position);
   ++counters_.unusableRecords;
   if (actions.problems.size() < kMostProblemsTold) {
     actions.problems.push_back(leaf.problem);
   }
 }
 
-void SourceFollower::takeOverConfiguration(ServingConfiguration configuration, std::uint64_t revision,
+void SourceFollower::takeOverConfiguration(ServingConfiguration configuration, const SourceRecord& record,
                                            FollowerActions& actions) {
   const std::uint64_t version = configuration.version;
   const auto problems =
@@ -265,13 +345,20 @@
     actions.problems.push_back("configuration " + std::to_string(version) + ": " + problem);
   }
   counters_.configurationsRefused += problems.empty() ? 0 : 1;
-  prover_.onConfigurationRecord(revision, problems.empty());
+  if (knowledge_.configurationVersion() == version) {
+    configurationKey_ = record.key;
+  }
+  const SourcePosition position = record.position();
+  prover_.onConfigurationRecord(position, problems.empty());
   prover_.onVersion(knowledge_.configurationVersion(), knowledge_.hasTenants());
+  if (position > epochBegan_) {
+    prover_.onConfigurationWritten();
+  }
 }
 
 FollowerActions SourceFollower::onNews(const Endpoint& sender, const SourceNews& news, Moment now) {
   FollowerActions actions;
-  RelayActions relayed = relay_.onNews(sender, news, reader_.knownRevision(), now);
+  RelayActions relayed = relay_.onNews(sender, news, known(), now);
   if (relayed.accepted) {
     ++counters_.newsAccepted;
     takeOverNews(news, now, actions);
@@ -288,19 +375,20 @@
 }
 
 void SourceFollower::takeOverNews(const SourceNews& news, Moment now, FollowerActions& actions) {
-  const bool newlyKnown = reader_.knownRevision() == 0;
-  if (news.revision() == reader_.knownRevision()) {
+  const SourcePosition before = known();
+  const SourcePosition told{news.epoch(), news.revision()};
+  if (told == before) {
     // All of its records are known already; it only shows that nothing has changed since.
     return;
   }
   if (news.whole()) {
-    takeOverListing(recordsOf(news), news.revision(), now, actions);
+    takeOverListing(recordsOf(news), told, now, actions);
   } else {
     takeOver(recordsOf(news), now, actions);
   }
-  reader_.onNews(news.revision());
-  if (newlyKnown) {
-    actions.news = relay_.answerWaiting(reader_.knownRevision(), now);
+  reader_.onNews(told);
+  if (before.revision == 0 || told.epoch > before.epoch) {
+    actions.news = relay_.answerWaiting(known(), now);
   }
 }
 
@@ -320,11 +408,13 @@
 
 std::optional<OutgoingNews> SourceFollower::onNewsRequest(const Endpoint& sender,
                                                           const SourceNewsRequest& request, Moment now) {
-  if (reader_.knownRevision() == 0) {
+  const SourcePosition askers{request.known_epoch(), request.known_revision()};
+  const bool nothingNewer = askers.epoch > known().epoch;
+  if (known().revision == 0 || nothingNewer) {
     relay_.keepWaiting(sender);
     return std::nullopt;
   }
-  return relay_.missedBy(sender, request.known_revision(), reader_.knownRevision(), now);
+  return relay_.missedBy(sender, askers, known(), now);
 }
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -4,8 +4,10 @@
 /// daemons' news. The whole decision side of the control thread; answers, news and time go in, calls and
 /// messages come out.
 ///
-/// Invariant: a record that the source has held unchanged since a revision up to `knownRevision` is believed,
-/// and one that it removed by then is not believed for longer than the removal delay.
+/// Invariant: a record that the source has held unchanged since a place in its history up to `known` is
+/// believed, and one that it removed by then is not believed for longer than the removal delay. When the
+/// source comes back from a copy, what it has lost is believed on until it is written again or that is
+/// overdue (see `ServingKnowledge`); a version of the configuration is never given up for an older one.
 
 #include <functional>
 #include <memory>
@@ -40,6 +42,8 @@
   std::optional<Endpoint> ask;
   /// Records and configurations that were refused, in plain words; of many leafs' entries some.
   std::vector<std::string> problems;
+  /// The connection to the source may lead to a copy of it that is outdated: the next call opens another.
+  bool reconnect = false;
   std::vector<SourceNotice> notices;
   ProofActions proofs;
 };
@@ -97,9 +101,8 @@
   std::uint64_t configurationVersion() const { return knowledge_.configurationVersion(); }
   std::size_t leafCount() const { return knowledge_.leafCount(); }
   std::vector<std::string> evacuatedZones() const { return knowledge_.evacuatedZones(); }
-  std::uint64_t knownRevision() const { return reader_.knownRevision(); }
-  /// Its epoch is the newest that the source has told this daemon, 0 when it tells none.
-  SourcePosition known() const { return SourcePosition{epochs_.known(), reader_.knownRevision()}; }
+  /// Everything that the source held there is known; revision 0 while nothing is.
+  const SourcePosition& known() const { return reader_.known(); }
   /// The source has not answered this daemon's last calls.
   bool sourceLost() const { return reader_.failuresInRow() > 0; }
   std::size_t place() const { return election_.place(); }
@@ -110,14 +113,24 @@
   FollowerCounters counters() const;
 
  private:
-  /// Notes what the answer tells of the epoch, and a notice when that is not what was told before.
-  void noteEpoch(const ToldEpoch& told, FollowerActions& actions);
-  void onPage(const SourceCall& call, const SourcePage& page, Moment now, FollowerActions& actions);
-  /// The last record of each key.
-  static std::vector<SourceRecord> newestOf(const std::vector<SourceRecord>& records);
-  /// Records that are all that the source held at `revision`.
-  void takeOverListing(const std::vector<SourceRecord>& records, std::uint64_t revision, Moment now,
+  /// What the answer tells of the epoch, with a notice when that is not what was told before.
+  EpochVerdict judgeEpoch(const ToldEpoch& told, FollowerActions& actions);
+  /// `restored`: it came with a newer epoch.
+  void onFailure(SourceFailure failure, bool restored, Moment now);
+  void onPage(const SourceCall& call, const SourcePage& page, std::uint64_t epoch, Moment now,
+              FollowerActions& actions);
+  void onListingPage(const SourceCall& call, const SourcePage& page, std::uint64_t epoch, Moment now,
+                     FollowerActions& actions);
+  void onListingComplete(const SourcePosition& knownBefore, Moment now, FollowerActions& actions);
+  /// The source has come back from a copy, as an answer tells that does not continue what was asked for.
+  void onSourceBack(Moment now);
+  /// The last record of each key, as of `epoch`.
+  static std::vector<SourceRecord> newestOf(const std::vector<SourceRecord>& records, std::uint64_t epoch);
+  /// Records that are all that the source held at `position`.
+  void takeOverListing(const std::vector<SourceRecord>& records, const SourcePosition& position, Moment now,
                        FollowerActions& actions);
+  /// Before the first listing of an epoch is taken over.
+  void beginEpoch(const SourcePosition& position, Moment now);
   void takeOver(const std::vector<SourceRecord>& records, Moment now, FollowerActions& actions);
   /// What the records of a listing name; what they do not name is gone.
   struct ListedNames {
@@ -126,9 +139,11 @@
   };
   /// Adds what the record lists to `listed`.
   void takeOver(const SourceRecord& record, Moment now, FollowerActions& actions, ListedNames& listed);
+  /// The record may be passed on: it is not of an older configuration than the one in force.
+  bool keepsUp(const SourceStatement& statement) const;
   void takeOverNews(const SourceNews& news, Moment now, FollowerActions& actions);
-  void takeOverUnusable(const UnusableLeaf& leaf, std::uint64_t revision, FollowerActions& actions);
-  void takeOverConfiguration(ServingConfiguration configuration, std::uint64_t revision,
+  void takeOverUnusable(const UnusableLeaf& leaf, const SourcePosition& position, FollowerActions& actions);
+  void takeOverConfiguration(ServingConfiguration configuration, const SourceRecord& record,
                              FollowerActions& actions);
   void onChanges(const SourceCall& call, const SourcePage& page, Moment now, FollowerActions& actions);
   /// Unless this daemon is the one that reads, its next call waits for overdue news.
@@ -153,7 +168,12 @@
   bool readsForItself_ = false;
   /// The listing in progress; it is taken over when it is whole.
   std::vector<SourceRecord> listing_;
-  std::uint64_t listingRevision_ = 0;
+  SourcePosition listingPosition_;
+  /// As of which the known epoch was first taken over.
+  SourcePosition epochBegan_;
+  /// Of the record that gave the configuration in force; empty while none is.
+  std::string configurationKey_;
+  Duration writtenAgainWithin_;
   FollowerCounters counters_;
 };
 
--- a/src/coordination/serving/source_reader.cpp
+++ b/src/coordination/serving/source_reader.cpp
@@ -22,32 +22,53 @@
   return next_;
 }
 
-void SourceReader::onPage(const SourcePage& page, Moment now) {
+SourceCall SourceReader::changesSinceKnown(Duration wait) const {
+  return SourceCall{SourceCall::Kind::kChanges, "", known_.revision, wait, known_.epoch};
+}
+
+void SourceReader::onPage(const SourcePage& page, std::uint64_t epoch, Moment now) {
   inProgress_ = false;
   failuresInRow_ = 0;
   listingComplete_ = false;
+  const SourcePosition position{epoch, page.revision};
   if (current_.kind == SourceCall::Kind::kChanges) {
-    knownRevision_ = std::max(knownRevision_, page.revision);
-    next_ = SourceCall{SourceCall::Kind::kChanges, "", knownRevision_, settings_.wait};
+    known_ = std::max(known_, position);
+    next_ = changesSinceKnown(settings_.wait);
     nextCallAt_ = now + settings_.pace;
     return;
   }
   if (current_.afterKey.empty()) {
-    listingRevision_ = page.revision;
+    listing_ = position;
   }
   if (page.more && !page.records.empty()) {
-    next_ = SourceCall{SourceCall::Kind::kList, page.records.back().key, 0, {}};
+    next_ = SourceCall{SourceCall::Kind::kList, page.records.back().key, 0, {}, epoch};
     nextCallAt_ = now;
     return;
   }
   listingComplete_ = true;
-  knownRevision_ = std::max(knownRevision_, listingRevision_);
-  next_ = SourceCall{SourceCall::Kind::kChanges, "", knownRevision_, settings_.wait};
+  known_ = std::max(known_, listing_);
+  next_ = changesSinceKnown(settings_.wait);
+  nextCallAt_ = now + settings_.pace;
+}
+
+void SourceReader::listAnew(Duration after, Moment now) {
+  inProgress_ = false;
+  failuresInRow_ = 0;
+  listingComplete_ = false;
+  next_ = SourceCall{};
+  nextCallAt_ = now + after;
+}
+
+void SourceReader::dropAnswer(Moment now) {
+  inProgress_ = false;
+  failuresInRow_ = 0;
+  listingComplete_ = false;
+  next_ = changesSinceKnown(settings_.wait);
   nextCallAt_ = now + settings_.pace;
 }
 
 void SourceReader::readNow(Moment now) {
-  if (inProgress_ || knownRevision_ == 0) {
+  if (inProgress_ || known_.revision == 0) {
     return;
   }
   if (next_.kind == SourceCall::Kind::kChanges) {
@@ -56,17 +77,17 @@
   nextCallAt_ = std::min(nextCallAt_, std::max(now, backoffUntil_));
 }
 
-void SourceReader::onNews(std::uint64_t revision) {
-  if (revision < knownRevision_) {
+void SourceReader::onNews(const SourcePosition& position) {
+  if (position < known_) {
     return;
   }
-  knownRevision_ = revision;
+  known_ = position;
   const Duration wait = next_.kind == SourceCall::Kind::kChanges ? next_.wait : settings_.wait;
-  next_ = SourceCall{SourceCall::Kind::kChanges, "", revision, wait};
+  next_ = changesSinceKnown(wait);
 }
 
 void SourceReader::leaveToOther(Moment freshAt, Duration stagger) {
-  next_ = SourceCall{SourceCall::Kind::kChanges, "", knownRevision_, Duration(0)};
+  next_ = changesSinceKnown(Duration(0));
   nextCallAt_ = freshAt + settings_.pace + settings_.wait + stagger;
 }
 
--- a/src/coordination/serving/source_reader.h
+++ b/src/coordination/serving/source_reader.h
@@ -3,7 +3,7 @@
 /// Decides when the configuration source is asked for what: first a listing, then the changes since.
 ///
 /// Invariants: one call at a time; after a failure the next call waits longer, up to a bound; a listing is
-/// followed by the changes since its first page, as its pages are no snapshot; the known revision never
+/// followed by the changes since its first page, as its pages are no snapshot; the known position never
 /// goes back.
 
 #include <algorithm>
@@ -25,6 +25,9 @@
   std::uint64_t afterRevision = 0;
   /// For kChanges: how long the source may wait for a change before it answers with none.
   Duration wait{};
+  /// Of `afterRevision`, or of the listing's first page. An answer of another epoch does not continue what
+  /// the call asked to continue.
+  std::uint64_t epoch = 0;
 };
 
 struct SourceReaderSettings {
@@ -45,7 +48,13 @@
   std::optional<SourceCall> takeCall(Moment now);
   Moment nextCallAt() const { return inProgress_ ? kNever : nextCallAt_; }
 
-  void onPage(const SourcePage& page, Moment now);
+  /// `epoch`: of the answer; for all but the first page of a listing that of the call.
+  void onPage(const SourcePage& page, std::uint64_t epoch, Moment now);
+  /// The call has ended; its answer does not continue what was asked for, as the source has come back from a
+  /// copy. What it holds now is listed, no sooner than `after` from now.
+  void listAnew(Duration after, Moment now);
+  /// The call has ended; news has told of a newer epoch meanwhile, so that its answer is of no use.
+  void dropAnswer(Moment now);
   /// `longestBackoff`: the next call waits no longer.
   void onFailure(SourceFailure failure, Duration longestBackoff, Moment now);
 
@@ -55,8 +64,8 @@
   void callBy(Moment moment) { nextCallAt_ = std::min(nextCallAt_, moment); }
   /// The changes are wanted now, without waiting for one; a wait after failed calls is kept.
   void readNow(Moment now);
-  /// Another daemon has told everything up to `revision`.
-  void onNews(std::uint64_t revision);
+  /// Another daemon has told everything up to `position`.
+  void onNews(const SourcePosition& position);
   /// Another daemon goes on reading and last did so at `freshAt`: this daemon's own next call waits until the
   /// other's next news is overdue by `stagger`. It then asks for an answer at once, as others wait for it
   /// too.
@@ -64,11 +73,13 @@
 
   /// The page that was just handed in ends a whole listing.
   bool listingComplete() const { return listingComplete_; }
-  /// Everything up to this revision is known; 0 before the first listing.
-  std::uint64_t knownRevision() const { return knownRevision_; }
+  /// Everything up to there is known; revision 0 before the first listing.
+  const SourcePosition& known() const { return known_; }
   unsigned failuresInRow() const { return failuresInRow_; }
 
  private:
+  SourceCall changesSinceKnown(Duration wait) const;
+
   SourceReaderSettings settings_;
   RandomEngine random_;
   SourceCall next_;
@@ -76,8 +87,9 @@
   /// The call in progress.
   SourceCall current_;
   bool listingComplete_ = false;
-  std::uint64_t listingRevision_ = 0;
-  std::uint64_t knownRevision_ = 0;
+  /// Of the first page of the listing in progress.
+  SourcePosition listing_;
+  SourcePosition known_;
   unsigned failuresInRow_ = 0;
   Moment nextCallAt_{};
   /// No call before, as the last one has failed.
--- a/src/coordination/serving/source_records.h
+++ b/src/coordination/serving/source_records.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "state/serving/leaf_directory.h"
+#include "state/serving/source_position.h"
 
 namespace oakpier::serving {
 
@@ -19,6 +20,10 @@
   std::uint64_t revision = 0;
   /// The record was removed.
   bool gone = false;
+  /// Of `revision`.
+  std::uint64_t epoch = 0;
+
+  SourcePosition position() const { return SourcePosition{epoch, revision}; }
 };
 
 /// Part of a listing, or the changes since a revision.
@@ -40,12 +45,18 @@
   kUnavailable,
   /// Silence, a broken connection or an answer that cannot be read.
   kNoAnswer,
+  /// An answer that the source made before it came back from a copy.
+  kOlderEpoch,
+  /// An answer of which cannot be said to which epoch it belongs.
+  kNoUsableEpoch,
 };
 
 /// What an answer says of the epoch of the source's history. Each time that the source comes back from an
 /// older copy of its records a new epoch begins: revisions go back then and are given out again.
 struct ToldEpoch {
   enum class Kind {
+    /// There is no answer that could tell one.
+    kUnanswered,
     /// The answer names none.
     kMissing,
     /// What it names is no whole number, or it names several.
@@ -64,8 +75,8 @@
 
   // NOLINTNEXTLINE(google-explicit-constructor): a page is an answer of a source that tells no epoch.
   SourceAnswer(SourcePage page) : content(std::move(page)) {}
-  // NOLINTNEXTLINE(google-explicit-constructor): likewise a failure.
-  SourceAnswer(SourceFailure failure) : content(failure) {}
+  // NOLINTNEXTLINE(google-explicit-constructor): a failure alone stands for the lack of an answer.
+  SourceAnswer(SourceFailure failure) : content(failure), epoch{ToldEpoch::Kind::kUnanswered, 0} {}
   SourceAnswer(Content answerContent, ToldEpoch toldEpoch)
       : content(std::move(answerContent)), epoch(toldEpoch) {}
 
--- a/src/coordination/serving/source_relay.cpp
+++ b/src/coordination/serving/source_relay.cpp
@@ -27,6 +27,19 @@
   added->set_value(record.value);
   added->set_revision(record.revision);
   added->set_gone(record.gone);
+  if (record.epoch != news.epoch()) {
+    added->set_epoch(record.epoch);
+  }
+}
+
+SourcePosition positionOf(const SourceNews& news) { return SourcePosition{news.epoch(), news.revision()}; }
+
+/// Without its records.
+SourceNews newsAt(const SourcePosition& position) {
+  SourceNews news;
+  news.set_epoch(position.epoch);
+  news.set_revision(position.revision);
+  return news;
 }
 
 }  // namespace
@@ -34,7 +47,8 @@
 std::vector<SourceRecord> recordsOf(const SourceNews& news) {
   std::vector<SourceRecord> records;
   for (const SourceRecordNews& item : news.records()) {
-    records.push_back(SourceRecord{item.key(), item.value(), item.revision(), item.gone()});
+    const std::uint64_t epoch = item.has_epoch() ? item.epoch() : news.epoch();
+    records.push_back(SourceRecord{item.key(), item.value(), item.revision(), item.gone(), epoch});
   }
   return records;
 }
@@ -46,7 +60,7 @@
 void SourceRelay::keep(const SourceRecord& record) {
   if (record.gone) {
     records_.erase(record.key);
-    gone_[record.revision] = record.key;
+    gone_[record.position()] = record.key;
     if (gone_.size() > kMostGone) {
       goneSince_ = gone_.begin()->first;
       gone_.erase(gone_.begin());
@@ -54,30 +68,29 @@
     return;
   }
   SourceRecord& kept = records_[record.key];
-  if (kept.revision <= record.revision) {
+  if (kept.position() <= record.position()) {
     kept = record;
   }
 }
 
-void SourceRelay::dropUnlisted(const std::set<std::string>& keys, std::uint64_t revision) {
+void SourceRelay::dropUnlisted(const std::set<std::string>& keys, const SourcePosition& position) {
   // Which records went, and when, is not told by a listing.
   gone_.clear();
-  goneSince_ = std::max(goneSince_, revision);
+  goneSince_ = std::max(goneSince_, position);
   for (auto record = records_.begin(); record != records_.end();) {
-    const bool dropped = keys.count(record->first) == 0 && record->second.revision <= revision;
+    const bool dropped = keys.count(record->first) == 0 && record->second.position() <= position;
     record = dropped ? records_.erase(record) : std::next(record);
   }
 }
 
-RelayActions SourceRelay::onRead(std::uint64_t afterRevision, std::uint64_t revision,
+RelayActions SourceRelay::onRead(std::uint64_t afterRevision, const SourcePosition& position,
                                  const std::vector<SourceRecord>& records, Moment now) {
   RelayActions actions;
-  forwardedRevision_ = std::max(forwardedRevision_, revision);
+  forwarded_ = std::max(forwarded_, position);
   forwardedFreshAt_ = std::max(forwardedFreshAt_, freshAt_);
   forwardedReader_ = self_;
-  SourceNews news;
+  SourceNews news = newsAt(position);
   news.set_after_revision(afterRevision);
-  news.set_revision(revision);
   news.set_age_us(ageAt(now));
   news.set_reader(self_.text());
   for (const SourceRecord& record : records) {
@@ -89,40 +102,57 @@
   return actions;
 }
 
-RelayActions SourceRelay::onNews(const Endpoint& sender, const SourceNews& news, std::uint64_t knownRevision,
+std::vector<OutgoingNews> SourceRelay::onRestored(const SourcePosition& known, Moment now) {
+  forwarded_ = std::max(forwarded_, known);
+  forwardedFreshAt_ = std::max(forwardedFreshAt_, freshAt_);
+  forwardedReader_ = self_;
+  SourceNews news = newsAt(known);
+  news.set_whole(true);
+  news.set_age_us(ageAt(now));
+  news.set_reader(self_.text());
+  addAll(news);
+  std::vector<OutgoingNews> told;
+  for (const Endpoint& child : forwardTo(members_, self_, self_)) {
+    told.push_back(OutgoingNews{child, news});
+  }
+  return told;
+}
+
+RelayActions SourceRelay::onNews(const Endpoint& sender, const SourceNews& news, const SourcePosition& known,
                                  Moment now) {
   RelayActions actions;
-  if (news.revision() == 0) {
+  const SourcePosition told = positionOf(news);
+  // News of an older epoch tells what the source has lost or written again since.
+  if (told.revision == 0 || told.epoch < known.epoch) {
     return actions;
   }
-  const std::uint64_t after = news.whole() ? 0 : news.after_revision();
-  const bool usable = news.whole() || knownRevision > 0;
-  if (news.revision() > knownRevision && (after > knownRevision || !usable)) {
+  const bool continues =
+      known.revision > 0 && told.epoch == known.epoch && news.after_revision() <= known.revision;
+  if (told > known && !news.whole() && !continues) {
     if (now - askedAt_ > kAskPeriod) {
       askedAt_ = now;
       actions.ask = sender;
     }
-  } else if (news.revision() >= knownRevision) {
+  } else if (told >= known) {
     actions.accepted = true;
     freshAt_ = std::max(freshAt_, now - Duration(static_cast<std::int64_t>(news.age_us())));
   }
-  if (!news.whole()) {
-    forward(news, now, actions);
-  }
+  forward(news, now, actions);
   return actions;
 }
 
 void SourceRelay::forward(const SourceNews& news, Moment now, RelayActions& actions) {
   const auto reader = Endpoint::parse(news.reader());
   const Moment freshAt = now - Duration(static_cast<std::int64_t>(news.age_us()));
-  const bool newRevision = news.revision() > forwardedRevision_;
-  const bool sameRevision = news.revision() == forwardedRevision_;
-  const bool fresherNews = sameRevision && freshAt > forwardedFreshAt_ + kFreshnessStep;
-  const bool earlierReader = sameRevision && reader && members_.before(*reader, forwardedReader_);
-  if (!reader || !(newRevision || fresherNews || earlierReader)) {
+  const SourcePosition told = positionOf(news);
+  const bool newPosition = told > forwarded_;
+  const bool samePosition = told == forwarded_;
+  const bool fresherNews = samePosition && freshAt > forwardedFreshAt_ + kFreshnessStep;
+  const bool earlierReader = samePosition && reader && members_.before(*reader, forwardedReader_);
+  if (!reader || !(newPosition || fresherNews || earlierReader)) {
     return;
   }
-  forwardedRevision_ = news.revision();
+  forwarded_ = told;
   forwardedFreshAt_ = std::max(forwardedFreshAt_, freshAt);
   forwardedReader_ = *reader;
   for (const Endpoint& child : forwardTo(members_, *reader, self_)) {
@@ -144,10 +174,10 @@
   }
 }
 
-std::vector<OutgoingNews> SourceRelay::answerWaiting(std::uint64_t knownRevision, Moment now) {
+std::vector<OutgoingNews> SourceRelay::answerWaiting(const SourcePosition& known, Moment now) {
   std::vector<OutgoingNews> answers;
   for (const Endpoint& asker : waiting_) {
-    if (auto answer = missedBy(asker, 0, knownRevision, now)) {
+    if (auto answer = missedBy(asker, SourcePosition{}, known, now)) {
       answers.push_back(std::move(*answer));
     }
   }
@@ -155,35 +185,41 @@
   return answers;
 }
 
-std::optional<OutgoingNews> SourceRelay::missedBy(const Endpoint& to, std::uint64_t askersRevision,
-                                                  std::uint64_t knownRevision, Moment now) {
-  OutgoingNews outgoing{to, {}};
-  outgoing.news.set_revision(knownRevision);
+std::optional<OutgoingNews> SourceRelay::missedBy(const Endpoint& to, const SourcePosition& askers,
+                                                  const SourcePosition& known, Moment now) {
+  OutgoingNews outgoing{to, newsAt(known)};
   outgoing.news.set_age_us(ageAt(now));
-  if (askersRevision > 0 && askersRevision >= goneSince_) {
-    outgoing.news.set_after_revision(askersRevision);
-    addChangesSince(askersRevision, outgoing.news);
+  const bool changesKept = askers.epoch == known.epoch && askers >= goneSince_;
+  if (askers.revision > 0 && changesKept) {
+    outgoing.news.set_after_revision(askers.revision);
+    addChangesSince(askers, outgoing.news);
     return outgoing;
   }
   if (!takeWholeTurn(now)) {
     return std::nullopt;
   }
   outgoing.news.set_whole(true);
+  addAll(outgoing.news);
+  return outgoing;
+}
+
+void SourceRelay::addAll(SourceNews& news) const {
   for (const auto& [key, record] : records_) {
-    addRecord(record, outgoing.news);
+    addRecord(record, news);
   }
-  return outgoing;
 }
 
-void SourceRelay::addChangesSince(std::uint64_t revision, SourceNews& news) const {
+void SourceRelay::addChangesSince(const SourcePosition& position, SourceNews& news) const {
   for (const auto& [key, record] : records_) {
-    if (record.revision > revision) {
+    // What the source has lost is told to everybody: whoever has listed the source does not know it.
+    const bool lostBySource = record.epoch < position.epoch;
+    if (record.position() > position || lostBySource) {
       addRecord(record, news);
     }
   }
-  for (auto gone = gone_.upper_bound(revision); gone != gone_.end(); ++gone) {
+  for (auto gone = gone_.upper_bound(position); gone != gone_.end(); ++gone) {
     if (records_.count(gone->second) == 0) {
-      addRecord(SourceRecord{gone->second, "", gone->first, true}, news);
+      addRecord(SourceRecord{gone->second, "", gone->first.revision, true, gone->first.epoch}, news);
     }
   }
 }
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -179,9 +179,11 @@
   send(to, std::move(envelope));
 }
 
-void PeerLink::askForNews(const Endpoint& from, std::uint64_t knownRevision) {
+void PeerLink::askForNews(const Endpoint& from, const SourcePosition& known) {
   PeerEnvelope envelope;
-  envelope.mutable_source_news_request()->set_known_revision(knownRevision);
+  SourceNewsRequest* request = envelope.mutable_source_news_request();
+  request->set_known_revision(known.revision);
+  request->set_known_epoch(known.epoch);
   send(from, std::move(envelope));
 }
 
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -14,6 +14,7 @@
 #include "coordination/membership.h"
 #include "coordination/serving/shard_owners.h"
 #include "protocol/serving/news_codec.h"
+#include "state/serving/source_position.h"
 #include "transport/peer_transport.h"
 
 namespace oakpier::serving {
@@ -54,8 +55,8 @@
   /// In hundredths of a core.
   void setCapacity(unsigned capacity) { membership_.setCapacity(capacity); }
   void sendNews(const Endpoint& to, const SourceNews& news);
-  /// Asks for everything after `knownRevision`.
-  void askForNews(const Endpoint& from, std::uint64_t knownRevision);
+  /// Asks for everything after what is known here.
+  void askForNews(const Endpoint& from, const SourcePosition& known);
   void askForProof(const Endpoint& from, const ConfigurationProofRequest& request);
   void sendProof(const Endpoint& to, const ConfigurationProofReply& reply);
   /// Thread-safe.
--- a/src/programs/gateway/source_log.cpp
+++ b/src/programs/gateway/source_log.cpp
@@ -25,13 +25,28 @@
   log(LogLevel::kWarning, "configuration source told another epoch",
       {{"verdict", textOf(notice.verdict)},
        {"told_epoch", notice.told},
-       {"known_epoch", notice.known},
-       {"known_revision", notice.knownRevision}});
+       {"known_epoch", notice.known.epoch},
+       {"known_revision", notice.known.revision}});
 }
 
 void logLine(const OutdatedListing& notice) {
   log(LogLevel::kWarning, "listing older than what is known was dropped",
-      {{"listed_revision", notice.listedRevision}, {"known_revision", notice.knownRevision}});
+      {{"listed_epoch", notice.listed.epoch},
+       {"listed_revision", notice.listed.revision},
+       {"known_epoch", notice.known.epoch},
+       {"known_revision", notice.known.revision}});
+}
+
+void logLine(const SourceRestored& notice) {
+  log(LogLevel::kWarning, "configuration source came back from a copy",
+      {{"epoch_before", notice.before.epoch},
+       {"revision_before", notice.before.revision},
+       {"epoch", notice.now.epoch},
+       {"revision", notice.now.revision},
+       {"configuration_version", notice.configurationVersion},
+       {"leafs_listed", notice.leafsListed},
+       {"leafs_awaited", notice.leafsAwaited},
+       {"leafs_disputed", notice.leafsDisputed}});
 }
 
 void logLine(const EpochsTold& notice) {
--- a/src/programs/gateway/source_loop.cpp
+++ b/src/programs/gateway/source_loop.cpp
@@ -22,6 +22,10 @@
       return "too many calls";
     case SourceFailure::kUnavailable:
       return "unavailable";
+    case SourceFailure::kOlderEpoch:
+      return "answer of an older epoch";
+    case SourceFailure::kNoUsableEpoch:
+      return "answer without a usable epoch";
     default:
       return "no answer";
   }
@@ -81,7 +85,7 @@
 
 void SourceLoop::onPause() {
   log(LogLevel::kWarning, "the process or its machine stood still",
-      {{"known_revision", follower_.knownRevision()}});
+      {{"known_revision", follower_.known().revision}});
   step();
 }
 
@@ -127,9 +131,12 @@
   if (follower_.sourceLost() && !wasLost) {
     log(LogLevel::kWarning, "configuration source lost",
         {{"failure", textOf(std::get<SourceFailure>(answer.content))},
-         {"known_revision", follower_.knownRevision()}});
+         {"known_revision", follower_.known().revision}});
   } else if (wasLost && !follower_.sourceLost()) {
-    log(LogLevel::kInfo, "configuration source regained", {{"known_revision", follower_.knownRevision()}});
+    log(LogLevel::kInfo, "configuration source regained", {{"known_revision", follower_.known().revision}});
+  }
+  if (actions.reconnect) {
+    client_.closeConnection();
   }
   carryOut(actions);
 }
@@ -174,7 +181,7 @@
     peers_.sendNews(outgoing.to, outgoing.news);
   }
   if (actions.ask) {
-    peers_.askForNews(*actions.ask, follower_.knownRevision());
+    peers_.askForNews(*actions.ask, follower_.known());
   }
   for (const OutgoingProofRequest& outgoing : actions.proofs.requests) {
     peers_.askForProof(outgoing.to, outgoing.request);
@@ -191,7 +198,7 @@
          {"leafs", follower_.leafCount()},
          {"evacuated_zones", joined(follower_.evacuatedZones())},
          {"source_epoch", follower_.known().epoch},
-         {"source_revision", follower_.knownRevision()}});
+         {"source_revision", follower_.known().revision}});
     published_.publish(std::move(view));
     handlers_.onView();
   }
--- a/src/protocol/serving/news_codec.cpp
+++ b/src/protocol/serving/news_codec.cpp
@@ -63,13 +63,14 @@
 }
 
 NewsPacker::Identity NewsPacker::identityOf(const SourceNews& news) {
-  return {news.whole(), news.after_revision(), news.revision(), news.records_size(), news.reader()};
+  return {news.whole(),    news.epoch(),        news.after_revision(),
+          news.revision(), news.records_size(), news.reader()};
 }
 
 bool NewsPacker::sameAsLast(const Identity& identity) const {
-  return identity.whole == last_.whole && identity.afterRevision == last_.afterRevision &&
-         identity.revision == last_.revision && identity.records == last_.records &&
-         identity.reader == last_.reader;
+  return identity.whole == last_.whole && identity.epoch == last_.epoch &&
+         identity.afterRevision == last_.afterRevision && identity.revision == last_.revision &&
+         identity.records == last_.records && identity.reader == last_.reader;
 }
 
 void NewsPacker::pack(const SourceNews& news, PeerEnvelope& envelope) {
--- a/src/protocol/serving/news_codec.h
+++ b/src/protocol/serving/news_codec.h
@@ -23,9 +23,10 @@
   std::uint64_t compressions() const { return compressions_; }
 
  private:
-  /// What of the last news tells it from others: what a revision holds does not change.
+  /// What of the last news tells it from others: what a revision holds does not change within an epoch.
   struct Identity {
     bool whole = false;
+    std::uint64_t epoch = 0;
     std::uint64_t afterRevision = 0;
     std::uint64_t revision = 0;
     int records = 0;
--- a/src/state/serving/leaf_directory.h
+++ b/src/state/serving/leaf_directory.h
@@ -13,6 +13,7 @@
 #include "state/serving/leaf_life.h"
 #include "state/serving/route_table.h"
 #include "state/serving/serving_configuration.h"
+#include "state/serving/source_position.h"
 #include "state/serving/tenant_table.h"
 #include "state/time.h"
 
@@ -34,8 +35,8 @@
   bool evacuated = false;
   /// How much longer it is cold, counted from when it said so.
   Duration warmupLeft{};
-  /// The source's revision of this statement; 0 when the source was not read.
-  std::uint64_t revision = 0;
+  /// Where in the source's history it stands; none when the source was not read.
+  SourcePosition position;
 
   bool sameAs(const LeafEntry& other) const {
     return bornAt == other.bornAt && service == other.service && address == other.address &&
--- a/src/transport/serving/source_client.h
+++ b/src/transport/serving/source_client.h
@@ -24,6 +24,8 @@
   SourceClient(boost::asio::io_context& context, const Endpoint& address);
 
   void setAddress(const Endpoint& address);
+  /// No call is in progress; the next one opens a connection.
+  void closeConnection() { connection_.reset(); }
   void call(const HttpRequest& request, Duration timeout, Callback callback);
 
  private:
--- a/tests/serving/coordination/configuration_prover_test.cpp
+++ b/tests/serving/coordination/configuration_prover_test.cpp
@@ -62,7 +62,7 @@
 
 TEST_CASE("while the newest configuration is refused reads prove nothing, and nobody is asked", "[serving]") {
   ProvedDaemon daemon;
-  daemon.prover.onConfigurationRecord(20, false);
+  daemon.prover.onConfigurationRecord(inFirstEpoch(20), false);
   daemon.prover.onRead(at(2000), at(2001), daemon.actions);
   daemon.prover.onNews(kFirst, at(4500), daemon.actions);
   daemon.prover.onTime(at(4500), daemon.actions);
@@ -70,12 +70,12 @@
   REQUIRE(daemon.actions.requests.empty());
   REQUIRE_FALSE(daemon.prover.takeReadWish(at(9000)));
   SECTION("an older record, told again, changes nothing") {
-    daemon.prover.onConfigurationRecord(19, true);
+    daemon.prover.onConfigurationRecord(inFirstEpoch(19), true);
     daemon.prover.onRead(at(3000), at(3001), daemon.actions);
     REQUIRE(daemon.prover.proof().provenAt == at(1000));
   }
   SECTION("a newer usable one") {
-    daemon.prover.onConfigurationRecord(21, true);
+    daemon.prover.onConfigurationRecord(inFirstEpoch(21), true);
     daemon.prover.onVersion(7, true);
     daemon.prover.onRead(at(3000), at(3001), daemon.actions);
     REQUIRE(daemon.prover.proof().provenAt == at(3000));
--- a/tests/serving/coordination/leaf_knowledge_test.cpp
+++ b/tests/serving/coordination/leaf_knowledge_test.cpp
@@ -183,7 +183,7 @@
   REQUIRE_FALSE(leaf->warmingUp(at(1)));
   SECTION("by its record") {
     directory["s"][0].warmupLeft = std::chrono::seconds(3);
-    directory["s"][0].revision = 9;
+    directory["s"][0].position.revision = 9;
     registry.reconcile(directory, at(10));
   }
   SECTION("with an answer") { leaf->onWarmup(std::chrono::seconds(3), at(10)); }
--- a/tests/serving/coordination/leaf_lives_test.cpp
+++ b/tests/serving/coordination/leaf_lives_test.cpp
@@ -53,29 +53,29 @@
 
 TEST_CASE("of two lives of a leaf the one that the source told last is believed", "[lives]") {
   ServingKnowledge knowledge{KnowledgeSettings{}};
-  REQUIRE(knowledge.onLeaf(bornAt(kFirstBirth), 5));
-  REQUIRE(knowledge.onLeaf(bornAt(kSecondBirth), 8));
+  REQUIRE(knowledge.onLeaf(bornAt(kFirstBirth), inFirstEpoch(5)));
+  REQUIRE(knowledge.onLeaf(bornAt(kSecondBirth), inFirstEpoch(8)));
   REQUIRE(knowledge.leafsBornAgain() == 1);
   REQUIRE(believed(knowledge).bornAt == kSecondBirth);
   SECTION("a late entry of the earlier life changes nothing") {
-    REQUIRE_FALSE(knowledge.onLeaf(bornAt(kFirstBirth), 6));
-    REQUIRE_FALSE(knowledge.onLeafRemoved("one", 7, at(0)));
-    REQUIRE_FALSE(knowledge.onLeafUnusable("one", 7));
+    REQUIRE_FALSE(knowledge.onLeaf(bornAt(kFirstBirth), inFirstEpoch(6)));
+    REQUIRE_FALSE(knowledge.onLeafRemoved("one", inFirstEpoch(7), at(0)));
+    REQUIRE_FALSE(knowledge.onLeafUnusable("one", inFirstEpoch(7)));
     REQUIRE(knowledge.takeChangedView() == nullptr);
   }
   SECTION("the same entry once more changes nothing") {
-    REQUIRE_FALSE(knowledge.onLeaf(bornAt(kSecondBirth), 8));
+    REQUIRE_FALSE(knowledge.onLeaf(bornAt(kSecondBirth), inFirstEpoch(8)));
     REQUIRE(knowledge.takeChangedView() == nullptr);
   }
   SECTION("a later entry holds though its clock says an earlier birth") {
-    REQUIRE(knowledge.onLeaf(bornAt(kFirstBirth), 9));
+    REQUIRE(knowledge.onLeaf(bornAt(kFirstBirth), inFirstEpoch(9)));
     REQUIRE(believed(knowledge).bornAt == kFirstBirth);
     REQUIRE(knowledge.leafsBornAgain() == 2);
   }
   SECTION("the same life that says more is no other life") {
     LeafEntry draining = bornAt(kSecondBirth);
     draining.draining = true;
-    REQUIRE(knowledge.onLeaf(draining, 9));
+    REQUIRE(knowledge.onLeaf(draining, inFirstEpoch(9)));
     REQUIRE(knowledge.leafsBornAgain() == 1);
   }
 }
@@ -84,14 +84,14 @@
   ServingKnowledge knowledge{KnowledgeSettings{std::chrono::milliseconds(1000)}};
   LeafEntry first = bornAt(kFirstBirth);
   SECTION("gone") {
-    knowledge.onLeaf(first, 1);
-    knowledge.onLeafRemoved("one", 2, at(0));
+    knowledge.onLeaf(first, inFirstEpoch(1));
+    knowledge.onLeafRemoved("one", inFirstEpoch(2), at(0));
   }
   SECTION("draining") {
     first.draining = true;
-    knowledge.onLeaf(first, 2);
+    knowledge.onLeaf(first, inFirstEpoch(2));
   }
-  REQUIRE(knowledge.onLeaf(bornAt(kSecondBirth), 3));
+  REQUIRE(knowledge.onLeaf(bornAt(kSecondBirth), inFirstEpoch(3)));
   knowledge.onTime(at(5000));
   REQUIRE(believed(knowledge).takesWork());
 }
@@ -100,17 +100,17 @@
     "an entry that something else has written ends the use of its leaf at once, until the leaf writes again",
     "[lives]") {
   ServingKnowledge knowledge{KnowledgeSettings{std::chrono::milliseconds(1000)}};
-  knowledge.onLeaf(bornAt(kFirstBirth), 1);
-  knowledge.onLeaf(leafEntry("other", "t", 9), 2);
-  REQUIRE(knowledge.onLeafUnusable("one", 3));
+  knowledge.onLeaf(bornAt(kFirstBirth), inFirstEpoch(1));
+  knowledge.onLeaf(leafEntry("other", "t", 9), inFirstEpoch(2));
+  REQUIRE(knowledge.onLeafUnusable("one", inFirstEpoch(3)));
   const auto view = knowledge.takeChangedView();
   REQUIRE(view->leafs->count("s") == 0);
   REQUIRE(view->leafs->at("t").size() == 1);
-  REQUIRE(knowledge.onLeaf(bornAt(kFirstBirth), 4));
+  REQUIRE(knowledge.onLeaf(bornAt(kFirstBirth), inFirstEpoch(4)));
   REQUIRE(knowledge.takeChangedView()->leafs->at("s").size() == 1);
   // What was never known is not kept, however often it comes.
   for (std::uint64_t number = 0; number < 1000; ++number) {
-    REQUIRE_FALSE(knowledge.onLeafUnusable("forged" + std::to_string(number), 5 + number));
+    REQUIRE_FALSE(knowledge.onLeafUnusable("forged" + std::to_string(number), inFirstEpoch(5 + number)));
   }
   REQUIRE(knowledge.leafCount() == 2);
   REQUIRE(knowledge.takeChangedView() == nullptr);
@@ -118,8 +118,8 @@
 
 TEST_CASE("a listing's unusable entry does not keep the leaf listed", "[lives]") {
   ServingKnowledge knowledge{KnowledgeSettings{Duration(0)}};
-  knowledge.onLeaf(bornAt(kFirstBirth), 1);
-  knowledge.onListing({}, 5, at(0));
+  knowledge.onLeaf(bornAt(kFirstBirth), inFirstEpoch(1));
+  knowledge.onListing({}, inFirstEpoch(5), at(0));
   REQUIRE(knowledge.leafCount() == 0);
 }
 
@@ -145,7 +145,7 @@
   const bool elsewhere = GENERATE(false, true);
   LeafEntry again = bornAt(kSecondBirth, elsewhere ? 2 : 1);
   again.warmupLeft = std::chrono::seconds(3);
-  again.revision = 9;
+  again.position.revision = 9;
   registry.reconcile(directoryOf(again), at(1002));
   const auto later = only(registry);
   REQUIRE(later != earlier);
--- a/tests/serving/coordination/source_follower_test.cpp
+++ b/tests/serving/coordination/source_follower_test.cpp
@@ -190,7 +190,8 @@
     }
     if (actions.ask) {
       SourceNewsRequest request;
-      request.set_known_revision(daemons_[number].follower.knownRevision());
+      request.set_known_revision(daemons_[number].follower.known().revision);
+      request.set_known_epoch(daemons_[number].follower.known().epoch);
       messages_.push_back({members_[number], *actions.ask, std::nullopt, request});
     }
   }
@@ -226,7 +227,7 @@
           }
         }
       }
-      source_.check(daemon.follower.knownRevision(), daemon.believed);
+      source_.check(daemon.follower.known().revision, daemon.believed);
     }
   }
 
@@ -268,8 +269,8 @@
     follower.onAnswer(*changes, source.answer(*changes), next);
     REQUIRE(follower.nextDueAt() == next + settings.reader.pace);
     SourceNews news;
-    news.set_after_revision(follower.knownRevision());
-    news.set_revision(follower.knownRevision());
+    news.set_after_revision(follower.known().revision);
+    news.set_revision(follower.known().revision);
     news.set_reader(Endpoint(0, 1).text());
     follower.onNews(Endpoint(0, 1), news, next);
     const bool stops = follower.nextDueAt() > next + settings.reader.pace + settings.reader.wait;
@@ -308,8 +309,8 @@
   follower.onAnswer(*follower.takeCall(next), SourceFailure::kUnavailable, next);
   REQUIRE(follower.sourceLost());
   SourceNews news;
-  news.set_after_revision(follower.knownRevision());
-  news.set_revision(follower.knownRevision());
+  news.set_after_revision(follower.known().revision);
+  news.set_revision(follower.known().revision);
   news.set_reader(members[1].text());
   follower.onNews(members[1], news, next);
   REQUIRE(follower.nextDueAt() > next + FollowerSettings{}.reader.wait);
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -44,23 +44,23 @@
 
 TEST_CASE("a leaf that leaves by notice goes at once, one that vanishes a little later", "[serving]") {
   ServingKnowledge knowledge{KnowledgeSettings{std::chrono::milliseconds(1000)}};
-  knowledge.onLeaf(leafEntry("one", "s", 1), 1);
+  knowledge.onLeaf(leafEntry("one", "s", 1), inFirstEpoch(1));
   LeafEntry draining = leafEntry("two", "s", 2);
   draining.draining = true;
-  knowledge.onLeaf(draining, 2);
-  knowledge.onListing({"one", "two"}, 2, at(0));
-  knowledge.onLeafRemoved("two", 3, at(0));
+  knowledge.onLeaf(draining, inFirstEpoch(2));
+  knowledge.onListing({"one", "two"}, inFirstEpoch(2), at(0));
+  knowledge.onLeafRemoved("two", inFirstEpoch(3), at(0));
   REQUIRE(knowledge.leafCount() == 1);
-  knowledge.onLeafRemoved("one", 4, at(0));
+  knowledge.onLeafRemoved("one", inFirstEpoch(4), at(0));
   REQUIRE(knowledge.leafCount() == 1);
-  REQUIRE(knowledge.nextRemovalAt() == at(1000));
+  REQUIRE(knowledge.nextDueAt() == at(1000));
   SECTION("it comes back") {
-    REQUIRE(knowledge.onLeaf(leafEntry("one", "s", 1), 5));
+    REQUIRE(knowledge.onLeaf(leafEntry("one", "s", 1), inFirstEpoch(5)));
     knowledge.onTime(at(2000));
     REQUIRE(knowledge.leafCount() == 1);
   }
   SECTION("old news of it does not bring it back") {
-    REQUIRE_FALSE(knowledge.onLeaf(leafEntry("one", "s", 1), 3));
+    REQUIRE_FALSE(knowledge.onLeaf(leafEntry("one", "s", 1), inFirstEpoch(3)));
     knowledge.onTime(at(1000));
     REQUIRE(knowledge.leafCount() == 0);
   }
@@ -70,8 +70,8 @@
   ServingKnowledge knowledge{KnowledgeSettings{}};
   LeafEntry elsewhere = leafEntry("two", "s", 2);
   elsewhere.zone = "b";
-  knowledge.onLeaf(leafEntry("one", "s", 1), 1);
-  knowledge.onLeaf(elsewhere, 2);
+  knowledge.onLeaf(leafEntry("one", "s", 1), inFirstEpoch(1));
+  knowledge.onLeaf(elsewhere, inFirstEpoch(2));
   const auto takingWork = [&] {
     std::set<std::string> ids;
     const auto view = knowledge.takeChangedView();
@@ -82,33 +82,33 @@
     }
     return ids;
   };
-  knowledge.onEvacuation("a", true, 5);
+  knowledge.onEvacuation("a", true, inFirstEpoch(5));
   REQUIRE(takingWork() == std::set<std::string>{"two"});
   REQUIRE(knowledge.evacuatedZones() == std::vector<std::string>{"a"});
   SECTION("old news does not end it") {
-    knowledge.onEvacuation("a", false, 4);
-    knowledge.onEvacuationListing({}, 4);
+    knowledge.onEvacuation("a", false, inFirstEpoch(4));
+    knowledge.onEvacuationListing({}, inFirstEpoch(4), at(0));
     REQUIRE(knowledge.takeChangedView() == nullptr);
   }
   SECTION("it is taken back") {
-    knowledge.onEvacuation("a", false, 6);
+    knowledge.onEvacuation("a", false, inFirstEpoch(6));
     REQUIRE(takingWork() == std::set<std::string>{"one", "two"});
   }
   SECTION("a listing no longer names it") {
-    knowledge.onEvacuationListing({"b"}, 6);
+    knowledge.onEvacuationListing({"b"}, inFirstEpoch(6), at(0));
     REQUIRE(takingWork() == std::set<std::string>{"one", "two"});
   }
   SECTION("a leaf that starts in the zone takes none either") {
-    knowledge.onLeaf(leafEntry("three", "s", 3), 6);
+    knowledge.onLeaf(leafEntry("three", "s", 3), inFirstEpoch(6));
     REQUIRE(takingWork() == std::set<std::string>{"two"});
   }
 }
 
 TEST_CASE("leafs that a listing does not name are gone, newer ones excepted", "[serving]") {
   ServingKnowledge knowledge{KnowledgeSettings{Duration(0)}};
-  knowledge.onLeaf(leafEntry("old", "s", 1), 1);
-  knowledge.onLeaf(leafEntry("new", "s", 2), 9);
-  knowledge.onListing({}, 5, at(0));
+  knowledge.onLeaf(leafEntry("old", "s", 1), inFirstEpoch(1));
+  knowledge.onLeaf(leafEntry("new", "s", 2), inFirstEpoch(9));
+  knowledge.onListing({}, inFirstEpoch(5), at(0));
   REQUIRE(knowledge.leafCount() == 1);
 }
 
@@ -116,10 +116,10 @@
   SourceReader reader = readerOf();
   REQUIRE(reader.takeCall(at(0))->kind == SourceCall::Kind::kList);
   REQUIRE_FALSE(reader.takeCall(at(0)));
-  reader.onPage(pageOf(10, true, "b"), at(1));
+  reader.onPage(pageOf(10, true, "b"), 0, at(1));
   const auto second = reader.takeCall(at(1));
   REQUIRE(second->afterKey == "b");
-  reader.onPage(pageOf(12), at(2));
+  reader.onPage(pageOf(12), 0, at(2));
   REQUIRE(reader.listingComplete());
   const auto changes = reader.takeCall(reader.nextCallAt());
   REQUIRE(changes->kind == SourceCall::Kind::kChanges);
@@ -129,7 +129,7 @@
 TEST_CASE("lost history means a new listing; failures make calls rarer up to a bound", "[serving]") {
   SourceReader reader = readerOf();
   reader.takeCall(at(0));
-  reader.onPage(pageOf(10), at(0));
+  reader.onPage(pageOf(10), 0, at(0));
   Moment now = reader.nextCallAt();
   REQUIRE(reader.takeCall(now));
   reader.onFailure(SourceFailure::kHistoryGone, std::chrono::milliseconds(1000), now);
@@ -145,19 +145,19 @@
 TEST_CASE("news from another daemon puts off the own call until the next is overdue", "[serving]") {
   SourceReader reader = readerOf();
   reader.takeCall(at(0));
-  reader.onPage(pageOf(10), at(0));
+  reader.onPage(pageOf(10), 0, at(0));
   const SourceReaderSettings settings;
-  reader.onNews(20);
+  reader.onNews(inFirstEpoch(20));
   reader.leaveToOther(at(100), std::chrono::milliseconds(200));
   REQUIRE(reader.nextCallAt() == at(300) + settings.pace + settings.wait);
   const auto overdue = reader.takeCall(reader.nextCallAt());
   REQUIRE(overdue->afterRevision == 20);
   // Others wait for the answer too, so the source is not given time.
   REQUIRE(overdue->wait.count() == 0);
-  reader.onPage(pageOf(20), at(2000));
+  reader.onPage(pageOf(20), 0, at(2000));
   REQUIRE(reader.takeCall(reader.nextCallAt())->wait == settings.wait);
-  reader.onNews(15);
-  REQUIRE(reader.knownRevision() == 20);
+  reader.onNews(inFirstEpoch(15));
+  REQUIRE(reader.known() == inFirstEpoch(20));
 }
 
 TEST_CASE("every daemon gets forwarded news exactly once and passes it to few", "[serving]") {
@@ -198,9 +198,9 @@
   news.set_reader(root.text());
   const std::size_t children = forwardTo(members, root, members[1]).size();
   REQUIRE(children > 0);
-  REQUIRE(relay.onNews(root, news, 8, at(1000)).news.size() == children);
-  REQUIRE(relay.onNews(root, news, 8, at(1001)).news.empty());
-  REQUIRE(relay.onNews(root, news, 8, at(2000)).news.size() == children);
+  REQUIRE(relay.onNews(root, news, inFirstEpoch(8), at(1000)).news.size() == children);
+  REQUIRE(relay.onNews(root, news, inFirstEpoch(8), at(1001)).news.empty());
+  REQUIRE(relay.onNews(root, news, inFirstEpoch(8), at(2000)).news.size() == children);
   REQUIRE(relay.freshAt() == at(2000));
 }
 
@@ -208,13 +208,13 @@
   SourceRelay relay(Endpoint(1, 1));
   std::size_t told = 0;
   for (std::uint32_t number = 2; number < 102; ++number) {
-    told += relay.missedBy(Endpoint(number, 1), 0, 8, at(1000)) ? 1 : 0;
+    told += relay.missedBy(Endpoint(number, 1), inFirstEpoch(0), inFirstEpoch(8), at(1000)) ? 1 : 0;
   }
   REQUIRE(told > 0);
   REQUIRE(told < 30);
-  REQUIRE(relay.missedBy(Endpoint(200, 1), 0, 8, at(2000)));
+  REQUIRE(relay.missedBy(Endpoint(200, 1), inFirstEpoch(0), inFirstEpoch(8), at(2000)));
   // Changes are small, so whoever missed some is told them.
-  REQUIRE(relay.missedBy(Endpoint(201, 1), 7, 8, at(1001)));
+  REQUIRE(relay.missedBy(Endpoint(201, 1), inFirstEpoch(7), inFirstEpoch(8), at(1001)));
 }
 
 TEST_CASE("a daemon that misses news asks for everything and then knows it", "[serving]") {
@@ -226,27 +226,27 @@
   receiver.setMembers(std::vector<Endpoint>{one, other});
   reader.setFreshAt(at(1000));
   reader.keep({"servers/x", "value", 7, false});
-  const auto sent = reader.onRead(5, 8, {{"servers/x", "value", 7, false}}, at(1100));
+  const auto sent = reader.onRead(5, inFirstEpoch(8), {{"servers/x", "value", 7, false}}, at(1100));
   REQUIRE(sent.news.size() == 1);
   const SourceNews news = sent.news[0].news;
   REQUIRE(news.age_us() == 100'000);
 
   SECTION("nothing is missing") {
-    const auto taken = receiver.onNews(one, news, 6, at(5000));
+    const auto taken = receiver.onNews(one, news, inFirstEpoch(6), at(5000));
     REQUIRE(taken.accepted);
     REQUIRE(receiver.freshAt() == at(4900));
   }
   SECTION("something is missing") {
-    const auto refused = receiver.onNews(one, news, 3, at(5000));
+    const auto refused = receiver.onNews(one, news, inFirstEpoch(3), at(5000));
     REQUIRE_FALSE(refused.accepted);
     REQUIRE(*refused.ask == one);
-    const auto whole = reader.missedBy(other, 0, 8, at(1200));
+    const auto whole = reader.missedBy(other, inFirstEpoch(0), inFirstEpoch(8), at(1200));
     REQUIRE(whole->news.whole());
-    REQUIRE(receiver.onNews(one, whole->news, 3, at(5100)).accepted);
+    REQUIRE(receiver.onNews(one, whole->news, inFirstEpoch(3), at(5100)).accepted);
     REQUIRE(recordsOf(whole->news).size() == 1);
   }
   SECTION("it is older than what is known") {
-    REQUIRE_FALSE(receiver.onNews(one, news, 9, at(5000)).accepted);
+    REQUIRE_FALSE(receiver.onNews(one, news, inFirstEpoch(9), at(5000)).accepted);
   }
 }
 
@@ -254,14 +254,14 @@
   KnowledgeSettings settings;
   settings.removalDelay = removalDelayFor(std::chrono::seconds(5));
   ServingKnowledge knowledge(settings);
-  knowledge.onLeaf(leafEntry("x", "s", 1), 1);
-  knowledge.onLeaf(leafEntry("y", "s", 2), 2);
-  knowledge.onListing({"x", "y"}, 2, at(0));
-  knowledge.onLeafRemoved("x", 3, at(0));
-  knowledge.onLeafRemoved("y", 4, at(0));
+  knowledge.onLeaf(leafEntry("x", "s", 1), inFirstEpoch(1));
+  knowledge.onLeaf(leafEntry("y", "s", 2), inFirstEpoch(2));
+  knowledge.onListing({"x", "y"}, inFirstEpoch(2), at(0));
+  knowledge.onLeafRemoved("x", inFirstEpoch(3), at(0));
+  knowledge.onLeafRemoved("y", inFirstEpoch(4), at(0));
   knowledge.onTime(at(2400));
   REQUIRE(knowledge.leafCount() == 2);
-  knowledge.onLeaf(leafEntry("x", "s", 1), 5);
+  knowledge.onLeaf(leafEntry("x", "s", 1), inFirstEpoch(5));
   knowledge.onTime(at(2600));
   // "y" did not come back.
   REQUIRE(knowledge.leafCount() == 1);
@@ -287,7 +287,7 @@
   relay.keep({"servers/8", "", 102, true});
   relay.keep({"servers/8", "again", 103, false});
 
-  const SourceNews missed = relay.missedBy(asker, 99, 103, at(1000))->news;
+  const SourceNews missed = relay.missedBy(asker, inFirstEpoch(99), inFirstEpoch(103), at(1000))->news;
   REQUIRE_FALSE(missed.whole());
   REQUIRE(missed.after_revision() == 99);
   REQUIRE(missed.revision() == 103);
@@ -299,9 +299,9 @@
   REQUIRE(told == std::set<std::string>{"servers/100", "servers/7 gone", "servers/8"});
 
   // After a listing nobody knows what went before it.
-  relay.dropUnlisted({"servers/100"}, 103);
-  REQUIRE(relay.missedBy(asker, 99, 104, at(1000))->news.whole());
-  REQUIRE_FALSE(relay.missedBy(asker, 103, 104, at(1000))->news.whole());
+  relay.dropUnlisted({"servers/100"}, inFirstEpoch(103));
+  REQUIRE(relay.missedBy(asker, inFirstEpoch(99), inFirstEpoch(104), at(1000))->news.whole());
+  REQUIRE_FALSE(relay.missedBy(asker, inFirstEpoch(103), inFirstEpoch(104), at(1000))->news.whole());
 }
 
 TEST_CASE("news of one revision is forwarded once", "[serving]") {
@@ -315,8 +315,8 @@
   news.set_after_revision(1);
   news.set_revision(2);
   news.set_reader(members[0].text());
-  REQUIRE(relay.onNews(members[0], news, 1, at(1)).news.size() == kForwardingDegree);
-  REQUIRE(relay.onNews(members[5], news, 2, at(2)).news.empty());
+  REQUIRE(relay.onNews(members[0], news, inFirstEpoch(1), at(1)).news.size() == kForwardingDegree);
+  REQUIRE(relay.onNews(members[5], news, inFirstEpoch(2), at(2)).news.empty());
 }
 
 TEST_CASE("leafs' connections suffice for any number of daemons", "[serving]") {
--- a/tests/serving/platform/leaf_entries_test.cpp
+++ b/tests/serving/platform/leaf_entries_test.cpp
@@ -84,7 +84,7 @@
     SourceNews news;
     news.set_revision(revision);
     news.set_whole(whole);
-    news.set_after_revision(whole ? 0 : follower_.knownRevision());
+    news.set_after_revision(whole ? 0 : follower_.known().revision);
     news.set_reader(Endpoint(2, 1).text());
     for (const SourceRecord& record : records) {
       SourceRecordNews* added = news.add_records();
--- a/tests/serving/support/serving_fixtures.h
+++ b/tests/serving/support/serving_fixtures.h
@@ -9,9 +9,13 @@
 
 #include "coordination/serving/query.h"
 #include "state/serving/leaf_directory.h"
+#include "state/serving/source_position.h"
 
 namespace oakpier::serving {
 
+/// Of a source that tells no epoch.
+inline SourcePosition inFirstEpoch(std::uint64_t revision) { return SourcePosition{0, revision}; }
+
 inline Moment at(int milliseconds) { return Moment(std::chrono::milliseconds(milliseconds)); }
 
 inline Route singleRoute(const std::string& service, bool repeatable, unsigned attempts) {
--- a/tests/serving/support/source_fleet.cpp
+++ b/tests/serving/support/source_fleet.cpp
@@ -252,7 +252,8 @@
   }
   if (actions.ask) {
     SourceNewsRequest request;
-    request.set_known_revision(daemons_[number].follower->knownRevision());
+    request.set_known_revision(daemons_[number].follower->known().revision);
+    request.set_known_epoch(daemons_[number].follower->known().epoch);
     deliver(number, *actions.ask, [this, number, sender, request](std::size_t receiver) {
       if (const auto told = daemons_[receiver].follower->onNewsRequest(sender, request, clockOf(receiver))) {
         FollowerActions reply;
--- a/tests/serving/support/source_fleet.h
+++ b/tests/serving/support/source_fleet.h
@@ -101,7 +101,7 @@
   std::size_t calls() const { return calls_; }
   std::uint64_t sourceRevision() const { return revision_; }
   std::uint64_t knownRevisionOf(std::size_t number) const {
-    return daemons_[number].follower->knownRevision();
+    return daemons_[number].follower->known().revision;
   }
 
  private:
