Generated restorations in series with other troubles, and what they found

Cause (found by the generated fleets): a listing's position was taken for the known one before the epoch's change was noticed, so that proofs were claimed of configurations that the source had lost; a daemon that the source refuses hears only the tree of forwarding; news that tells nothing new made a reader forget that it had to list. Ruled out: the tests' own source (two faults of it were mended first: lost writes that were written again against their writer's will, and writes lost twice). Change: the place known before a listing is handed on; who fails to read asks another daemon, and waits out its backoff whatever it hears; a reader remembers that history is gone until somebody tells of a later place.

--- a/src/coordination/serving/peer_recovery.cpp
+++ b/src/coordination/serving/peer_recovery.cpp
@@ -34,6 +34,10 @@
     return std::nullopt;
   }
   nextAskAt_ = now + settings_.askPeriod;
+  return drawOther(random);
+}
+
+std::optional<Endpoint> PeerRecovery::drawOther(RandomEngine& random) const {
   const std::vector<Endpoint>& candidates = members_.empty() ? seeds_ : members_;
   if (candidates.empty()) {
     return std::nullopt;
--- a/src/coordination/serving/peer_recovery.h
+++ b/src/coordination/serving/peer_recovery.h
@@ -41,6 +41,8 @@
   /// The daemon to ask now, if one is due.
   std::optional<Endpoint> takeAsk(Moment now, RandomEngine& random);
   Moment nextAskAt() const { return nextAskAt_; }
+  /// Another daemon, for who cannot read the source; a seed while no other is known.
+  std::optional<Endpoint> drawOther(RandomEngine& random) const;
   /// Seeds, and a daemon without any, read for the others from their start on.
   bool readsFirst() const { return readsFirst_; }
   /// From then on this daemon lists the source itself.
--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -190,6 +190,14 @@
   return evacuated;
 }
 
+std::set<std::string> ServingKnowledge::leafIds() const {
+  std::set<std::string> ids;
+  for (const auto& [id, leaf] : leafs_) {
+    ids.insert(id);
+  }
+  return ids;
+}
+
 std::size_t ServingKnowledge::leafsLeaving() const {
   return static_cast<std::size_t>(std::count_if(
       leafs_.begin(), leafs_.end(), [](const auto& leaf) { return leaf.second.removeAt != kNever; }));
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -88,6 +88,7 @@
   /// Leafs that are used on although the source does not list them.
   std::size_t leafsLeaving() const;
   std::size_t leafCount() const { return leafs_.size(); }
+  std::set<std::string> leafIds() const;
   std::vector<std::string> evacuatedZones() const;
 
  private:
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -96,13 +96,13 @@
   const bool restored = verdict == EpochVerdict::kNewer;
   actions.reconnect = verdict == EpochVerdict::kOlder || unusable;
   if (verdict == EpochVerdict::kOlder) {
-    onFailure(SourceFailure::kOlderEpoch, false, now);
+    onFailure(SourceFailure::kOlderEpoch, false, now, actions);
   } else if (unusable) {
-    onFailure(failure == nullptr ? SourceFailure::kNoUsableEpoch : *failure, false, now);
+    onFailure(failure == nullptr ? SourceFailure::kNoUsableEpoch : *failure, false, now, actions);
   } else if (restored && historyGone) {
     onSourceBack(now);
   } else if (failure != nullptr) {
-    onFailure(*failure, restored, now);
+    onFailure(*failure, restored, now, actions);
   } else {
     onPage(call, std::get<SourcePage>(answer.content), answer.epoch.epoch, now, actions);
   }
@@ -122,12 +122,17 @@
   return verdict;
 }
 
-void SourceFollower::onFailure(SourceFailure failure, bool restored, Moment now) {
+void SourceFollower::onFailure(SourceFailure failure, bool restored, Moment now, FollowerActions& actions) {
   ++counters_.failures;
   election_.onFailure();
   // Whoever is refused by a source that has come back knows that the changes since are of no use.
   const SourceFailure consequence = restored ? SourceFailure::kHistoryGone : failure;
   reader_.onFailure(consequence, election_.longestBackoff(), now);
+  // A daemon that the source refuses hears only the tree of forwarding, and below a daemon that has died
+  // unnoticed nothing of it: it asks. Without this up to three daemons of 120 lacked a version 4 s after
+  // deaths and refusals together, in 5 of 8 runs of 400 generated fleets.
+  actions.ask = recovery_.drawOther(random_);
+  counters_.newsAsked += actions.ask ? 1 : 0;
 }
 
 void SourceFollower::onSourceBack(Moment now) {
@@ -180,7 +185,7 @@
                                        FollowerActions& actions) {
   const bool restored = knownBefore.revision > 0 && listingPosition_.epoch > knownBefore.epoch;
   if (listingPosition_ >= knownBefore) {
-    takeOverListing(newestOf(listing_, listingPosition_.epoch), listingPosition_, now, actions);
+    takeOverListing(newestOf(listing_, listingPosition_.epoch), listingPosition_, knownBefore, now, actions);
     relay_.setFreshAt(now);
   } else {
     ++counters_.listingsOutdated;
@@ -247,11 +252,7 @@
   return result;
 }
 
-void SourceFollower::beginEpoch(const SourcePosition& position, Moment now) {
-  const SourcePosition before = known();
-  if (position.epoch <= before.epoch) {
-    return;
-  }
+void SourceFollower::beginEpoch(const SourcePosition& position, const SourcePosition& before, Moment now) {
   epochBegan_ = position;
   // To a daemon that has just started, any epoch but the first may have begun just now.
   prover_.holdClaims(now + writtenAgainWithin_);
@@ -262,9 +263,10 @@
 }
 
 void SourceFollower::takeOverListing(const std::vector<SourceRecord>& records, const SourcePosition& position,
-                                     Moment now, FollowerActions& actions) {
-  const SourcePosition before = known();
-  beginEpoch(position, now);
+                                     const SourcePosition& before, Moment now, FollowerActions& actions) {
+  if (position.epoch > before.epoch) {
+    beginEpoch(position, before, now);
+  }
   ListedNames listed;
   std::set<std::string> keys;
   for (const SourceRecord& record : records) {
@@ -382,7 +384,7 @@
     return;
   }
   if (news.whole()) {
-    takeOverListing(recordsOf(news), told, now, actions);
+    takeOverListing(recordsOf(news), told, before, now, actions);
   } else {
     takeOver(recordsOf(news), now, actions);
   }
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -100,6 +100,7 @@
   bool complete() const { return knowledge_.complete(); }
   std::uint64_t configurationVersion() const { return knowledge_.configurationVersion(); }
   std::size_t leafCount() const { return knowledge_.leafCount(); }
+  std::set<std::string> leafIds() const { return knowledge_.leafIds(); }
   std::vector<std::string> evacuatedZones() const { return knowledge_.evacuatedZones(); }
   /// Everything that the source held there is known; revision 0 while nothing is.
   const SourcePosition& known() const { return reader_.known(); }
@@ -116,7 +117,7 @@
   /// What the answer tells of the epoch, with a notice when that is not what was told before.
   EpochVerdict judgeEpoch(const ToldEpoch& told, FollowerActions& actions);
   /// `restored`: it came with a newer epoch.
-  void onFailure(SourceFailure failure, bool restored, Moment now);
+  void onFailure(SourceFailure failure, bool restored, Moment now, FollowerActions& actions);
   void onPage(const SourceCall& call, const SourcePage& page, std::uint64_t epoch, Moment now,
               FollowerActions& actions);
   void onListingPage(const SourceCall& call, const SourcePage& page, std::uint64_t epoch, Moment now,
@@ -126,11 +127,11 @@
   void onSourceBack(Moment now);
   /// The last record of each key, as of `epoch`.
   static std::vector<SourceRecord> newestOf(const std::vector<SourceRecord>& records, std::uint64_t epoch);
-  /// Records that are all that the source held at `position`.
-  void takeOverListing(const std::vector<SourceRecord>& records, const SourcePosition& position, Moment now,
-                       FollowerActions& actions);
-  /// Before the first listing of an epoch is taken over.
-  void beginEpoch(const SourcePosition& position, Moment now);
+  /// Records that are all that the source held at `position`; everything up to `before` was known.
+  void takeOverListing(const std::vector<SourceRecord>& records, const SourcePosition& position,
+                       const SourcePosition& before, Moment now, FollowerActions& actions);
+  /// The first listing of an epoch is taken over next.
+  void beginEpoch(const SourcePosition& position, const SourcePosition& before, Moment now);
   void takeOver(const std::vector<SourceRecord>& records, Moment now, FollowerActions& actions);
   /// What the records of a listing name; what they do not name is gone.
   struct ListedNames {
--- a/src/coordination/serving/source_reader.cpp
+++ b/src/coordination/serving/source_reader.cpp
@@ -22,7 +22,10 @@
   return next_;
 }
 
-SourceCall SourceReader::changesSinceKnown(Duration wait) const {
+SourceCall SourceReader::nextFor(Duration wait) const {
+  if (historyGoneAt_ == known_) {
+    return SourceCall{};
+  }
   return SourceCall{SourceCall::Kind::kChanges, "", known_.revision, wait, known_.epoch};
 }
 
@@ -33,7 +36,7 @@
   const SourcePosition position{epoch, page.revision};
   if (current_.kind == SourceCall::Kind::kChanges) {
     known_ = std::max(known_, position);
-    next_ = changesSinceKnown(settings_.wait);
+    next_ = nextFor(settings_.wait);
     nextCallAt_ = now + settings_.pace;
     return;
   }
@@ -46,8 +49,9 @@
     return;
   }
   listingComplete_ = true;
+  historyGoneAt_.reset();
   known_ = std::max(known_, listing_);
-  next_ = changesSinceKnown(settings_.wait);
+  next_ = nextFor(settings_.wait);
   nextCallAt_ = now + settings_.pace;
 }
 
@@ -55,6 +59,7 @@
   inProgress_ = false;
   failuresInRow_ = 0;
   listingComplete_ = false;
+  historyGoneAt_ = known_;
   next_ = SourceCall{};
   nextCallAt_ = now + after;
 }
@@ -63,7 +68,7 @@
   inProgress_ = false;
   failuresInRow_ = 0;
   listingComplete_ = false;
-  next_ = changesSinceKnown(settings_.wait);
+  next_ = nextFor(settings_.wait);
   nextCallAt_ = now + settings_.pace;
 }
 
@@ -83,18 +88,20 @@
   }
   known_ = position;
   const Duration wait = next_.kind == SourceCall::Kind::kChanges ? next_.wait : settings_.wait;
-  next_ = changesSinceKnown(wait);
+  next_ = nextFor(wait);
 }
 
 void SourceReader::leaveToOther(Moment freshAt, Duration stagger) {
-  next_ = changesSinceKnown(Duration(0));
-  nextCallAt_ = freshAt + settings_.pace + settings_.wait + stagger;
+  next_ = nextFor(Duration(0));
+  // Others' news may be old already, as while the source is down: a wait after failed calls is kept.
+  nextCallAt_ = std::max(freshAt + settings_.pace + settings_.wait + stagger, backoffUntil_);
 }
 
 void SourceReader::onFailure(SourceFailure failure, Duration longestBackoff, Moment now) {
   inProgress_ = false;
   listingComplete_ = false;
   if (failure == SourceFailure::kHistoryGone) {
+    historyGoneAt_ = known_;
     next_ = SourceCall{};
   }
   const unsigned doublings = std::min(failuresInRow_, kMostDoublings);
--- a/src/coordination/serving/source_reader.h
+++ b/src/coordination/serving/source_reader.h
@@ -78,7 +78,8 @@
   unsigned failuresInRow() const { return failuresInRow_; }
 
  private:
-  SourceCall changesSinceKnown(Duration wait) const;
+  /// The changes since what is known, or a listing where the source does not tell these any more.
+  SourceCall nextFor(Duration wait) const;
 
   SourceReaderSettings settings_;
   RandomEngine random_;
@@ -90,6 +91,9 @@
   /// Of the first page of the listing in progress.
   SourcePosition listing_;
   SourcePosition known_;
+  /// The source does not tell the changes since then any more: unless others tell of a later place, it is
+  /// listed.
+  std::optional<SourcePosition> historyGoneAt_;
   unsigned failuresInRow_ = 0;
   Moment nextCallAt_{};
   /// No call before, as the last one has failed.
--- a/tests/serving/coordination/source_fleet_test.cpp
+++ b/tests/serving/coordination/source_fleet_test.cpp
@@ -19,6 +19,12 @@
 /// A daemon counts as in touch when this much time has passed without trouble for it or the source.
 constexpr Duration kContact = seconds(4);
 
+/// The operator's bound on a change at daemons in touch.
+constexpr Duration kConfigurationBound = seconds(3);
+/// Writers write again within this time what a source that comes back from a copy has lost.
+constexpr Duration kWrittenAgain = seconds(2);
+constexpr std::size_t kLeafs = 40;
+
 SourceFleetSettings fleetOf(std::size_t daemons, std::uint64_t random = 1) {
   SourceFleetSettings settings;
   settings.daemons = daemons;
@@ -220,15 +226,31 @@
   void play(int steps) {
     fleet_.runFor(seconds(5));
     for (int step = 0; step < steps; ++step) {
-      disturb();
+      const int troubles = *rc::gen::inRange(1, 4);
+      for (int trouble = 0; trouble < troubles; ++trouble) {
+        disturb();
+        fleet_.runFor(milliseconds(*rc::gen::inRange(0, 400)));
+      }
       const std::uint64_t version = fleet_.changeConfiguration();
       const bool evacuated = *rc::gen::arbitrary<bool>();
       fleet_.setEvacuated("a", evacuated);
       fleet_.runFor(milliseconds(*rc::gen::inRange(100, 1500)));
+      if (*rc::gen::inRange(0, 3) == 0) {
+        // The source loses even the last version, which was acknowledged.
+        restore();
+      }
       recover();
-      fleet_.runFor(kContact);
+      // What was acknowledged and lost is in force in time from when it is written again.
+      fleet_.runFor(restored_ ? std::max(kContact, kWrittenAgain + kConfigurationBound) : kContact);
       RC_ASSERT(laggards(fleet_, version) == 0U);
+      if (restored_) {
+        // An evacuation that a copy lacks is kept until it would have been written again.
+        fleet_.runFor(kWrittenAgainWithin);
+        restored_ = false;
+      }
       RC_ASSERT(wrongAboutEvacuation(fleet_, evacuated) == 0U);
+      RC_ASSERT(fleet_.versionsBack() == 0U);
+      RC_ASSERT(fleet_.unsoundProofs() == 0U);
     }
     checkStillFollowing();
   }
@@ -237,7 +259,7 @@
   std::size_t drawDaemon() const { return *rc::gen::inRange<std::size_t>(0, fleet_.size()); }
 
   void disturb() {
-    switch (*rc::gen::inRange(0, 6)) {
+    switch (*rc::gen::inRange(0, 10)) {
       case 0:
         fleet_.kill(*rc::gen::inRange<std::size_t>(0, std::min<std::size_t>(6, fleet_.size())));
         break;
@@ -253,12 +275,63 @@
       case 4:
         fleet_.forgetHistory();
         break;
+      case 5:
+        cutMany();
+        break;
+      case 6:
+        suspendMany();
+        break;
+      case 7:
+        restore();
+        break;
+      case 8:
+        fleet_.removeLeaf(*rc::gen::inRange<std::size_t>(0, kLeafs));
+        break;
       default:
-        fleet_.changeLeaf(drawDaemon());
+        fleet_.changeLeaf(*rc::gen::inRange<std::size_t>(0, kLeafs));
         break;
     }
   }
 
+  /// The source goes away and comes back from a copy, once or several times within a second.
+  void restore() {
+    restored_ = true;
+    const int times = *rc::gen::element(1, 1, 1, 2, 3);
+    for (int time = 0; time < times; ++time) {
+      fleet_.setSourceDown(true);
+      fleet_.runFor(milliseconds(*rc::gen::element(0, 50, 300, 2700)));
+      fleet_.restoreSource(milliseconds(*rc::gen::inRange(1, 12'000)), kWrittenAgain);
+      fleet_.setSourceDown(false);
+      fleet_.runFor(milliseconds(*rc::gen::inRange(0, 300)));
+    }
+  }
+
+  void cutMany() {
+    for (std::size_t from = 0; from < std::min<std::size_t>(fleet_.size(), 20); ++from) {
+      for (std::size_t to = 0; to < fleet_.size(); ++to) {
+        if (*rc::gen::inRange(0, 5) == 0) {
+          fleet_.setCut(from, to, true);
+        }
+      }
+    }
+  }
+
+  void suspendMany() {
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      if (fleet_.alive(number) && *rc::gen::inRange(0, 4) == 0) {
+        fleet_.suspend(number);
+      }
+    }
+  }
+
+  void wakeAll() {
+    for (std::size_t number = 0; number < fleet_.size(); ++number) {
+      if (fleet_.suspended(number)) {
+        fleet_.resume(number);
+      }
+    }
+  }
+
   void killMany() {
     const int share = *rc::gen::inRange(2, 10);
     for (std::size_t number = 0; number < fleet_.size(); ++number) {
@@ -274,9 +347,12 @@
     }
   }
 
-  /// Dead daemons start again, and the source answers; it may go on refusing some.
+  /// Dead daemons start again, those that stood still go on, cuts heal, and the source answers; it may go on
+  /// refusing some.
   void recover() {
     fleet_.setSourceDown(false);
+    fleet_.mendCuts();
+    wakeAll();
     for (std::size_t number = 0; number < fleet_.size(); ++number) {
       if (!fleet_.alive(number) && *rc::gen::inRange(0, 4) != 0) {
         fleet_.start(number);
@@ -302,9 +378,13 @@
     const std::uint64_t version = fleet_.changeConfiguration();
     fleet_.runFor(kTroubledBound);
     RC_ASSERT(laggards(fleet_, version) == 0U);
+    // Whatever the source has lost was written again or has lapsed.
+    RC_ASSERT(fleet_.wrongAboutLeafs() == 0U);
   }
 
   SourceFleet fleet_;
+  /// The source has come back from a copy in this step.
+  bool restored_ = false;
 };
 
 }  // namespace
@@ -317,6 +397,8 @@
     settings.seeds = *rc::gen::inRange<std::size_t>(0, 4);
     settings.random = *rc::gen::arbitrary<std::uint64_t>();
     settings.frameLoss = *rc::gen::element(0.0, 0.01, 0.05);
+    settings.firstEpoch = *rc::gen::element<std::uint64_t>(0, 0, 1, 9);
+    settings.tenants = *rc::gen::arbitrary<bool>();
     GeneratedFleet(settings).play(*rc::gen::inRange(1, 5));
   });
 }
@@ -328,6 +410,8 @@
     settings.seeds = *rc::gen::inRange<std::size_t>(0, 4);
     settings.random = *rc::gen::arbitrary<std::uint64_t>();
     settings.frameLoss = *rc::gen::element(0.0, 0.01, 0.05);
+    settings.firstEpoch = *rc::gen::element<std::uint64_t>(0, 0, 1, 9);
+    settings.tenants = *rc::gen::arbitrary<bool>();
     const auto sizes = *rc::gen::inRange<std::size_t>(1, 12);
     for (std::size_t size = 0; size < sizes; ++size) {
       settings.capacities.push_back(*rc::gen::element(0U, 12U, 12U, 28U, 50U));
--- a/tests/serving/support/source_fleet.cpp
+++ b/tests/serving/support/source_fleet.cpp
@@ -10,6 +10,7 @@
 
 constexpr const char* kConfigurationKey = "configuration";
 const std::string kEvacuationPrefix = "evacuation/";
+const std::string kLeafPrefix = "leaf/";
 constexpr std::size_t kPageRecords = 500;
 constexpr Duration kSourceDelay = std::chrono::milliseconds(4);
 /// A call to a source that is silent ends after this, beside the time that the source may wait.
@@ -87,6 +88,7 @@
 
 void SourceFleet::change(const std::string& key, const std::string& value, bool gone) {
   const SourceRecord record{key, value, ++revision_, gone};
+  written_[key] = record;
   if (gone) {
     records_.erase(key);
   } else {
@@ -113,7 +115,6 @@
     answer(waiting.daemon, waiting.life, waiting.call, SourceFailure::kNoAnswer, Duration(0));
   }
   waiting_.clear();
-  const std::map<std::string, SourceRecord> before = records_;
   while (!history_.empty() && history_.back().madeAt > now_ - age) {
     history_.pop_back();
   }
@@ -128,35 +129,20 @@
     }
   }
   historyFrom_ = std::min(historyFrom_, revision_);
-  restoredRevision_ = revision_;
   ++epoch_;
-  for (const auto& [key, lost] : before) {
-    const auto copied = records_.find(key);
-    if (copied == records_.end() || copied->second.revision != lost.revision) {
-      const auto delay = static_cast<std::int64_t>(drawBelow(writtenAgainWithin.count() + 1, random_));
-      at(now_ + Duration(delay), [this, lost = lost, epoch = epoch_] {
-        if (epoch_ == epoch) {
-          writeAgain(lost);
-        }
-      });
-    }
-  }
-  for (const auto& [key, copied] : records_) {
-    if (before.count(key) == 0) {
-      at(now_ + writtenAgainWithin, [this, key = key, epoch = epoch_] {
-        const auto listed = records_.find(key);
-        if (epoch_ == epoch && listed != records_.end() && listed->second.revision <= restoredRevision_) {
-          change(key, "", true);
-        }
-      });
-    }
+  for (const auto& [key, written] : written_) {
+    const auto delay = static_cast<std::int64_t>(drawBelow(writtenAgainWithin.count() + 1, random_));
+    at(now_ + Duration(delay), [this, key = key] { writeAgain(key); });
   }
 }
 
-void SourceFleet::writeAgain(const SourceRecord& lost) {
-  const auto listed = records_.find(lost.key);
-  if (listed == records_.end() || listed->second.revision <= restoredRevision_) {
-    change(lost.key, lost.value);
+void SourceFleet::writeAgain(const std::string& key) {
+  const SourceRecord& written = written_.at(key);
+  const auto listed = records_.find(key);
+  const bool asWritten =
+      listed == records_.end() ? written.gone : !written.gone && listed->second.value == written.value;
+  if (!asWritten) {
+    change(key, written.value, written.gone);
   }
 }
 
@@ -168,6 +154,25 @@
 
 void SourceFleet::changeLeaf(std::size_t number) { change("leaf/" + std::to_string(number), "ready"); }
 
+void SourceFleet::removeLeaf(std::size_t number) { change("leaf/" + std::to_string(number), "", true); }
+
+std::size_t SourceFleet::wrongAboutLeafs() const {
+  std::set<std::string> listed;
+  for (const auto& [key, record] : records_) {
+    if (key.compare(0, kLeafPrefix.size(), kLeafPrefix) == 0) {
+      listed.insert(key);
+    }
+  }
+  std::size_t wrong = 0;
+  for (const Daemon& daemon : daemons_) {
+    if (daemon.alive) {
+      const auto believed = daemon.follower->leafIds();
+      wrong += believed == listed ? 0 : 1;
+    }
+  }
+  return wrong;
+}
+
 void SourceFleet::setEvacuated(const std::string& zone, bool evacuated) {
   change(kEvacuationPrefix + zone, "", !evacuated);
 }
@@ -226,7 +231,9 @@
   if (const auto due = daemon.follower->takeCall(clockOf(number))) {
     call(number, *due);
   }
-  daemon.versions.try_emplace(daemon.follower->configurationVersion(), now_);
+  const std::uint64_t version = daemon.follower->configurationVersion();
+  versionsBack_ += !daemon.versions.empty() && version < daemon.versions.rbegin()->first ? 1 : 0;
+  daemon.versions.try_emplace(version, now_);
   checkProof(number);
   const Moment due = daemon.follower->nextDueAt();
   const Moment next = due == kNever ? kNever : due - daemon.ahead;
@@ -379,6 +386,7 @@
 
 void SourceFleet::onCall(std::size_t number, std::uint64_t life, const SourceCall& call) {
   ++calls_;
+  listings_ += call.kind == SourceCall::Kind::kList && call.afterKey.empty() ? 1 : 0;
   if (sourceDown_) {
     answer(number, life, call, SourceFailure::kNoAnswer, call.wait + kCallTimeout);
     return;
--- a/tests/serving/support/source_fleet.h
+++ b/tests/serving/support/source_fleet.h
@@ -51,6 +51,8 @@
   /// The operator hands in the next version, which the source takes at once.
   std::uint64_t changeConfiguration();
   void changeLeaf(std::size_t number);
+  /// The leaf leaves: its entry goes.
+  void removeLeaf(std::size_t number);
   /// The operator evacuates a zone, or takes that back.
   void setEvacuated(const std::string& zone, bool evacuated);
   void kill(std::size_t number);
@@ -100,6 +102,14 @@
   /// Calls that the source got, refused ones too.
   std::size_t calls() const { return calls_; }
   std::uint64_t sourceRevision() const { return revision_; }
+  /// Listings that the source was asked to begin, refused ones too.
+  std::size_t listings() const { return listings_; }
+  /// Living daemons that believe in other leafs than the source lists.
+  std::size_t wrongAboutLeafs() const;
+  /// Times that a daemon used an older version of the configuration than before in the same life.
+  std::size_t versionsBack() const { return versionsBack_; }
+  /// What the daemon follows by, for tests that look into one.
+  const SourceFollower& followerOf(std::size_t number) const { return *daemons_[number].follower; }
   std::uint64_t knownRevisionOf(std::size_t number) const {
     return daemons_[number].follower->known().revision;
   }
@@ -146,8 +156,8 @@
   SourceAnswer::Content contentFor(const SourceCall& call) const;
   /// What the source says to anything.
   SourceAnswer told(SourceAnswer::Content content) const;
-  /// Its writer writes the record again as it stood, unless it has written it meanwhile.
-  void writeAgain(const SourceRecord& lost);
+  /// The record's writer sees to it that the source holds what it wrote last.
+  void writeAgain(const std::string& key);
   bool hasChangesFor(const SourceCall& call) const;
   void change(const std::string& key, const std::string& value, bool gone = false);
   /// What each daemon knows of the others at this moment.
@@ -173,11 +183,13 @@
   };
   std::vector<Change> history_;
   std::uint64_t epoch_ = 0;
-  /// The source's revision just after it came back from a copy.
-  std::uint64_t restoredRevision_ = 0;
+  /// What each writer wrote last, by key, whatever the source has lost of it.
+  std::map<std::string, SourceRecord> written_;
   std::vector<Waiting> waiting_;
   std::uint64_t nextWaiting_ = 1;
   std::size_t calls_ = 0;
+  std::size_t listings_ = 0;
+  std::size_t versionsBack_ = 0;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   /// By version.
   std::map<std::uint64_t, Moment> acknowledged_;
