Tell under which epoch and revision a request was decided; heartbeat of leafs as a setting

Cause: a request's line named the configuration's version only, which does not say what of the source was known; how long a copy may list a leaf that has gone depends on the leafs' heartbeat, which settings tell.

--- a/src/coordination/serving/query.h
+++ b/src/coordination/serving/query.h
@@ -52,6 +52,7 @@
   bool finished() const { return finished_; }
   const Route& route() const { return route_; }
   std::uint64_t configurationVersion() const { return view_->configuration->version; }
+  const SourcePosition& sourcePosition() const { return view_->position; }
   Moment receivedAt() const { return receivedAt_; }
   const RequestTrace& trace() const { return *trace_; }
   /// What the caller has lost with this final answer, given at `now`.
--- a/src/coordination/serving/serving_knowledge.cpp
+++ b/src/coordination/serving/serving_knowledge.cpp
@@ -264,7 +264,7 @@
   return next;
 }
 
-std::shared_ptr<const ServingView> ServingKnowledge::takeChangedView() {
+std::shared_ptr<const ServingView> ServingKnowledge::takeChangedView(const SourcePosition& known) {
   if (!changed_) {
     return nullptr;
   }
@@ -281,6 +281,7 @@
   view->routes = routes_;
   view->tenants = tenants_;
   view->leafs = std::move(leafs);
+  view->position = known;
   return view;
 }
 
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -34,13 +34,16 @@
 /// left out the source drops the entry.
 inline constexpr Duration kUsualLeafHeartbeat = std::chrono::milliseconds(1200);
 
+/// How long after its return the source may list a leaf that does not write any more.
+constexpr Duration lapseWithinFor(Duration leafHeartbeat) { return kWrittenAgainWithin + 3 * leafHeartbeat; }
+
 struct KnowledgeSettings {
   /// A leaf whose record went without notice is used on for this long, as records also go by mistake.
   Duration removalDelay = std::chrono::milliseconds(1000);
   /// After the source has come back from a copy, what was known and is not listed holds on for this long.
   Duration writtenAgainWithin = kWrittenAgainWithin;
   /// What the copy lists of a leaf that had gone is believed when it is still listed after this time.
-  Duration lapseWithin = kWrittenAgainWithin + 3 * kUsualLeafHeartbeat;
+  Duration lapseWithin = lapseWithinFor(kUsualLeafHeartbeat);
 };
 
 /// How long a leaf may be used on after its record went: the operator's bound on use after a leave, less the
@@ -74,8 +77,8 @@
   /// When `onTime` has something to do.
   Moment nextDueAt() const;
 
-  /// The newest view if it has changed since the last call; else null.
-  std::shared_ptr<const ServingView> takeChangedView();
+  /// The newest view if it has changed since the last call; else null. `known`: of the source.
+  std::shared_ptr<const ServingView> takeChangedView(const SourcePosition& known = {});
   /// A configuration and a whole listing are known.
   bool complete() const { return configuration_ != nullptr && listed_; }
   std::uint64_t configurationVersion() const { return configuration_ ? configuration_->version : 0; }
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -96,7 +96,7 @@
   void setMembers(const DaemonOrder& members);
 
   /// The newest view if it has changed since the last call; else null.
-  std::shared_ptr<const ServingView> takeChangedView() { return knowledge_.takeChangedView(); }
+  std::shared_ptr<const ServingView> takeChangedView() { return knowledge_.takeChangedView(known()); }
   bool complete() const { return knowledge_.complete(); }
   std::uint64_t configurationVersion() const { return knowledge_.configurationVersion(); }
   std::size_t leafCount() const { return knowledge_.leafCount(); }
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -84,6 +84,7 @@
 FollowerSettings followerSettings(const GatewaySettings& settings) {
   FollowerSettings follower;
   follower.knowledge.removalDelay = removalDelayFor(settings.leaveBound);
+  follower.knowledge.lapseWithin = lapseWithinFor(settings.leafHeartbeat);
   follower.prover = proverSettings(settings);
   return follower;
 }
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kLongestGrace = std::chrono::minutes(10);
 constexpr Duration kShortestLeaveBound = std::chrono::milliseconds(500);
 constexpr Duration kLongestLeaveBound = std::chrono::minutes(1);
+constexpr Duration kShortestHeartbeat = std::chrono::milliseconds(50);
+constexpr Duration kLongestHeartbeat = std::chrono::minutes(1);
 /// The reader's proof grows 2.25 s old from one answer of the source to the next, that of daemons far down
 /// its tree half a second older, and the death of a reader costs another second.
 constexpr Duration kShortestKeyBound = std::chrono::seconds(4);
@@ -38,6 +40,7 @@
   text << "\nsource_address = " << settings.sourceAddress.text()
        << "\nstop_grace_ms = " << toMilliseconds(settings.stopGrace)
        << "\nleave_bound_ms = " << toMilliseconds(settings.leaveBound)
+       << "\nleaf_heartbeat_ms = " << toMilliseconds(settings.leafHeartbeat)
        << "\nconfiguration_bound_ms = " << toMilliseconds(settings.configurationBound)
        << "\nkey_revocation_bound_ms = "
        << (settings.keyRevocationBound ? std::to_string(toMilliseconds(*settings.keyRevocationBound))
@@ -71,6 +74,8 @@
           "the grace of a stop is not within 1 and 600 seconds");
   require(settings.leaveBound >= kShortestLeaveBound && settings.leaveBound <= kLongestLeaveBound,
           "the bound on use after a leave is not within 0.5 and 60 seconds");
+  require(settings.leafHeartbeat >= kShortestHeartbeat && settings.leafHeartbeat <= kLongestHeartbeat,
+          "the time between writes of a leaf's entry is not within 0.05 and 60 seconds");
   require(settings.configurationBound >= kShortestConfigurationBound,
           "the bound on new configurations is below 0.5 seconds");
   require(!settings.keyRevocationBound || (*settings.keyRevocationBound >= kShortestKeyBound &&
--- a/src/programs/gateway/request_log.cpp
+++ b/src/programs/gateway/request_log.cpp
@@ -221,6 +221,8 @@
                                   {"outcome", outcome},
                                   {"route", query.route().name},
                                   {"configuration_version", query.configurationVersion()},
+                                  {"source_epoch", query.sourcePosition().epoch},
+                                  {"source_revision", query.sourcePosition().revision},
                                   {"elapsed_ms", inMilliseconds(now - query.receivedAt())},
                                   {"target_ms", inMilliseconds(query.route().targetLatency)}};
   addTenant(fields, request);
--- a/src/state/serving/leaf_directory.h
+++ b/src/state/serving/leaf_directory.h
@@ -61,6 +61,8 @@
   /// Null until the first configuration is known.
   std::shared_ptr<const TenantTable> tenants;
   std::shared_ptr<const LeafsByService> leafs;
+  /// Everything that the source held there was known when the view was made.
+  SourcePosition position;
 };
 
 }  // namespace oakpier::serving
--- a/tests/serving/platform/platform_test.cpp
+++ b/tests/serving/platform/platform_test.cpp
@@ -66,6 +66,13 @@
   negative.replace(negative.find("\"drain_ms\": 5000"), 16, "\"drain_ms\": 12");
   REQUIRE(std::get<SettingsError>(parseSettings(negative)).text ==
           "the bound on use after a leave is not within 0.5 and 60 seconds");
+  std::string heartbeat = kSettings;
+  heartbeat.insert(heartbeat.find("\"bounds\""), "\"heartbeat_ms\": 3, ");
+  REQUIRE(std::get<SettingsError>(parseSettings(heartbeat)).text ==
+          "the time between writes of a leaf's entry is not within 0.05 and 60 seconds");
+  heartbeat.replace(heartbeat.find("\"heartbeat_ms\": 3"), 17, "\"heartbeat_ms\": 900");
+  REQUIRE(std::get<GatewaySettings>(parseSettings(heartbeat)).leafHeartbeat ==
+          std::chrono::milliseconds(900));
   REQUIRE(std::get<SettingsError>(parseSettings("{}")).text.find("node_name") != std::string::npos);
   std::string wrong = kSettings;
   wrong.replace(wrong.find("10.200.1.7:8102"), 15, "store.example:1");
