--- a/tests/platform_model/fault_schedule.cpp
+++ b/tests/platform_model/fault_schedule.cpp
@@ -20,11 +20,21 @@
 constexpr Duration kCalmAtEnd = std::chrono::seconds(9);
 constexpr std::size_t kMostTargets = 1000;
 
-Duration drawDuration(RandomEngine& random) {
-  std::uniform_int_distribution<std::int64_t> draw(kShortest.count(), kLongest.count());
+Duration drawBetween(Duration shortest, Duration longest, RandomEngine& random) {
+  std::uniform_int_distribution<std::int64_t> draw(shortest.count(), longest.count());
   return Duration(draw(random));
 }
 
+Duration drawDuration(RandomEngine& random) { return drawBetween(kShortest, kLongest, random); }
+
+/// Between restorations on average, and of the second of a quick pair after the first.
+constexpr Duration kRestorationGap = std::chrono::seconds(4);
+constexpr Duration kQuickRestoration = std::chrono::milliseconds(900);
+constexpr double kQuickShare = 0.3;
+constexpr Duration kOldestCopy = std::chrono::seconds(9);
+/// Writers write again, and daemons learn of it, before the calm begins.
+constexpr Duration kLastRestoration = std::chrono::seconds(3);
+
 }  // namespace
 
 const char* textOf(FaultKind kind) {
@@ -72,6 +82,30 @@
   }
 }
 
+std::vector<Restoration> drawRestorations(Duration length, std::uint64_t seed) {
+  // Another engine than that of the faults.
+  RandomEngine random(~seed);
+  std::vector<Restoration> restorations;
+  Duration at = drawBetween(kShortest, kRestorationGap, random);
+  while (at < length - kCalmAtEnd - kLastRestoration) {
+    restorations.push_back(
+        {at, drawBetween(Duration(0), kLongest, random), drawBetween(kShortest, kOldestCopy, random)});
+    const bool quick = std::bernoulli_distribution(kQuickShare)(random);
+    at += restorations.back().down +
+          drawBetween(kShortest, quick ? kQuickRestoration : 2 * kRestorationGap, random);
+  }
+  return restorations;
+}
+
+void printRestorations(const std::vector<Restoration>& restorations, std::ostream& out) {
+  for (const Restoration& restoration : restorations) {
+    out << "  " << std::fixed << std::setprecision(3) << std::chrono::duration<double>(restoration.at).count()
+        << " s  store goes away for " << std::chrono::duration<double>(restoration.down).count()
+        << " s and comes back from a copy " << std::chrono::duration<double>(restoration.age).count()
+        << " s old\n";
+  }
+}
+
 void printFaults(const std::vector<Fault>& faults, std::ostream& out) {
   for (const Fault& fault : faults) {
     out << "  " << std::fixed << std::setprecision(3) << std::chrono::duration<double>(fault.at).count()
--- a/tests/platform_model/fault_schedule.h
+++ b/tests/platform_model/fault_schedule.h
@@ -49,6 +49,21 @@
 /// In rising order; they come in series and overlap. The last part of the day is left calm.
 std::vector<Fault> drawFaults(Duration length, std::uint64_t seed);
 
+/// The store goes away and comes back from an older copy of its records.
+struct Restoration {
+  /// Since the start of the traffic.
+  Duration at{};
+  /// Between its end and its return.
+  Duration down{};
+  /// Of the copy.
+  Duration age{};
+};
+
+/// In rising order, some in quick succession; drawn apart from the faults, so that a seed's faults are the
+/// same with and without them. The last part of the day is left calm.
+std::vector<Restoration> drawRestorations(Duration length, std::uint64_t seed);
+
 void printFaults(const std::vector<Fault>& faults, std::ostream& out);
+void printRestorations(const std::vector<Restoration>& restorations, std::ostream& out);
 
 }  // namespace oakpier::serving::model
--- a/tests/platform_model/main.cpp
+++ b/tests/platform_model/main.cpp
@@ -32,6 +32,8 @@
   app.add_flag("--ending-requests", settings.endingRequests,
                "requests come, again and again, that end each leaf that runs them");
   app.add_flag("--faults", settings.faults, "random faults, of which those that a seed draws are printed");
+  app.add_flag("--restorations", settings.restorations,
+               "with --faults: the store comes back from older copies of its records");
   app.add_flag("--stalled-output", settings.stalledOutput, "nobody reads the gateways' output");
   app.add_flag("--few-connections", settings.expectOwners,
                "leafs accept fewer connections than there are gateways, so that shards have owners");
@@ -58,6 +60,10 @@
     oakpier::serving::model::printFaults(oakpier::serving::model::drawFaults(settings.length, settings.seed),
                                          std::cout);
   }
+  if (settings.faults && settings.restorations) {
+    oakpier::serving::model::printRestorations(
+        oakpier::serving::model::drawRestorations(settings.length, settings.seed), std::cout);
+  }
   day.play();
   day.report(std::cout);
   return day.passed() ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kSeeds = 3;
 /// A gateway that ran undisturbed for this long knows what the others know.
 constexpr Duration kContact = std::chrono::seconds(4);
+/// Writers write again within this time what a store that comes back from a copy has lost.
+constexpr Duration kWrittenAgain = std::chrono::seconds(2);
 constexpr Duration kEndedCheck = std::chrono::milliseconds(50);
 /// The last part of a day with faults, in which all is to be served again.
 constexpr Duration kCalmJudged = std::chrono::seconds(2);
@@ -49,6 +51,17 @@
   return place != std::string::npos && metrics[place + name.size()] != '0';
 }
 
+/// As the metrics tell it; empty when they don't.
+std::string versionInForce(const std::string& metrics) {
+  const std::string name = "\noakpier_gateway_configuration_version ";
+  const std::size_t place = metrics.find(name);
+  if (place == std::string::npos) {
+    return "";
+  }
+  const std::size_t begin = place + name.size();
+  return metrics.substr(begin, metrics.find_first_of(" \n", begin) - begin);
+}
+
 }  // namespace
 
 struct PlatformDay::Gateway {
@@ -296,10 +309,48 @@
   for (const Fault& fault : faults) {
     after(fault.at, [this, fault] { apply(fault); });
   }
-  after(settings_.length - kCalmJudged, [this] { calmFrom_ = steadyNow(); });
+  if (settings_.restorations) {
+    planRestorations();
+  }
+  after(settings_.length - kCalmJudged, [this] {
+    calmFrom_ = steadyNow();
+    checkConfigurations();
+  });
   checkGateways();
 }
 
+void PlatformDay::planRestorations() {
+  for (const Restoration& restoration : drawRestorations(settings_.length, settings_.seed)) {
+    after(restoration.at, [this] {
+      ++storeOutages_;
+      store_.setDown(true);
+    });
+    after(restoration.at + restoration.down, [this, age = restoration.age] {
+      store_.restore(age, kWrittenAgain);
+      store_.setDown(--storeOutages_ > 0);
+    });
+  }
+}
+
+void PlatformDay::checkConfigurations() {
+  for (const auto& gateway : gateways_) {
+    if (!inTouch(*gateway)) {
+      continue;
+    }
+    const auto client = std::make_shared<Client>(context_, gateway->readiness);
+    const HttpRequest request{"GET", "/metrics", {}, ""};
+    client->connection.call(request, kClientPatience,
+                            [this, client, name = gateway->name](const std::optional<HttpReply>& reply) {
+                              const std::string used = reply ? versionInForce(reply->body) : "";
+                              if (used != std::to_string(configurationVersion_)) {
+                                observations_.addViolation(name + " uses configuration \"" + used +
+                                                           "\" in place of " +
+                                                           std::to_string(configurationVersion_));
+                              }
+                            });
+  }
+}
+
 void PlatformDay::apply(const Fault& fault) {
   Gateway& gateway = *gateways_[fault.target % gateways_.size()];
   LeafStandin& leaf = *leafs_[fault.target % leafs_.size()];
--- a/tests/platform_model/platform_day.h
+++ b/tests/platform_model/platform_day.h
@@ -33,6 +33,8 @@
   bool endingRequests = false;
   /// Random faults, of gateways, leafs, the store and requests, in series that overlap.
   bool faults = false;
+  /// The store goes away and comes back from older copies of its records; goes with `faults`.
+  bool restorations = false;
   /// The shards' connections do not suffice for all gateways, so that shards must be left to owners.
   bool expectOwners = false;
 };
@@ -87,6 +89,9 @@
   void askEndingAgain(const std::string& target);
   void askEnding(const std::string& target, Gateway& gateway);
   void planFaults();
+  void planRestorations();
+  /// Every gateway uses the operator's newest configuration.
+  void checkConfigurations();
   void apply(const Fault& fault);
   void stopGateway(Gateway& gateway);
   void killGateway(Gateway& gateway, Duration downFor);
--- a/tests/platform_model/store_standin.cpp
+++ b/tests/platform_model/store_standin.cpp
@@ -1,9 +1,11 @@
 #include "platform_model/store_standin.h"
 
+#include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <nlohmann/json.hpp>
 
 #include "protocol/serving/caller_messages.h"
+#include "transport/steady_clock.h"
 
 namespace oakpier::serving::model {
 
@@ -61,12 +63,60 @@
 StoreStandin::StoreStandin(boost::asio::io_context& context) : context_(context), service_(context, *this) {}
 
 void StoreStandin::put(const std::string& key, const std::string& value) {
-  apply(Change{key, value, ++revision_, false});
+  apply(Change{key, value, ++revision_, false, steadyNow()});
 }
 
-void StoreStandin::remove(const std::string& key) { apply(Change{key, "", ++revision_, true}); }
+void StoreStandin::remove(const std::string& key) { apply(Change{key, "", ++revision_, true, steadyNow()}); }
+
+void StoreStandin::restore(Duration age, Duration writtenAgainWithin) {
+  for (const Watch& watch : watches_) {
+    watch.writer.write(told(ownReply(503, "down")));
+  }
+  watches_.clear();
+  const Moment copiedAt = steadyNow() - age;
+  while (!history_.empty() && history_.back().madeAt > copiedAt) {
+    history_.pop_back();
+  }
+  items_.clear();
+  revision_ = kFirstRevision;
+  for (const Change& change : history_) {
+    revision_ = change.revision;
+    if (change.gone) {
+      items_.erase(change.key);
+    } else {
+      items_[change.key] = change;
+    }
+  }
+  forgottenRevision_ = std::min(forgottenRevision_, revision_);
+  ++epoch_;
+  for (const auto& [key, written] : written_) {
+    const auto delay = static_cast<std::int64_t>(drawBelow(writtenAgainWithin.count() + 1, random_));
+    timers_.push_back(std::make_unique<boost::asio::steady_timer>(context_, Duration(delay)));
+    timers_.back()->async_wait([this, key = key](const boost::system::error_code& error) {
+      if (!error) {
+        writeAgain(key);
+      }
+    });
+  }
+}
+
+void StoreStandin::writeAgain(const std::string& key) {
+  const Change& written = written_.at(key);
+  const auto listed = items_.find(key);
+  const bool asWritten =
+      listed == items_.end() ? written.gone : !written.gone && listed->second.value == written.value;
+  if (!asWritten) {
+    apply(Change{key, written.value, ++revision_, written.gone, steadyNow()});
+  }
+}
+
+HttpReply StoreStandin::told(HttpReply reply) const {
+  reply.headers.push_back({"Store-Era", std::to_string(epoch_)});
+  return reply;
+}
 
 void StoreStandin::apply(Change change) {
+  written_[change.key] = change;
   if (change.gone) {
     items_.erase(change.key);
   } else {
@@ -76,22 +126,19 @@
   watches_.remove_if([this](Watch& watch) { return answer(watch, false); });
 }
 
-void StoreStandin::forgetHistory() {
-  history_.clear();
-  forgottenRevision_ = revision_;
-}
+void StoreStandin::forgetHistory() { forgottenRevision_ = revision_; }
 
 std::function<void()> StoreStandin::onRequest(HttpRequest request, ResponseWriter writer) {
   ++calls_;
   const Query query = queryOf(request.target);
   if (down_) {
-    writer.write(ownReply(503, "down"));
+    writer.write(told(ownReply(503, "down")));
   } else if (startsWith(request.target, "/kv-range")) {
-    writer.write(range(query));
+    writer.write(told(range(query)));
   } else if (startsWith(request.target, "/kv-watch")) {
     watch(query, std::move(writer));
   } else {
-    writer.write(ownReply(404, "no such call"));
+    writer.write(told(ownReply(404, "no such call")));
   }
   return nullptr;
 }
@@ -117,8 +164,9 @@
 }
 
 void StoreStandin::watch(const Query& query, ResponseWriter writer) {
-  if (numberOf(query, "after") < forgottenRevision_) {
-    writer.write(ownReply(410, "history is gone"));
+  const std::uint64_t after = numberOf(query, "after");
+  if (after < forgottenRevision_ || after > revision_) {
+    writer.write(told(ownReply(410, "history is gone")));
     return;
   }
   Watch& watch = watches_.emplace_back(context_, std::move(writer));
@@ -153,7 +201,7 @@
   if (events.empty() && !must) {
     return false;
   }
-  watch.writer.write(jsonReply({{"events", events}, {"at", revision_}}));
+  watch.writer.write(told(jsonReply({{"events", events}, {"at", revision_}})));
   return true;
 }
 
--- a/tests/platform_model/store_standin.h
+++ b/tests/platform_model/store_standin.h
@@ -6,9 +6,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "state/random.h"
 #include "transport/serving/http_service.h"
 
 namespace oakpier::serving::model {
@@ -24,6 +26,9 @@
   void setDown(bool down) { down_ = down; }
   /// Forgets the changes so far; watches that need them get 410.
   void forgetHistory();
+  /// Goes on from a copy of its records that is that old, in a new epoch: revisions go back, and watches of
+  /// later ones get 410. Writers write what it has lost again, each at a moment of its own within the time.
+  void restore(Duration age, Duration writtenAgainWithin);
   std::size_t calls() const { return calls_; }
 
   std::function<void()> onRequest(HttpRequest request, ResponseWriter writer) override;
@@ -34,6 +39,7 @@
     std::string value;
     std::uint64_t revision = 0;
     bool gone = false;
+    Moment madeAt{};
   };
   struct Watch {
     Watch(boost::asio::io_context& context, ResponseWriter responseWriter)
@@ -45,6 +51,10 @@
   };
 
   void apply(Change change);
+  /// The record's writer sees to it that the store holds what it wrote last.
+  void writeAgain(const std::string& key);
+  /// Every answer tells the epoch, refusals too.
+  HttpReply told(HttpReply reply) const;
   HttpReply range(const std::map<std::string, std::string>& query) const;
   void watch(const std::map<std::string, std::string>& query, ResponseWriter writer);
   /// Answers the watch if there is something to tell or `must` is set.
@@ -54,8 +64,14 @@
   HttpService service_;
   std::map<std::string, Change> items_;
   std::vector<Change> history_;
-  std::uint64_t revision_ = 1;
+  static constexpr std::uint64_t kFirstRevision = 1;
+  std::uint64_t revision_ = kFirstRevision;
   std::uint64_t forgottenRevision_ = 0;
+  std::uint64_t epoch_ = 1;
+  /// What each writer wrote last, by key, whatever the store has lost of it.
+  std::map<std::string, Change> written_;
+  RandomEngine random_;
+  std::vector<std::unique_ptr<boost::asio::steady_timer>> timers_;
   std::list<Watch> watches_;
   bool down_ = false;
   std::size_t calls_ = 0;
