--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -115,7 +115,9 @@
   if (!toldBefore && epochs_.counters().told > 0) {
     actions.notices.emplace_back(EpochsTold{told.epoch});
   }
-  if (verdict != EpochVerdict::kKnown && verdict != lastVerdict_) {
+  // To a daemon that knows nothing yet every epoch is newer.
+  const bool expected = verdict == EpochVerdict::kNewer && known().revision == 0;
+  if (verdict != EpochVerdict::kKnown && verdict != lastVerdict_ && !expected) {
     actions.notices.emplace_back(EpochNotice{verdict, told.epoch, known()});
   }
   lastVerdict_ = verdict;
--- a/tests/serving/coordination/source_epoch_test.cpp
+++ b/tests/serving/coordination/source_epoch_test.cpp
@@ -251,6 +251,22 @@
   }
 }
 
+TEST_CASE("what the source tells of its epoch is noticed once, and not by a daemon that has just started",
+          "[serving][epoch]") {
+  Reader reader;
+  const auto refused = told(SourceFailure::kThrottled, kEpoch + 1);
+  REQUIRE(reader.answer(refused).notices.size() == 1);
+  REQUIRE(reader.answer(refused).notices.empty());
+  const auto restored = reader.answer(page({version(28, 60)}, 70, kEpoch + 1)).notices;
+  REQUIRE(restored.size() == 1);
+  REQUIRE(std::get<SourceRestored>(restored[0]).now == SourcePosition{kEpoch + 1, 70});
+  SourceFollower fresh(reader.kSelf, FollowerSettings{}, interpret, RandomEngine(1));
+  const auto call = *fresh.takeCall(at(1000));
+  const auto notices = fresh.onAnswer(call, page({}, 78, kEpoch), at(1001)).notices;
+  REQUIRE(notices.size() == 1);
+  REQUIRE(std::get<EpochsTold>(notices[0]).first == kEpoch);
+}
+
 TEST_CASE("in its first epoch of all a source can have lost nothing", "[serving][epoch]") {
   SourceFollower follower(Endpoint(1, 1), FollowerSettings{}, interpret, RandomEngine(1));
   const auto call = *follower.takeCall(at(1000));
