--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -117,10 +117,12 @@
   }
   // To a daemon that knows nothing yet every epoch is newer.
   const bool expected = verdict == EpochVerdict::kNewer && known().revision == 0;
-  if (verdict != EpochVerdict::kKnown && verdict != lastVerdict_ && !expected) {
-    actions.notices.emplace_back(EpochNotice{verdict, told.epoch, known()});
+  const EpochNotice notice{verdict, told.epoch, known()};
+  const bool noticed = notice.verdict == lastNotice_.verdict && notice.told == lastNotice_.told;
+  if (verdict != EpochVerdict::kKnown && !expected && !noticed) {
+    actions.notices.emplace_back(notice);
   }
-  lastVerdict_ = verdict;
+  lastNotice_ = expected ? EpochNotice{} : notice;
   return verdict;
 }
 
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -159,8 +159,8 @@
   SourceRelay relay_;
   ConfigurationProver prover_;
   EpochWatch epochs_;
-  /// Of the answer before.
-  EpochVerdict lastVerdict_ = EpochVerdict::kKnown;
+  /// On the answer before, whether it was told or not.
+  EpochNotice lastNotice_;
   /// Of the call in progress.
   Moment callSentAt_{};
   /// Of the first page of the listing in progress.
