--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -343,9 +343,12 @@
                             [this, client, name = gateway->name](const std::optional<HttpReply>& reply) {
                               const std::string used = reply ? versionInForce(reply->body) : "";
                               if (used != std::to_string(configurationVersion_)) {
-                                observations_.addViolation(name + " uses configuration \"" + used +
-                                                           "\" in place of " +
-                                                           std::to_string(configurationVersion_));
+                                std::string violation = name;
+                                violation.append(" uses configuration ")
+                                    .append(used)
+                                    .append(" in place of ")
+                                    .append(std::to_string(configurationVersion_));
+                                observations_.addViolation(violation);
                               }
                             });
   }
