--- a/src/coordination/serving/departed_leafs.cpp
+++ b/src/coordination/serving/departed_leafs.cpp
@@ -7,7 +7,7 @@
 /// A source comes back from a copy that is some seconds old, and forgets its own history after 20 s on the
 /// deployments that tell a time.
 constexpr Duration kRemembered = std::chrono::seconds(60);
-/// As many ends of records as are kept for daemons that ask; about a megabyte.
+/// As many ends of records as are kept for daemons that ask. By arithmetic, 250 bytes each, about a megabyte.
 constexpr std::size_t kMostRemembered = 4096;
 
 }  // namespace
--- a/src/coordination/serving/departed_leafs.h
+++ b/src/coordination/serving/departed_leafs.h
@@ -15,13 +15,16 @@
 
 namespace oakpier::serving {
 
+/// Not thread-safe.
 class DepartedLeafs {
  public:
+  /// The life of the leaf has ended just now.
   void add(const LeafLife& life, Moment now);
   /// This life of the leaf has ended lately.
   bool include(const LeafLife& life) const;
   /// Forgets what is too old.
   void onTime(Moment now);
+  /// Leafs of which an ended life is remembered.
   std::size_t size() const { return byId_.size(); }
 
  private:
--- a/src/coordination/serving/serving_knowledge.h
+++ b/src/coordination/serving/serving_knowledge.h
@@ -12,8 +12,8 @@
 /// gone, lack what had come, and tell earlier states. What was known holds on for as long as its writers need
 /// to write it again, or what they have left needs to lapse; then the source's word holds. Until then a leaf
 /// that had gone is not used, one that drained still drains, one that is missing is used on, and a zone that
-/// either calls evacuated is. Without this, leafs that had left were sent requests again, and those that had
-/// come since the copy were lost (generated fleets: `restored_knowledge_test`).
+/// either calls evacuated is. Guards against requests to leafs that have left, and against the loss of those
+/// that came since the copy was made; `restored_knowledge_test` brings each about.
 
 #include <cstdint>
 #include <map>
@@ -91,6 +91,7 @@
   /// Leafs that are used on although the source does not list them.
   std::size_t leafsLeaving() const;
   std::size_t leafCount() const { return leafs_.size(); }
+  /// Of all leafs that may be used or are about to be dropped.
   std::set<std::string> leafIds() const;
   std::vector<std::string> evacuatedZones() const;
 
