Tell refusals for want of an answer from those for want of tokens

Hypotheses, written before any change of logic: 1. The membership's suspicions are only counted. Each daemon goes on spending its three tries on daemons beyond the cut until it has found each of them silent by itself. 2. Three tries are too few of eight candidates, whatever is known. 3. Those that step in within the piece are asked, and have nothing left. Logs and outcomes named all of them "tenant over its limit" (429), so that they could not be told apart. Change: a refusal carries its cause; where no daemon that counts answered the caller gets 503, not 429, the log line and the outcome say so, explain and causes know them. The generated fleet keeps the cause of each refusal.

--- a/src/coordination/serving/loss_causes.cpp
+++ b/src/coordination/serving/loss_causes.cpp
@@ -48,6 +48,8 @@
       return "configuration not proved fresh";
     case LossCause::kTenantOverLimit:
       return "tenant over its limit";
+    case LossCause::kTenantNotCounted:
+      return "no daemon counted for the tenant";
     default:
       return "unknown";
   }
--- a/src/coordination/serving/loss_causes.h
+++ b/src/coordination/serving/loss_causes.h
@@ -50,6 +50,8 @@
   kProofTooOld,
   /// The tenant has used up what it may ask of all daemons together.
   kTenantOverLimit,
+  /// No daemon that could count for the tenant answered.
+  kTenantNotCounted,
   /// A number, not a cause.
   kCount,
 };
--- a/src/coordination/serving/token_holder.cpp
+++ b/src/coordination/serving/token_holder.cpp
@@ -54,7 +54,7 @@
   }
   if (now < pocket.exhaustedUntil) {
     ++counters_.refusedAtOnce;
-    return refuse(pocket, now);
+    return refuse(pocket, RefusalCause::kNoTokens, now);
   }
   const TokenTicket ticket = ++lastTicket_;
   pocket.waiting.push_back({ticket, now});
@@ -73,7 +73,7 @@
   }
 }
 
-TokenRefusal TokenHolder::refuse(Pocket& pocket, Moment now) {
+TokenRefusal TokenHolder::refuse(Pocket& pocket, RefusalCause cause, Moment now) {
   ++counters_.refused;
   const double rate = std::max(kLeastRate, pocket.limit.perSecond);
   const double longest = std::chrono::duration<double>(tolerance_.window).count();
@@ -81,7 +81,7 @@
   pocket.refusedSince += 1;
   const double spread = 1 + kSpread * std::uniform_real_distribution<double>(0, 1)(random_);
   const Duration wait = asDuration(std::min(longest, queue) * spread);
-  return TokenRefusal{std::max(wait, kShortestExhausted)};
+  return TokenRefusal{std::max(wait, kShortestExhausted), cause};
 }
 
 void TokenHolder::giveBack(const std::string& tenant, const Token& token, Moment now) {
@@ -197,7 +197,7 @@
     pocket.nextTokenAt = now + grant.retryAfter;
     pocket.exhaustedUntil = now + std::clamp(grant.retryAfter, kShortestExhausted, kLongestExhausted);
     pocket.refusedSince = 0;
-    refuseWaiting(grant.tenant, pocket, now, decisions);
+    refuseWaiting(grant.tenant, pocket, RefusalCause::kNoTokens, now, decisions);
   }
   if (!pocket.waiting.empty() || pocket.aheadWanted) {
     due_.insert(grant.tenant);
@@ -216,10 +216,10 @@
   }
 }
 
-void TokenHolder::refuseWaiting(const std::string& tenant, Pocket& pocket, Moment now,
+void TokenHolder::refuseWaiting(const std::string& tenant, Pocket& pocket, RefusalCause cause, Moment now,
                                 std::vector<TokenDecision>& decisions) {
   for (const Waiter& waiter : std::exchange(pocket.waiting, {})) {
-    decisions.push_back({waiter.ticket, tenant, refuse(pocket, now), now - waiter.cameAt});
+    decisions.push_back({waiter.ticket, tenant, refuse(pocket, cause, now), now - waiter.cameAt});
   }
   pocket.tried.clear();
 }
@@ -239,7 +239,7 @@
     counters_.refusedUnanswered += pocket.waiting.size();
     pocket.nextTokenAt = now + kUnansweredRetryAfter;
     pocket.refusedSince = 0;
-    refuseWaiting(tenant, pocket, now, decisions);
+    refuseWaiting(tenant, pocket, RefusalCause::kUnanswered, now, decisions);
   }
 }
 
--- a/src/coordination/serving/token_holder.h
+++ b/src/coordination/serving/token_holder.h
@@ -40,8 +40,16 @@
   Moment askedAt{};
 };
 
+enum class RefusalCause {
+  /// The daemon that counts for the tenant had none left.
+  kNoTokens,
+  /// No daemon that could count for the tenant answered.
+  kUnanswered,
+};
+
 struct TokenRefusal {
   Duration retryAfter{};
+  RefusalCause cause = RefusalCause::kNoTokens;
 };
 
 using TokenTicket = std::uint64_t;
@@ -149,14 +157,14 @@
   };
 
   void dropLapsed(Pocket& pocket, Moment now);
-  TokenRefusal refuse(Pocket& pocket, Moment now);
+  TokenRefusal refuse(Pocket& pocket, RefusalCause cause, Moment now);
   /// Takes tokens ahead for tenants that come often.
   void noteUse(const std::string& tenant, Pocket& pocket, Moment now);
   std::optional<Endpoint> nextHome(const std::string& tenant, const Pocket& pocket, Moment now);
   /// Lets those through that tokens are there for.
   void serveWaiting(const std::string& tenant, Pocket& pocket, Moment now,
                     std::vector<TokenDecision>& decisions);
-  void refuseWaiting(const std::string& tenant, Pocket& pocket, Moment now,
+  void refuseWaiting(const std::string& tenant, Pocket& pocket, RefusalCause cause, Moment now,
                      std::vector<TokenDecision>& decisions);
   /// The daemon that was asked will not answer: the next one, or a refusal.
   void moveOn(const std::string& tenant, Pocket& pocket, Moment now, std::vector<TokenDecision>& decisions);
--- a/src/programs/control/explain.cpp
+++ b/src/programs/control/explain.cpp
@@ -16,9 +16,11 @@
 /// Lines on leafs that ended under a request that are shown after it.
 constexpr std::size_t kEnds = 6;
 
-/// As the gateway writes it for a request beyond a limit, before the request's own line.
+/// As the gateway writes them for a request that got no token, before the request's own line.
 constexpr const char* kOverLimitLine = "tenant beyond its limit";
+constexpr const char* kNotCountedLine = "no daemon counted for the tenant";
 constexpr const char* kOverLimitOutcome = "refused: tenant over its limit";
+constexpr const char* kNotCountedOutcome = "refused: no daemon counted for the tenant";
 
 /// What a refusal of a caller means, by the outcome that the gateway writes.
 struct RefusalMeaning {
@@ -27,7 +29,7 @@
   const char* next;
 };
 
-constexpr std::array<RefusalMeaning, 5> kRefusalMeanings = {{
+constexpr std::array<RefusalMeaning, 6> kRefusalMeanings = {{
     {"refused: no readable key",
      "refused for good, by the request alone: it has not exactly one Authorization header with a key",
      "what the caller, or a proxy before the gateway, sends"},
@@ -43,6 +45,9 @@
     {kOverLimitOutcome,
      "refused with a time, by the tenant's limit over all daemons: no token came for the request",
      "tenant_refusals_unanswered_total of this daemon, and the daemon that counts (home)"},
+    {kNotCountedOutcome,
+     "refused with a time, as none of the daemons that were asked to count for it answered",
+     "the home of the tenant, whether it lives, and the links to it: members changed"},
 }};
 
 std::string textField(const LogLine& line, const std::string& name) {
@@ -105,10 +110,10 @@
  public:
   /// Whether the line tells of a tenant's limit. Such lines are many, and no belief of the daemon.
   bool add(const LogLine& line) {
-    if (line.message() != kOverLimitLine) {
+    if (line.message() != kOverLimitLine && line.message() != kNotCountedLine) {
       return false;
     }
-    overLimit_[{line.process, textField(line, "tenant")}] = line;
+    lastRefused_[{line.process, textField(line, "tenant")}] = line;
     return true;
   }
   void print(const LogLine& line, std::ostream& out) const {
@@ -126,15 +131,16 @@
 
  private:
   void printLimit(const LogLine& line, const std::string& outcome, std::ostream& out) const {
-    const auto found = overLimit_.find({line.process, textField(line, "tenant")});
-    if (outcome == kOverLimitOutcome && found != overLimit_.end()) {
+    const auto found = lastRefused_.find({line.process, textField(line, "tenant")});
+    const bool forTokens = outcome == kOverLimitOutcome || outcome == kNotCountedOutcome;
+    if (forTokens && found != lastRefused_.end()) {
       out << "  last told of the tenant here:\n";
       oakpier::print(found->second, "    ", out);
     }
   }
 
   /// By process and tenant.
-  std::map<std::pair<std::string, std::string>, LogLine> overLimit_;
+  std::map<std::pair<std::string, std::string>, LogLine> lastRefused_;
 };
 
 }  // namespace
--- a/src/programs/gateway/quota_link.cpp
+++ b/src/programs/gateway/quota_link.cpp
@@ -77,11 +77,9 @@
   if (const auto* pending = std::get_if<TokenPending>(&outcome)) {
     waiting_.emplace(pending->ticket, Waiting{std::move(listener), now});
   } else if (const auto* token = std::get_if<Token>(&outcome)) {
-    listener(QuotaDecision{true, {}, *token});
+    listener(QuotaDecision{true, {}, RefusalCause::kNoTokens, *token});
   } else {
-    const Duration retryAfter = std::get<TokenRefusal>(outcome).retryAfter;
-    logRefusal(tenant.name, retryAfter, now);
-    listener(QuotaDecision{false, retryAfter, std::nullopt});
+    refuse(tenant.name, std::get<TokenRefusal>(outcome), listener, now);
   }
 }
 
@@ -218,16 +216,20 @@
     waiting_.erase(found);
     waits_.record(decision.waited);
     if (const auto* token = std::get_if<Token>(&decision.decision)) {
-      listener(QuotaDecision{true, {}, *token});
+      listener(QuotaDecision{true, {}, RefusalCause::kNoTokens, *token});
     } else {
-      const Duration retryAfter = std::get<TokenRefusal>(decision.decision).retryAfter;
-      logRefusal(decision.tenant, retryAfter, steadyNow());
-      listener(QuotaDecision{false, retryAfter, std::nullopt});
+      refuse(decision.tenant, std::get<TokenRefusal>(decision.decision), listener, steadyNow());
     }
   }
 }
 
-void QuotaLink::logRefusal(const std::string& tenant, Duration retryAfter, Moment now) {
+void QuotaLink::refuse(const std::string& tenant, const TokenRefusal& refusal, const Listener& listener,
+                       Moment now) {
+  logRefusal(tenant, refusal, now);
+  listener(QuotaDecision{false, refusal.retryAfter, refusal.cause, std::nullopt});
+}
+
+void QuotaLink::logRefusal(const std::string& tenant, const TokenRefusal& refusal, Moment now) {
   const double passed = std::chrono::duration<double>(now - logRoomAt_).count();
   logRoom_ = std::min(kLogLinesPerSecond, logRoom_ + passed * kLogLinesPerSecond);
   logRoomAt_ = now;
@@ -236,7 +238,7 @@
     return;
   }
   logRoom_ -= 1;
-  std::vector<LogField> fields = {{"tenant", tenant}, {"retry_after_ms", toMilliseconds(retryAfter)}};
+  std::vector<LogField> fields = {{"tenant", tenant}, {"retry_after_ms", toMilliseconds(refusal.retryAfter)}};
   const std::vector<Endpoint> homes = homes_.candidates(tenant, now);
   if (!homes.empty()) {
     fields.push_back({"home", homes.front().text()});
@@ -244,7 +246,8 @@
   if (const auto level = home_.levelOf(tenant)) {
     fields.push_back({"tokens_left", *level});
   }
-  log(LogLevel::kInfo, "tenant beyond its limit", fields);
+  const bool unanswered = refusal.cause == RefusalCause::kUnanswered;
+  log(LogLevel::kInfo, unanswered ? "no daemon counted for the tenant" : "tenant beyond its limit", fields);
 }
 
 void QuotaLink::armTimer() {
--- a/src/programs/gateway/quota_link.h
+++ b/src/programs/gateway/quota_link.h
@@ -35,8 +35,9 @@
 
 struct QuotaDecision {
   bool granted = true;
-  /// When not granted: how long until the tenant may come back.
+  /// When not granted: how long until the tenant may come back, and why.
   Duration retryAfter{};
+  RefusalCause refusal = RefusalCause::kNoTokens;
   /// What the request was let through on; none where the tenant has no limit.
   std::optional<Token> token;
 };
@@ -94,7 +95,8 @@
   void askForSignOfLife(const Endpoint& daemon, Moment now);
   std::vector<TokenGrantDecision> grant(const std::vector<TokenWish>& wishes, Moment now);
   void decide(const std::vector<TokenDecision>& decisions);
-  void logRefusal(const std::string& tenant, Duration retryAfter, Moment now);
+  void refuse(const std::string& tenant, const TokenRefusal& refusal, const Listener& listener, Moment now);
+  void logRefusal(const std::string& tenant, const TokenRefusal& refusal, Moment now);
   void armTimer();
   void scheduleUpkeep();
   void updateShare();
--- a/src/programs/gateway/request_intake.cpp
+++ b/src/programs/gateway/request_intake.cpp
@@ -184,6 +184,12 @@
     begin(arrived);
     return;
   }
+  if (decision.refusal == RefusalCause::kUnanswered) {
+    // The fault is the fleet's, so that it is told as one: 429 would send the caller to the tenant's limit.
+    refuse(arrived.writer, arrived.logged, arrived.route->name, LossCause::kTenantNotCounted,
+           decision.retryAfter);
+    return;
+  }
   ++counters_.refusedOverLimit;
   const LossCause cause = LossCause::kTenantOverLimit;
   HttpReply reply = refusalReply(decision.retryAfter, std::string("not run: ") + textOf(cause));
--- a/tests/serving/programs/causes_test.cpp
+++ b/tests/serving/programs/causes_test.cpp
@@ -141,9 +141,9 @@
 
 TEST_CASE("refusals for keys, proofs and limits are losses with causes of their own", "[serving]") {
   const CapturedLog captured;
-  const std::vector<LossCause> causes = {LossCause::kKeyMissing, LossCause::kKeyUnknown,
-                                         LossCause::kKeyMaybeNew, LossCause::kProofTooOld,
-                                         LossCause::kTenantOverLimit};
+  const std::vector<LossCause> causes = {LossCause::kKeyMissing,      LossCause::kKeyUnknown,
+                                         LossCause::kKeyMaybeNew,     LossCause::kProofTooOld,
+                                         LossCause::kTenantOverLimit, LossCause::kTenantNotCounted};
   {
     LossLedger ledger;
     for (const LossCause cause : causes) {
@@ -161,7 +161,7 @@
   REQUIRE(report.unreadable == 0);
   REQUIRE(report.routes.at("page").causes.size() == causes.size());
   // Every figure stands in one column, also that of the longest cause.
-  const std::string share = "      1.00   20.00 %\n";
+  const std::string share = "      1.00   16.67 %\n";
   for (const LossCause cause : causes) {
     std::string line = std::string("    ") + textOf(cause);
     line.resize(4 + 44, ' ');
--- a/tests/serving/programs/explain_test.cpp
+++ b/tests/serving/programs/explain_test.cpp
@@ -97,7 +97,8 @@
       {LossCause::kKeyUnknown, 401, "by the configuration in force, proved fresh"},
       {LossCause::kKeyMaybeNew, 503, "but it may be newer"},
       {LossCause::kProofTooOld, 503, "may have been taken away since"},
-      {LossCause::kTenantOverLimit, 429, "by the tenant's limit over all daemons"}};
+      {LossCause::kTenantOverLimit, 429, "by the tenant's limit over all daemons"},
+      {LossCause::kTenantNotCounted, 503, "none of the daemons that were asked to count for it answered"}};
   for (const auto& [cause, status, decidedBy] : refusals) {
     for (const std::string tenant : {"", "amber"}) {
       const serving::CapturedLog captured;
--- a/tests/serving/programs/quota_link_test.cpp
+++ b/tests/serving/programs/quota_link_test.cpp
@@ -199,6 +199,7 @@
 }
 
 TEST_CASE("a request is refused and told when to come back where no daemon answers", "[serving]") {
+  const CapturedLog captured;
   Fleet fleet(8, tenantOf("t", 8, 8));
   for (const Endpoint& daemon : fleet.order) {
     fleet.silent.insert(daemon);
@@ -206,6 +207,9 @@
   const QuotaDecision decision = fleet.decide(fleet.entry());
   REQUIRE_FALSE(decision.granted);
   REQUIRE(decision.retryAfter > Duration{});
+  REQUIRE(decision.refusal == RefusalCause::kUnanswered);
+  REQUIRE(captured.text().find(R"("message":"no daemon counted for the tenant","tenant":"t")") !=
+          std::string::npos);
   REQUIRE(fleet.entry().figures().holder.refusedUnanswered == 1);
 }
 
--- a/tests/serving/support/token_fleet.cpp
+++ b/tests/serving/support/token_fleet.cpp
@@ -198,6 +198,7 @@
   request.waited = now_ - request.at;
   if (const auto* refusal = std::get_if<TokenRefusal>(&decision)) {
     request.retryAfter = refusal->retryAfter;
+    request.refusal = refusal->cause;
     return;
   }
   request.granted = true;
@@ -346,16 +347,22 @@
 }
 
 std::size_t TokenFleet::refusedInError(const std::string& tenant, const TenantLimit& limit) {
+  return errorsOf(tenant, limit).size();
+}
+
+std::vector<TokenFleet::Request> TokenFleet::errorsOf(const std::string& tenant, const TenantLimit& limit) {
   double level = limit.burst;
   Moment countedAt{};
-  std::size_t errors = 0;
+  std::vector<Request> errors;
   for (const Request& request : requests_[tenant]) {
     const double passed = std::chrono::duration<double>(request.at - countedAt).count();
     countedAt = std::max(countedAt, request.at);
     level = std::min(limit.burst, level + std::max(0.0, passed) * limit.perSecond);
     if (level >= 1) {
       level -= 1;
-      errors += request.granted ? 0 : 1;
+      if (!request.granted) {
+        errors.push_back(request);
+      }
     }
   }
   return errors;
--- a/tests/serving/support/token_fleet.h
+++ b/tests/serving/support/token_fleet.h
@@ -42,6 +42,7 @@
     bool ran = false;
     Duration waited{};
     Duration retryAfter{};
+    RefusalCause refusal = RefusalCause::kNoTokens;
   };
 
   explicit TokenFleet(const TokenFleetSettings& settings);
@@ -68,6 +69,8 @@
   std::size_t refused(const std::string& tenant);
   /// Refused, though a bucket of the tenant's rate and burst has room for it.
   std::size_t refusedInError(const std::string& tenant, const TenantLimit& limit);
+  /// These requests, in the order in which they came.
+  std::vector<Request> errorsOf(const std::string& tenant, const TenantLimit& limit);
   TokenHolderCounters holderCounters() const;
 
   std::uint64_t frames = 0;
