Serve tenants below their limit on both sides of a cut

Cause: suspicions of the membership were counted and not used where daemons are asked. Behind it: 8 candidates that all lie beyond the cut for one tenant in ten; stand-ins that begin with a share of one token, which lets nothing through; 2 s at a sixteenth of the rate from the first ask, however long the cut was known; three slow tries. Whole starts for first stand-ins: no difference.

--- a/src/coordination/serving/quota_plan.h
+++ b/src/coordination/serving/quota_plan.h
@@ -20,6 +20,8 @@
 /// daemons that no longer answer: each is probed about once a second, so that 7 in 8 of them are suspected by
 /// then.
 inline constexpr Duration kCutUnseen = std::chrono::seconds(2);
+/// The membership suspects no daemon sooner after a cut: it waits as long for the answer to a probe.
+inline constexpr Duration kEarliestSuspicion = std::chrono::milliseconds(300);
 /// Of the rate, what the first stand-in counts out until then, and what those after it do: that several
 /// daemons are silent is more likely a cut.
 inline constexpr double kFirstStandInShare = 0.75;
--- a/src/coordination/serving/token_holder.h
+++ b/src/coordination/serving/token_holder.h
@@ -26,10 +26,11 @@
 namespace oakpier::serving {
 
 /// Far more than the way to another zone and back (3 ms) and than what a busy daemon's frames wait; a home
-/// that has ended costs its tenants this much once until it counts as silent.
-inline constexpr Duration kTryTime = std::chrono::milliseconds(50);
+/// that has ended costs its tenants this much once until it counts as silent. `kMostTries` of it are what a
+/// request waits at most.
+inline constexpr Duration kTryTime = std::chrono::milliseconds(25);
 /// Daemons that are asked, one after the other, for one request.
-inline constexpr unsigned kMostTries = 3;
+inline constexpr unsigned kMostTries = 6;
 /// Tokens held ahead of requests for each tenant that comes again within `kTokenLife`; 0: each request asks.
 inline constexpr std::size_t kAdvance = 1;
 
--- a/src/coordination/serving/token_home.cpp
+++ b/src/coordination/serving/token_home.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-/// A daemon that was heard from in this time counts as alive. Four signs of life fit in: with two, and 30% of
-/// all frames 50 to 400 ms late, a window held 248 of the 245 requests allowed (30/s, 7 daemons, generated
-/// fleet).
+/// A daemon that was heard from in this time counts as alive. Four signs of life fit in, so that some of them
+/// may come late.
 constexpr Duration kHeardLately = std::chrono::milliseconds(200);
 /// A bucket that nobody asked for in this time is forgotten.
 constexpr Duration kIdle = std::chrono::seconds(60);
@@ -17,9 +16,12 @@
 constexpr double kLongestBacklogWindows = 1.0;
 /// The home and the first that steps in for it.
 constexpr std::size_t kEarlyPlaces = 2;
-/// What a bucket begins with at most until the members are settled. With whole starts a window held 261 of
-/// the 245 requests allowed after a start of 74 daemons at once (30/s, nine times as many asked; generated
-/// fleet).
+/// A later stand-in in a piece that sees more than this share of the daemons begins with its whole start, as
+/// a share of the one token that this mostly is lets nothing through. There are four such pieces at most: the
+/// home's, the first stand-in's, and the two later ones that the plan reckons with.
+constexpr double kLeastWholePiece = 0.2;
+/// What a bucket begins with at most until the members are settled: after a start of all daemons several take
+/// themselves for the home of a tenant.
 constexpr double kUnsettledStart = 2.0;
 /// Rates below this, in requests a second, would make waiting times that do not end.
 constexpr double kLeastRefill = 0.01;
@@ -50,11 +52,19 @@
   return true;
 }
 
+bool TokenHome::cutMayBeUnseen(const Bucket& bucket, Moment now) {
+  // Those before this one were suspected no sooner than `kEarliestSuspicion` after a cut. A bucket that is
+  // first asked of when the cut is known to all does not wait once more.
+  const Moment suspectedBefore = now - (kCutUnseen - kEarliestSuspicion);
+  const bool aloneForShort = now - bucket.aloneSince < kCutUnseen;
+  return bucket.rank > 0 && aloneForShort && bucket.aheadSuspectedAt > suspectedBefore;
+}
+
 double TokenHome::refillOf(const Bucket& bucket, Moment now) const {
   double rate = bucket.plan.refill * pieceFactor(bucket.plan, seen_);
   if (bucket.aheadHeard) {
     rate = 0;
-  } else if (bucket.rank > 0 && now - bucket.aloneSince < kCutUnseen) {
+  } else if (cutMayBeUnseen(bucket, now)) {
     rate *= bucket.rank == 1 ? kFirstStandInShare : kLaterStandInShare;
   }
   return rate;
@@ -72,7 +82,11 @@
 double TokenHome::startOf(const QuotaPlan& plan, const HomePlace& place) const {
   // The second stand-in and those after it may be in as many pieces of a cut.
   const double whole = place.rank < kEarlyPlaces ? plan.start : plan.laterStart;
-  return settled_ ? whole * pieceFactor(plan, seen_) : std::min(whole, kUnsettledStart) * seen_;
+  if (!settled_) {
+    return std::min(whole, kUnsettledStart) * seen_;
+  }
+  const bool wholeLaterStart = place.rank >= kEarlyPlaces && seen_ > kLeastWholePiece;
+  return wholeLaterStart ? whole : whole * pieceFactor(plan, seen_);
 }
 
 TokenHome::Bucket& TokenHome::bucketFor(const std::string& tenant, const TenantLimit& limit,
@@ -90,6 +104,7 @@
     bucket.level = startOf(bucket.plan, place);
   }
   bucket.rank = place.rank;
+  bucket.aheadSuspectedAt = place.aheadSuspectedAt;
   bucket.aheadHeard =
       place.aheadHeardAt > now - kHeardLately || (!isNew && place.aheadHeardAt >= bucket.countedAt);
   if (bucket.aheadHeard) {
--- a/src/coordination/serving/token_home.h
+++ b/src/coordination/serving/token_home.h
@@ -53,9 +53,8 @@
   void setTolerance(const QuotaTolerance& tolerance);
   /// `seen`: the share of the fleet that this daemon sees; see `FleetShare`. `settled`: it has known its
   /// members for a while. Until then buckets begin with no more than that share: after a start of all daemons
-  /// at once several take themselves for the home of a tenant. Beginning empty refused 107 of 2,559 requests
-  /// of tenants below their limit in the 10 s after such a start, and the tenants whose first two homes lie
-  /// beyond a cut 150 of 3,733 (generated fleets of 74).
+  /// at once several take themselves for the home of a tenant. Beginning empty would refuse tenants below
+  /// their limit after such a start, and in a cut those whose first homes lie beyond it.
   void setSeen(double seen, bool settled) {
     seen_ = seen;
     settled_ = settled;
@@ -83,6 +82,8 @@
     std::size_t rank = 0;
     /// One of those before this one has answered since the bucket was last asked of, or just now.
     bool aheadHeard = false;
+    /// Since when all of those before this one are suspected to have ended.
+    Moment aheadSuspectedAt = kNever;
     /// Since when no daemon before this one was heard.
     Moment aloneSince{};
     Moment countedAt{};
@@ -93,6 +94,8 @@
     Moment heardAt{};
   };
 
+  /// This daemon steps in, and what it sees of the fleet may be from before a cut.
+  static bool cutMayBeUnseen(const Bucket& bucket, Moment now);
   Bucket& bucketFor(const std::string& tenant, const TenantLimit& limit, const HomePlace& place, Moment now);
   /// What a bucket begins with.
   double startOf(const QuotaPlan& plan, const HomePlace& place) const;
--- a/src/coordination/serving/token_homes.cpp
+++ b/src/coordination/serving/token_homes.cpp
@@ -14,8 +14,8 @@
 /// daemon that was heard from counts as alive (`kHeardLately`).
 constexpr Duration kProbePeriod = std::chrono::milliseconds(50);
 
-/// A ranking of fewer is made anew: an ask goes to three daemons at most.
-constexpr std::size_t kFewestCarried = 4;
+/// A ranking of fewer is made anew: one request may ask nearly as many.
+constexpr std::size_t kFewestCarried = 8;
 
 bool before(const ServingDaemon& left, const ServingDaemon& right) {
   return left.address != right.address ? left.address < right.address : left.capacity < right.capacity;
@@ -99,17 +99,45 @@
 std::vector<Endpoint> TokenHomes::candidates(const std::string& tenant, Moment now) {
   std::vector<Endpoint> homes = addressesOf(ranked(tenant));
   std::stable_partition(homes.begin(), homes.end(),
-                        [&](const Endpoint& home) { return !silence_.silent(home, now); });
+                        [&](const Endpoint& home) { return expectedToAnswer(home, now); });
   return homes;
 }
 
+void TokenHomes::setSuspected(const std::vector<Endpoint>& suspected, Moment now) {
+  std::unordered_map<Endpoint, Moment> since;
+  since.reserve(suspected.size());
+  for (const Endpoint& daemon : suspected) {
+    const auto known = suspectedAt_.find(daemon);
+    since.emplace(daemon, known == suspectedAt_.end() ? now : known->second);
+  }
+  suspectedAt_ = std::move(since);
+}
+
+bool TokenHomes::expectedToAnswer(const Endpoint& home, Moment now) const {
+  if (silence_.silent(home, now)) {
+    return false;
+  }
+  // A request has few tries. By own silences alone each daemon of a small piece of a cut would spend them on
+  // daemons beyond it, tenant by tenant, long after the membership has come to suspect these.
+  const auto suspected = suspectedAt_.find(home);
+  if (suspected == suspectedAt_.end()) {
+    return true;
+  }
+  const auto heard = heardAt_.find(home);
+  return heard != heardAt_.end() && heard->second > suspected->second;
+}
+
 HomePlace TokenHomes::placeOfSelf(const std::string& tenant) {
   HomePlace place;
+  place.aheadSuspectedAt = Moment::min();
   for (const auto& [home, capacity] : ranked(tenant)) {
     if (home == self_) {
       break;
     }
     ++place.rank;
+    const auto suspected = suspectedAt_.find(home);
+    const Moment since = suspected == suspectedAt_.end() ? kNever : suspected->second;
+    place.aheadSuspectedAt = std::max(place.aheadSuspectedAt, since);
     const auto heard = heardAt_.find(home);
     if (heard != heardAt_.end()) {
       place.aheadHeardAt = std::max(place.aheadHeardAt, heard->second);
--- a/src/coordination/serving/token_homes.h
+++ b/src/coordination/serving/token_homes.h
@@ -3,7 +3,8 @@
 /// Decides which daemon counts a tenant's requests for the whole fleet, and which step in for it.
 ///
 /// Invariants: equal member tables give equal homes; a change of one daemon moves only the tenants that it
-/// gains or loses; a daemon that leaves frames unanswered is asked after the others.
+/// gains or loses; a daemon that leaves frames unanswered, or is suspected to have ended, is asked after the
+/// others.
 
 #include <cstddef>
 #include <string>
@@ -18,8 +19,8 @@
 namespace oakpier::serving {
 
 /// Daemons that may step in for one another. In a cut that leaves a piece of one quarter of the daemons, all
-/// of eight lie beyond the cut for one tenant in ten.
-inline constexpr std::size_t kHomeCandidates = 8;
+/// of these lie beyond the cut for one tenant in a hundred.
+inline constexpr std::size_t kHomeCandidates = 16;
 
 /// The first is the home, the others step in for it in this order. At most `kHomeCandidates`.
 std::vector<Endpoint> rankHomes(const std::string& tenant, const std::vector<ServingDaemon>& daemons);
@@ -30,6 +31,8 @@
   std::size_t rank = 0;
   /// When one of those before it was last heard from.
   Moment aheadHeardAt = Moment::min();
+  /// Since when all of those before it are suspected to have ended; `kNever` while one is not.
+  Moment aheadSuspectedAt = kNever;
 };
 
 /// Not thread-safe.
@@ -41,6 +44,8 @@
   /// over, since making one anew costs 0.5 ms at 7,100 daemons.
   void setDaemons(std::vector<ServingDaemon> daemons);
   std::size_t count() const { return daemons_.size(); }
+  /// All daemons that the membership suspects to have ended.
+  void setSuspected(const std::vector<Endpoint>& suspected, Moment now);
   /// In the order in which they are to be asked.
   std::vector<Endpoint> candidates(const std::string& tenant, Moment now);
   HomePlace placeOfSelf(const std::string& tenant);
@@ -56,6 +61,8 @@
 
  private:
   const std::vector<ServingDaemon>& ranked(const std::string& tenant);
+  /// Not silent here, nor suspected elsewhere since it was last heard from here.
+  bool expectedToAnswer(const Endpoint& home, Moment now) const;
   /// Forgets the rankings that cannot be carried over.
   void carryOver(const std::vector<ServingDaemon>& gone, const std::vector<ServingDaemon>& added);
 
@@ -65,6 +72,8 @@
   std::unordered_map<std::string, std::vector<ServingDaemon>> ranked_;
   PeerSilence silence_;
   std::unordered_map<Endpoint, Moment> heardAt_;
+  /// Suspected daemons, and since when.
+  std::unordered_map<Endpoint, Moment> suspectedAt_;
   std::unordered_map<Endpoint, Moment> probedAt_;
 };
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -136,7 +136,7 @@
                      requests_.onUndeliverable(envelope);
                    });
                  },
-                 [this](std::size_t suspected) {
+                 [this](const std::vector<Endpoint>& suspected) {
                    boost::asio::post(requestContext_,
                                      [this, suspected] { requests_.setSuspectedDaemons(suspected); });
                  }}),
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -203,13 +203,15 @@
 
 void PeerLink::publishSuspects() {
   const auto& records = membership_.members().records();
-  const auto suspects =
-      static_cast<std::size_t>(std::count_if(records.begin(), records.end(), [](const MemberRecord& record) {
-        return record.condition == MEMBER_SUSPECT;
-      }));
+  std::vector<Endpoint> suspects;
+  for (const MemberRecord& record : records) {
+    if (record.condition == MEMBER_SUSPECT) {
+      suspects.push_back(record.address);
+    }
+  }
   if (suspects != publishedSuspects_) {
-    publishedSuspects_ = suspects;
-    handlers_.onSuspected(suspects);
+    publishedSuspects_ = std::move(suspects);
+    handlers_.onSuspected(publishedSuspects_);
   }
 }
 
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -42,8 +42,8 @@
     std::function<void(const Endpoint& sender, PeerEnvelope envelope)> onShardFrame;
     /// A frame about shards was not handed to the network. Called on the transport's thread.
     std::function<void(PeerEnvelope envelope)> onShardFrameUndeliverable;
-    /// How many of the serving daemons are suspected to have ended, whenever that changes.
-    std::function<void(std::size_t suspected)> onSuspected;
+    /// All serving daemons that are suspected to have ended, whenever these change.
+    std::function<void(const std::vector<Endpoint>& suspected)> onSuspected;
   };
 
   PeerLink(boost::asio::io_context& context, const PeerLinkSettings& settings, Handlers handlers);
@@ -88,7 +88,7 @@
   boost::asio::steady_timer tick_;
   Moment lastTickAt_{};
   std::uint64_t publishedVersion_ = 0;
-  std::size_t publishedSuspects_ = 0;
+  std::vector<Endpoint> publishedSuspects_;
 };
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/quota_link.cpp
+++ b/src/programs/gateway/quota_link.cpp
@@ -53,8 +53,9 @@
   updateShare();
 }
 
-void QuotaLink::setSuspected(std::size_t suspected) {
-  suspected_ = suspected;
+void QuotaLink::setSuspected(const std::vector<Endpoint>& suspected) {
+  suspected_ = suspected.size();
+  homes_.setSuspected(suspected, steadyNow());
   updateShare();
 }
 
--- a/src/programs/gateway/quota_link.h
+++ b/src/programs/gateway/quota_link.h
@@ -73,8 +73,8 @@
   /// All serving daemons, this one included, in rising order of their addresses. `planned`: how many to
   /// reckon with until the table is settled.
   void setDaemons(const std::vector<ServingDaemon>& daemons, std::size_t planned, bool settled);
-  /// How many of them are suspected to have ended.
-  void setSuspected(std::size_t suspected);
+  /// All of them that are suspected to have ended.
+  void setSuspected(const std::vector<Endpoint>& suspected);
 
   void onRequest(const Endpoint& sender, const TokenRequest& request);
   void onReply(const Endpoint& sender, const TokenReply& reply);
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -55,8 +55,8 @@
   void setWarmupTolerance(const WarmupTolerance& tolerance) { daemons_.warmup = tolerance; }
   void setAuthorization(const AuthorizationSettings& settings) { authorization_ = settings; }
   void setQuotaTolerance(const QuotaTolerance& tolerance) { quota_.setTolerance(tolerance); }
-  /// How many of the daemons are suspected to have ended.
-  void setSuspectedDaemons(std::size_t suspected) { quota_.setSuspected(suspected); }
+  /// All daemons that are suspected to have ended.
+  void setSuspectedDaemons(const std::vector<Endpoint>& suspected) { quota_.setSuspected(suspected); }
   /// Called once, when a caller is refused as no configuration is known.
   void setOnStateWanted(std::function<void()> handler) { onStateWanted_ = std::move(handler); }
   /// `planned`: how many daemons share each leaf's connections. `settled`: that can be relied on.
--- a/src/programs/gateway/source_loop.h
+++ b/src/programs/gateway/source_loop.h
@@ -30,7 +30,7 @@
     /// As in `PeerLink::Handlers`.
     std::function<void(const Endpoint& sender, PeerEnvelope envelope)> onShardFrame;
     std::function<void(PeerEnvelope envelope)> onShardFrameUndeliverable;
-    std::function<void(std::size_t suspected)> onSuspected;
+    std::function<void(const std::vector<Endpoint>& suspected)> onSuspected;
   };
 
   SourceLoop(boost::asio::io_context& context, const Endpoint& source, const SourceDialect& dialect,
--- a/tests/serving/coordination/tenant_tokens_test.cpp
+++ b/tests/serving/coordination/tenant_tokens_test.cpp
@@ -280,17 +280,20 @@
   REQUIRE(errors <= requests / 100);
 }
 
-namespace {
-
-struct RefusedInCut {
+// What callers saw: in the 5 s after a cut of a quarter of the daemons from the rest, 117 of 3,733 requests
+// of tenants below their limit were refused. Order of events: a daemon of the small piece asks the tenant's
+// home, which lies beyond the cut, waits, asks the next two, which mostly lie there too, and refuses. Each
+// daemon did so for each tenant, to the end of the 5 s. Cause: the membership suspects all daemons beyond the
+// cut within 2 s, but its suspicions were only counted; the order in which daemons are asked knew only whom
+// this daemon itself had found silent. Evidence: 98 of the 117 were left unanswered, all of them in the small
+// piece, 62 of these later than 2 s after the cut. Those that reached a daemon in their piece then found it
+// empty (19, and 85 once suspicions were used): it began with a share of one token, which lets nothing
+// through, and refilled at a sixteenth for 2 s more, long after the cut was known.
+TEST_CASE("a tenant below its limit is served on both sides of a cut", "[serving]") {
+  // Of 40 small tenants in fleets of 74 daemons, from 10 s before a cut of 18 to 5 s after it.
+  constexpr std::size_t kTenants = 40;
   std::size_t errors = 0;
   std::size_t requests = 0;
-};
-
-/// Of 40 small tenants in fleets of 74 daemons, from 10 s before a cut of 18 to 5 s after it.
-RefusedInCut refusedInCut() {
-  constexpr std::size_t kTenants = 40;
-  RefusedInCut refused;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     TokenFleetSettings settings;
     settings.daemons = 74;
@@ -309,30 +312,39 @@
     fleet.run(second(16));
     for (std::size_t number = 0; number < kTenants; ++number) {
       const std::string tenant = "tenant-" + std::to_string(number);
-      refused.errors += fleet.refusedInError(tenant, kSmall);
-      refused.requests += fleet.requestsOf(tenant).size();
+      errors += fleet.refusedInError(tenant, kSmall);
+      requests += fleet.requestsOf(tenant).size();
     }
   }
-  return refused;
-}
-
-}  // namespace
-
-// Fails: 117 of 3,733 requests meet daemons beyond the cut that nobody has found silent yet. A test of its
-// own for ctest, so that the others are not passed over with it.
-TEST_CASE("a tenant below its limit is served on both sides of a cut", "[open]") {
-  const RefusedInCut refused = refusedInCut();
-  CAPTURE(refused.errors, refused.requests);
-  REQUIRE(refused.errors <= refused.requests / 100);
+  CAPTURE(errors, requests);
+  REQUIRE(errors <= requests / 100);
 }
 
-TEST_CASE("daemons that step in late in a cut serve tenants below their limit with a token each",
-          "[serving]") {
-  // 150 of 3,733 requests were refused in error while the second daemon that steps in and those after it
-  // began empty; 117 with a token each.
-  const RefusedInCut refused = refusedInCut();
-  CAPTURE(refused.errors, refused.requests);
-  REQUIRE(refused.errors <= 120);
+TEST_CASE("the window holds for a busy tenant in cuts of many pieces", "[serving]") {
+  // Its daemons step in at the full rate of their piece only when a cut would be known everywhere.
+  const TenantLimit busy{30, 30};
+  for (const std::size_t pieces : {3, 6, 12}) {
+    for (const std::size_t daemons : {12, 40}) {
+      for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        TokenFleetSettings settings;
+        settings.daemons = daemons;
+        settings.seed = seed;
+        TokenFleet fleet(settings);
+        fleet.setLimit("busy", busy);
+        fleet.load("busy", busy.perSecond * 0.2, second(0), second(9.9));
+        fleet.load("busy", busy.perSecond * kUsualShare * 30, second(9.9), second(30));
+        std::vector<std::size_t> sides(daemons);
+        for (std::size_t number = 0; number < daemons; ++number) {
+          sides[number] = number * pieces / daemons;
+        }
+        fleet.at(second(10), [&fleet, sides] { fleet.cut(sides); });
+        fleet.at(second(20), [&fleet] { fleet.heal(); });
+        fleet.run(second(31));
+        CAPTURE(pieces, daemons, seed);
+        requireWindowHolds(fleet, "busy", busy, settings.tolerance);
+      }
+    }
+  }
 }
 
 TEST_CASE("a lowered limit holds after one window", "[serving]") {
--- a/tests/serving/coordination/token_homes_test.cpp
+++ b/tests/serving/coordination/token_homes_test.cpp
@@ -44,6 +44,44 @@
   REQUIRE(compared == 10'000);
 }
 
+TEST_CASE("daemons that are suspected to have ended are asked last, until they are heard", "[serving]") {
+  TokenHomes homes(Endpoint(1, 9));
+  std::vector<ServingDaemon> daemons;
+  for (std::uint32_t number = 1; number <= 30; ++number) {
+    daemons.emplace_back(Endpoint(number, 9));
+  }
+  homes.setDaemons(daemons);
+  const std::vector<Endpoint> usual = homes.candidates("t", at(0));
+  homes.onHeard(usual[1], at(500));
+  homes.setSuspected({usual[0], usual[1]}, at(1000));
+  const std::vector<Endpoint> suspected = homes.candidates("t", at(1000));
+  REQUIRE(suspected.front() == usual[2]);
+  REQUIRE(suspected[suspected.size() - 2] == usual[0]);
+  REQUIRE(suspected.back() == usual[1]);
+  // First-hand goes before hearsay, also when the list of suspects changes for others.
+  homes.onHeard(usual[0], at(1100));
+  homes.setSuspected({usual[0], usual[1], usual[3]}, at(1200));
+  REQUIRE(homes.candidates("t", at(1200)).front() == usual[0]);
+  REQUIRE(homes.candidates("t", at(1200)).back() == usual[3]);
+  homes.setSuspected({}, at(1300));
+  REQUIRE(homes.candidates("t", at(1300)) == usual);
+}
+
+TEST_CASE("a daemon knows since when all before it for a tenant are suspected", "[serving]") {
+  std::vector<ServingDaemon> daemons;
+  for (std::uint32_t number = 1; number <= 8; ++number) {
+    daemons.emplace_back(Endpoint(number, 9));
+  }
+  const std::vector<Endpoint> order = rankHomes("t", daemons);
+  TokenHomes homes(order[2]);
+  homes.setDaemons(daemons);
+  REQUIRE(homes.placeOfSelf("t").rank == 2);
+  homes.setSuspected({order[0]}, at(1000));
+  REQUIRE(homes.placeOfSelf("t").aheadSuspectedAt == kNever);
+  homes.setSuspected({order[0], order[1]}, at(1500));
+  REQUIRE(homes.placeOfSelf("t").aheadSuspectedAt == at(1500));
+}
+
 TEST_CASE("stronger daemons are the home of more tenants", "[serving]") {
   std::vector<ServingDaemon> daemons;
   for (std::uint32_t number = 1; number <= 20; ++number) {
--- a/tests/serving/support/token_fleet.cpp
+++ b/tests/serving/support/token_fleet.cpp
@@ -67,15 +67,19 @@
 void TokenFleet::publish(std::size_t number) {
   Daemon& daemon = *daemons_[number];
   std::vector<ServingDaemon> serving;
-  std::size_t answering = 0;
+  std::vector<Endpoint> suspected;
   for (std::size_t other = 0; other < daemons_.size(); ++other) {
     if (daemon.known[other]) {
       serving.emplace_back(addressOf(other));
-      answering += daemon.suspected[other] ? 0 : 1;
+      if (daemon.suspected[other]) {
+        suspected.push_back(addressOf(other));
+      }
     }
   }
   const std::size_t planned = daemon.settled ? serving.size() : std::max(serving.size(), kUsualFleet);
+  const std::size_t answering = serving.size() - suspected.size();
   daemon.homes.setDaemons(std::move(serving));
+  daemon.homes.setSuspected(suspected, now_);
   daemon.share.onDaemons(answering, planned, daemon.settled, now_);
 }
 
