Let the test of a lowered limit notice a home that keeps the first one

Cause: the first limit, 8 with a burst of 8, begins with 8 tokens; the lowered one may hold 9. Change: the first limit is 80 with a burst of 80. Bound and steps are as they were. Conclusion: stricter; the product is unchanged.

--- a/tests/serving/programs/quota_link_test.cpp
+++ b/tests/serving/programs/quota_link_test.cpp
@@ -279,7 +279,8 @@
 }
 
 TEST_CASE("a lowered limit holds at the home at once", "[serving]") {
-  Fleet fleet(8, tenantOf("t", 8, 8));
+  // Its bucket begins with far more than the lowered limit's would ever hold.
+  Fleet fleet(8, tenantOf("t", 80, 80));
   REQUIRE(fleet.decide(fleet.entry()).granted);
   const Tenant lowered = tenantOf("t", 0.1, 1);
   QuotaLink& home = fleet.at(fleet.order.front());
