--- a/src/coordination/serving/reader_election.cpp
+++ b/src/coordination/serving/reader_election.cpp
@@ -15,9 +15,10 @@
   count_ = std::max<std::size_t>(1, members_.size());
 }
 
-void ReaderElection::onNews(const Endpoint& reader) {
+void ReaderElection::onNews(const Endpoint& reader, Moment now) {
   if (members_.before(reader, self_)) {
     tookOver_ = false;
+    earlierHeardAt_ = now;
   }
 }
 
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -203,7 +203,7 @@
     actions.news.insert(actions.news.end(), told.begin(), told.end());
   }
   if (recovery_.readsFirst()) {
-    election_.takeOver();
+    election_.takeOver(callSentAt_);
   }
   leaveReadingToOthers(now, now);
 }
@@ -228,7 +228,8 @@
     // Others hear the reader; a second one would only double the frames of the tree.
     leaveReadingToOthers(now, now);
   } else {
-    election_.takeOver();
+    election_.takeOver(callSentAt_);
+    leaveReadingToOthers(now, now);
   }
 }
 
@@ -369,7 +370,7 @@
     ++counters_.newsAccepted;
     takeOverNews(news, now, actions);
     if (const auto reader = Endpoint::parse(news.reader())) {
-      election_.onNews(*reader);
+      election_.onNews(*reader, now);
     }
     leaveReadingToOthers(relay_.freshAt(), now);
     prover_.onNews(sender, now, actions.proofs);
--- a/tests/serving/coordination/source_fleet_test.cpp
+++ b/tests/serving/coordination/source_fleet_test.cpp
@@ -88,6 +88,30 @@
   REQUIRE(fleet.calls() - before <= 60);
 }
 
+// What was seen: on a quiet day fleets of 74 daemons made 51 to 79 calls to the source in 20 s, of 300 up to
+// 149, where one reader makes 16. Nothing failed, but each call is paid for, and each reader's news goes
+// through all daemons. What happened: after the start several daemons read; each hears the reader before it
+// and stops, but has a call out that waits at the source for a second; the answer to it made the daemon a
+// reader again. Evidence: with daemons that go on reading only if they have heard no reader before them since
+// they called, 16 calls in each of 48 fleets.
+TEST_CASE("on a quiet day one daemon reads the source for all", "[serving]") {
+  const auto daemons = GENERATE(7U, 74U, 300U);
+  const bool tenants = GENERATE(false, true);
+  const auto random = GENERATE(1U, 2U, 3U);
+  const bool unequal = random == 2U;
+  SourceFleetSettings settings = fleetOf(daemons, random);
+  settings.tenants = tenants;
+  settings.capacities = unequal ? std::vector<unsigned>{12, 25, 50} : std::vector<unsigned>{};
+  SourceFleet fleet(settings);
+  fleet.runFor(seconds(15));
+  const std::size_t before = fleet.calls();
+  constexpr std::size_t kSeconds = 20;
+  fleet.runFor(seconds(kSeconds));
+  CAPTURE(daemons, tenants, random);
+  // A call waits for a second at the source.
+  REQUIRE(fleet.calls() - before <= kSeconds);
+}
+
 TEST_CASE("without a living seed every daemon comes to know the source", "[serving]") {
   SourceFleetSettings settings = fleetOf(60);
   settings.seeds = 0;
