Generated cuts with tenants of higher rates, as a test that fails

What was seen: limits-in-a-cut holds at 1/s; at 8 and 30/s, in fleets of 12 and 74, cut by an eighth, a quarter or a half, also healed after 3 s and come again, 31 of 36 refuse more than 1% below the limit, up to 4.6% (138 of 2,974). Cause: third and later homes count out a sixteenth of the rate for 2 s, until the cut would be known everywhere. None of the 138 was for want of an answer. The aim of 1% is the bound of limits-in-a-cut.

--- a/tests/serving/coordination/tenant_tokens_test.cpp
+++ b/tests/serving/coordination/tenant_tokens_test.cpp
@@ -320,6 +320,56 @@
   REQUIRE(errors <= requests / 100);
 }
 
+// What callers see: in the first seconds of a cut tenants are refused below their limit, most of them of
+// higher rates: up to 4.6% of all that they ask over 15 s. What happens: where the home and the first that
+// steps in for it both lie beyond the cut, the next ones count out a sixteenth of the rate for
+// 2 s, so that the pieces together hold the window until the cut is known everywhere. For few tenants in each
+// cut, then, nearly everything is refused. Evidence: of 138 refusals of one such fleet none was for want of
+// an answer, and 105 were on the larger side, where one tenant in sixteen has such a home.
+TEST_CASE("tenants of any rate below their limit are served in cuts that come, heal and come again",
+          "[open]") {
+  constexpr std::size_t kTenants = 10;
+  for (const bool again : {false, true}) {
+    for (const std::size_t daemons : {12, 74}) {
+      for (const double share : {0.125, 0.25, 0.5}) {
+        for (const double rate : {1.0, 8.0, 30.0}) {
+          std::size_t errors = 0;
+          std::size_t requests = 0;
+          for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            TokenFleetSettings settings;
+            settings.daemons = daemons;
+            settings.seed = seed;
+            TokenFleet fleet(settings);
+            const TenantLimit limit{rate, rate};
+            for (std::size_t number = 0; number < kTenants; ++number) {
+              const std::string tenant = "tenant-" + std::to_string(number);
+              fleet.setLimit(tenant, limit);
+              fleet.load(tenant, rate * kUsualShare, second(0), second(again ? 30 : 15));
+            }
+            std::vector<std::size_t> pieces(daemons, 0);
+            const auto small = static_cast<std::ptrdiff_t>(static_cast<double>(daemons) * share);
+            std::fill(pieces.begin(), pieces.begin() + small, 1);
+            fleet.at(second(10), [&fleet, pieces] { fleet.cut(pieces); });
+            if (again) {
+              fleet.at(second(13), [&fleet] { fleet.heal(); });
+              fleet.at(second(20), [&fleet, pieces] { fleet.cut(pieces); });
+              fleet.at(second(23), [&fleet] { fleet.heal(); });
+            }
+            fleet.run(second(again ? 31 : 16));
+            for (std::size_t number = 0; number < kTenants; ++number) {
+              const std::string tenant = "tenant-" + std::to_string(number);
+              errors += fleet.refusedInError(tenant, limit);
+              requests += fleet.requestsOf(tenant).size();
+            }
+          }
+          CAPTURE(again, daemons, share, rate, errors, requests);
+          CHECK(errors <= requests / 100);
+        }
+      }
+    }
+  }
+}
+
 TEST_CASE("the window holds for a busy tenant in cuts of many pieces", "[serving]") {
   // Its daemons step in at the full rate of their piece only when a cut would be known everywhere.
   const TenantLimit busy{30, 30};
