Drop queued handlers of a decision timer that was armed anew

What happened: a request that was decided just as its timer expired stayed in memory, and woke the gateway every 250 ms, until the process ended; a timer armed anew at that moment called the old handler. Cause: cancelling a timer has no effect on a handler that is queued already; that one saw a due time in the future and waited on. Read before, provoked now: two timers that expire in one turn of the event loop; both tests failed (handler kept; 1 call of the old handler in place of the new one), both pass. Change: a handler of an earlier arming returns. Why it holds: each arming has a number, so that a handler knows whether it is the last one's.

--- a/src/programs/gateway/decision_timer.h
+++ b/src/programs/gateway/decision_timer.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <utility>
 
@@ -25,6 +26,7 @@
       return;
     }
     armedFor_ = due;
+    ++armings_;
     if (due == kNever) {
       timer_.cancel();
       return;
@@ -39,21 +41,25 @@
 
   void sleep(std::function<void()> onDue) {
     setFor(timer_, std::min(armedFor_, steadyNow() + kMaxSleep));
-    timer_.async_wait([this, onDue = std::move(onDue)](const boost::system::error_code& error) mutable {
-      if (error) {
-        return;
-      }
-      if (steadyNow() < armedFor_) {
-        sleep(std::move(onDue));
-        return;
-      }
-      armedFor_ = kNever;
-      onDue();
-    });
+    timer_.async_wait(
+        [this, arming = armings_, onDue = std::move(onDue)](const boost::system::error_code& error) mutable {
+          // Cancelling has no effect on a handler that is queued already.
+          if (error || arming != armings_) {
+            return;
+          }
+          if (steadyNow() < armedFor_) {
+            sleep(std::move(onDue));
+            return;
+          }
+          armedFor_ = kNever;
+          onDue();
+        });
   }
 
   boost::asio::steady_timer timer_;
   Moment armedFor_ = kNever;
+  /// Number of times that it was armed or disarmed.
+  std::uint64_t armings_ = 0;
 };
 
 }  // namespace oakpier::serving
