Request no token ahead right after a refusal

What happened: a server that granted some of the tokens wanted, and refused the rest with a time, got a request for a token ahead at once, against the invariant of none for 50 ms after a refusal. Cause: the uses of the granted tokens scheduled it before the refusal was noted. Read before, provoked now: the test failed, and passes. Change: a refusal drops it. Callers saw nothing; frames of tenants beyond their limit.

--- a/src/coordination/serving/quota_client.cpp
+++ b/src/coordination/serving/quota_client.cpp
@@ -199,6 +199,7 @@
     state.nextTokenAt = now + grant.retryAfter;
     state.refuseUntil = now + std::clamp(grant.retryAfter, kMinRefusalCacheTime, kMaxRefusalCacheTime);
     state.refusedSinceReply = 0;
+    state.prefetchDue = false;
     refuseWaiting(grant.tenant, state, RefusalCause::kNoTokens, now, decisions);
   }
   if (!state.waiting.empty() || state.prefetchDue) {
