Send no second reply to a request

What callers could get: a request that is decided just after the service has answered all of them, as at the end of the grace period, was replied to twice; the second reply went out as the answer to the next request of the connection. Cause: the state of the connection was checked, not which request it serves. Read before, provoked now: the test failed (the answer of the second request was never sent) and passes. Change: a response writer knows the number of its request; replies to another one are dropped. Why it holds: numbers rise with each request served, and a reply needs the number of the one being served.

--- a/src/transport/serving/http_service.cpp
+++ b/src/transport/serving/http_service.cpp
@@ -18,7 +18,7 @@
 
 void ResponseWriter::write(const HttpReply& reply) const {
   if (const auto session = session_.lock()) {
-    session->respond(reply);
+    session->respondTo(requestNumber_, reply);
   }
 }
 
--- a/src/transport/serving/http_service.h
+++ b/src/transport/serving/http_service.h
@@ -23,12 +23,15 @@
 /// Sends the reply to one request.
 class ResponseWriter {
  public:
-  explicit ResponseWriter(std::weak_ptr<HttpSession> session) : session_(std::move(session)) {}
-  /// Call once per request. Has no effect if the caller has disconnected.
+  /// `requestNumber`: the number of the request on its connection.
+  ResponseWriter(std::weak_ptr<HttpSession> session, std::uint64_t requestNumber)
+      : session_(std::move(session)), requestNumber_(requestNumber) {}
+  /// Has no effect if the caller has disconnected or the request has already been replied to.
   void write(const HttpReply& reply) const;
 
  private:
   std::weak_ptr<HttpSession> session_;
+  std::uint64_t requestNumber_;
 };
 
 /// Processes the requests that an `HttpService` has read.
--- a/src/transport/serving/http_session.cpp
+++ b/src/transport/serving/http_session.cpp
@@ -181,6 +181,7 @@
   timer_.cancel();
   state_ = State::kServing;
   ++service_->inProgress_;
+  ++requestNumber_;
   auto message = parser_->release();
   keepAlive_ = message.keep_alive();
   isHead_ = message.method() == http::verb::head;
@@ -188,8 +189,8 @@
   auto self = shared_from_this();
   // Keep reading to detect a disconnect; bytes of later requests stay in the buffer.
   read();
-  auto onDisconnect =
-      service_->handler_.onRequest(requestOf(std::move(message)), ResponseWriter(weak_from_this()));
+  auto onDisconnect = service_->handler_.onRequest(requestOf(std::move(message)),
+                                                   ResponseWriter(weak_from_this(), requestNumber_));
   if (state_ == State::kServing) {
     onDisconnect_ = std::move(onDisconnect);
   }
@@ -229,6 +230,12 @@
   }
 }
 
+void HttpSession::respondTo(std::uint64_t requestNumber, const HttpReply& reply) {
+  if (requestNumber == requestNumber_) {
+    respondIfServing(reply);
+  }
+}
+
 void HttpSession::onWritten(const boost::system::error_code& error) {
   if (service_ == nullptr || state_ != State::kWriting) {
     return;
--- a/src/transport/serving/http_session.h
+++ b/src/transport/serving/http_session.h
@@ -25,10 +25,11 @@
   ~HttpSession();
 
   void start();
-  /// Sends a reply to the request being served, or to one that is refused while it is read. Has no effect
-  /// while a reply is being written or after the connection has closed.
-  void respond(const HttpReply& reply);
+  /// Replies to the request being served, if there is one.
   void respondIfServing(const HttpReply& reply);
+  /// Replies to the request with this number if it is being served. Otherwise the reply would be taken for
+  /// that to a later request.
+  void respondTo(std::uint64_t requestNumber, const HttpReply& reply);
   /// Closes the connection unless a request is being read, served or replied to.
   void closeIfIdle();
   /// Called when the service is destroyed; closes the connection without a reply.
@@ -38,6 +39,9 @@
   enum class State { kIdle, kReadingRequest, kServing, kWriting, kLingering, kClosed };
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  /// Replies to the request being served, or to one that is refused while it is read. Has no effect while a
+  /// reply is being written or after the connection has closed.
+  void respond(const HttpReply& reply);
   void beginRequest();
   void read();
   void onRead(const boost::system::error_code& error, std::size_t count);
@@ -62,6 +66,8 @@
   bool keepAlive_ = true;
   bool isHead_ = false;
   bool continueSent_ = false;
+  /// Requests served on this connection.
+  std::uint64_t requestNumber_ = 0;
   std::string outgoing_;
   std::function<void()> onDisconnect_;
 };
--- a/tests/serving/transport/http_service_test.cpp
+++ b/tests/serving/transport/http_service_test.cpp
@@ -139,6 +139,30 @@
   REQUIRE(world.service.inProgress() == 0);
 }
 
+// Guards against a second reply to one request that is sent as the answer to the next request of the
+// connection, as when a request is decided just after the service has answered all.
+TEST_CASE("a second reply to a request is not sent", "[serving]") {
+  ServiceWorld world;
+  RawClient client(world.context, world.address);
+  client.write(kGet);
+  world.awaitRequests(1);
+  world.service.answerAll(textReply(504, "stopped"));
+  world.awaitText(client, "stopped");
+  client.write(kGet);
+  world.awaitRequests(2);
+  world.handler.writers[0].write(textReply(200, "late"));
+  world.handler.writers[1].write(textReply(200, "second"));
+  world.awaitText(client, "second");
+  // Nor while the connection waits for a request.
+  world.handler.writers[1].write(textReply(200, "late"));
+  client.write(kGet);
+  world.awaitRequests(3);
+  world.handler.writers[2].write(textReply(200, "third"));
+  world.awaitText(client, "third");
+  REQUIRE(client.received().find("late") == std::string::npos);
+  REQUIRE(world.service.inProgress() == 0);
+}
+
 TEST_CASE("Expect: 100-continue is answered before the body arrives", "[serving]") {
   ServiceWorld world;
   RawClient client(world.context, world.address);
