--- a/src/coordination/serving/quota_plan.cpp
+++ b/src/coordination/serving/quota_plan.cpp
@@ -20,7 +20,7 @@
 constexpr double kReserveShare = 0.2;
 /// The membership suspects unreachable daemons between 0.3 and 2 s after the onset of a network partition.
 /// Meanwhile the primary scales its rate down, and grants as much as at its full rate in this time.
-constexpr double kPrimaryDetectionSeconds = 1.15;
+constexpr double kPrimaryDetectionSeconds = 1.25;
 /// A side with more than this fraction of the daemons has lost daemons rather than a part of the network.
 constexpr double kNearlyAllDaemons = 0.9;
 constexpr double kRefillShareOfSpare = 0.25;
--- a/src/coordination/serving/quota_server_selector.cpp
+++ b/src/coordination/serving/quota_server_selector.cpp
@@ -16,8 +16,9 @@
 
 /// Candidates probed when a server gave no usable answer, in the order in which they would be tried.
 constexpr std::size_t kCandidatesProbed = 10;
-/// Shortest time between two probes of a candidate.
-constexpr Duration kCandidateProbePeriod = std::chrono::milliseconds(100);
+/// A candidate that left a probe unanswered is tried last for this long. Then it is unknown again, unless the
+/// membership suspects it.
+constexpr Duration kProbeResultLifetime = std::chrono::seconds(2);
 /// A daemon that leaves a frame unanswered for longer is tried after the others. As long as a client waits
 /// for a quota server.
 constexpr Duration kExpectedAnswerTime = std::chrono::milliseconds(25);
@@ -70,7 +71,7 @@
   };
   retain(lastReceivedAt_);
   retain(probedAt_);
-  retain(candidateProbedAt_);
+  retain(unansweredProbeAt_);
 }
 
 void QuotaServerSelector::updateRankings(const std::vector<ServingDaemon>& removed,
@@ -129,7 +130,10 @@
 }
 
 bool QuotaServerSelector::expectedToRespond(const Endpoint& server, Moment now) const {
-  if (failureDetector_.unansweredFor(server, now) >= kExpectedAnswerTime) {
+  const auto probe = unansweredProbeAt_.find(server);
+  const Duration probedAgo = probe == unansweredProbeAt_.end() ? Duration{} : now - probe->second;
+  const bool leftProbeUnanswered = probedAgo >= kExpectedAnswerTime && probedAgo < kProbeResultLifetime;
+  if (leftProbeUnanswered || failureDetector_.unansweredFor(server, now) >= kExpectedAnswerTime) {
     return false;
   }
   // A request has few attempts. Without the suspicions of the membership, each daemon on the small side of a
@@ -200,8 +204,8 @@
       continue;
     }
     --probes;
-    const auto [probed, isNew] = candidateProbedAt_.try_emplace(server, now);
-    if (isNew || now - probed->second >= kCandidateProbePeriod) {
+    const auto [probed, isNew] = unansweredProbeAt_.try_emplace(server, now);
+    if (isNew || now - probed->second >= kProbeResultLifetime) {
       probed->second = now;
       dueCandidateProbes_.push_back(server);
     }
@@ -210,10 +214,8 @@
 
 std::vector<Endpoint> QuotaServerSelector::takeDueProbes(Moment now) {
   std::vector<Endpoint> due = failureDetector_.takeDueProbes(now);
-  for (const Endpoint& server : std::exchange(dueCandidateProbes_, {})) {
-    failureDetector_.onSent(server, now);
-    due.push_back(server);
-  }
+  due.insert(due.end(), dueCandidateProbes_.begin(), dueCandidateProbes_.end());
+  dueCandidateProbes_.clear();
   return due;
 }
 
@@ -225,6 +227,7 @@
 
 void QuotaServerSelector::onReceived(const Endpoint& server, Moment now) {
   failureDetector_.onReceived(server, now);
+  unansweredProbeAt_.erase(server);
   reachability_.onReceived(server);
   lastReceivedAt_[server] = now;
   if (suspectedAt_.count(server) != 0) {
--- a/src/coordination/serving/quota_server_selector.h
+++ b/src/coordination/serving/quota_server_selector.h
@@ -5,7 +5,7 @@
 ///
 /// Invariants: equal member tables give equal rankings; a daemon that joins or leaves moves only the tenants
 /// that it gains or loses; a daemon that doesn't respond, or is suspected by the membership, is tried after
-/// the others; a candidate is probed at most once in `kCandidateProbePeriod`.
+/// the others; a candidate that does not answer is probed at most every 2 s.
 
 #include <cstddef>
 #include <optional>
@@ -93,7 +93,8 @@
   Moment suspectedReceivedAt_ = Moment::min();
   /// When a daemon was last probed as a predecessor or as a candidate.
   std::unordered_map<Endpoint, Moment> probedAt_;
-  std::unordered_map<Endpoint, Moment> candidateProbedAt_;
+  /// Last probe of each candidate that has not answered since.
+  std::unordered_map<Endpoint, Moment> unansweredProbeAt_;
   std::vector<Endpoint> dueCandidateProbes_;
   bool membershipStable_ = true;
 };
--- a/src/coordination/serving/reachability_estimator.cpp
+++ b/src/coordination/serving/reachability_estimator.cpp
@@ -32,7 +32,7 @@
     return {};
   }
   previous_ = estimate(now);
-  const std::vector<Endpoint> probed = sample();
+  std::vector<Endpoint> probed = sample();
   current_ = Round{now, others_.size(), probed.size(), {probed.begin(), probed.end()}};
   return probed;
 }
--- a/src/coordination/serving/reachability_estimator.h
+++ b/src/coordination/serving/reachability_estimator.h
@@ -20,8 +20,8 @@
 namespace oakpier::serving {
 
 /// Daemons probed per round; in a smaller fleet, all. With 7,100 daemons, half of them reached, the standard
-/// deviation of the estimate is 0.1 of the fleet.
-inline constexpr std::size_t kReachabilitySample = 24;
+/// deviation of the estimate is 0.09 of the fleet.
+inline constexpr std::size_t kReachabilitySample = 32;
 
 struct ReachabilityEstimate {
   /// Reachable daemons, this one included.
