--- a/src/coordination/serving/quota_plan.cpp
+++ b/src/coordination/serving/quota_plan.cpp
@@ -23,6 +23,8 @@
 constexpr double kPrimaryDetectionSeconds = 1.25;
 /// A side with more than this fraction of the daemons has lost daemons rather than a part of the network.
 constexpr double kNearlyAllDaemons = 0.9;
+/// Of what a window within a lasting network partition leaves beyond one refill and one capacity, the part
+/// that raises the refill of the sides. The rest raises their capacity.
 constexpr double kRefillShareOfSpare = 0.25;
 /// Number of sides of a network partition, served by the second or a later successor, that the plan provides
 /// for.
@@ -30,8 +32,7 @@
 
 double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-/// What windows within a lasting partition leave beyond one refill and one capacity goes by these parts to
-/// the refill and to the capacity of the sides.
+/// The factor of the refill of all sides together in a lasting network partition.
 double headroomOf(const QuotaPlan& plan, double allowed, Duration window) {
   if (plan.refillRate <= 0) {
     return 1;
--- a/src/coordination/serving/quota_plan.h
+++ b/src/coordination/serving/quota_plan.h
@@ -71,7 +71,7 @@
   /// primary detects it, that one still grants its full rate. May be less than 1.
   double onsetHeadroom = 1;
   /// The same for the capacity. Greater than `headroom`, as the window in which a partition begins has no
-  /// full buckets of several sides; a side's fraction of one capacity would not bear a usual burst.
+  /// full buckets of several sides; a side's fraction of one capacity would not admit a usual burst.
   double capacityHeadroom = 1;
 };
 
--- a/src/coordination/serving/quota_server.cpp
+++ b/src/coordination/serving/quota_server.cpp
@@ -136,7 +136,7 @@
 void QuotaServer::raiseToInitialLevel(Bucket& bucket, const QuotaServerRank& serverRank, Moment now) const {
   const bool unresponsive = now - bucket.predecessorsUnresponsiveSince >= kAliveAfterFrame;
   const bool suspected = bucket.predecessorsSuspectedSince <= now;
-  // Frames of a predecessor may be late only.
+  // A predecessor that is not heard for a moment may only be slow.
   if (!tookOverRecently(bucket, now) || predecessorIsReachable(serverRank, now) ||
       !(unresponsive || suspected)) {
     return;
--- a/src/coordination/serving/quota_server_selector.h
+++ b/src/coordination/serving/quota_server_selector.h
@@ -91,7 +91,7 @@
   std::unordered_map<Endpoint, Moment> suspectedAt_;
   /// When a frame of a suspected daemon was last received.
   Moment suspectedReceivedAt_ = Moment::min();
-  /// When a daemon was last probed as a predecessor or as a candidate.
+  /// When a daemon was last probed as a predecessor.
   std::unordered_map<Endpoint, Moment> probedAt_;
   /// Last probe of each candidate that has not answered since.
   std::unordered_map<Endpoint, Moment> unansweredProbeAt_;
--- a/src/coordination/serving/reachability_estimator.h
+++ b/src/coordination/serving/reachability_estimator.h
@@ -41,7 +41,7 @@
   std::vector<Endpoint> beginRound(Moment now);
   /// Any frame was received from the daemon.
   void onReceived(const Endpoint& daemon);
-  /// Of the last round that most answers have arrived for. Empty if no round has begun recently.
+  /// From the last round whose answers have had time to arrive. Empty if no round has begun recently.
   std::optional<ReachabilityEstimate> estimate(Moment now) const;
 
  private:
