--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -297,22 +298,30 @@
 
 unsigned Leaf::runsOf(const std::string& requestId) {
   const std::lock_guard<std::mutex> guard(mutex_);
-  const auto found = runs_.find(requestId);
-  return found == runs_.end() ? 0 : found->second;
+  unsigned count = 0;
+  for (const auto& [id, beganAt] : runs_) {
+    count += id == requestId ? 1 : 0;
+  }
+  return count;
 }
 
 unsigned Leaf::runsAfter(Clock::time_point moment) {
   const std::lock_guard<std::mutex> guard(mutex_);
   unsigned count = 0;
-  for (const Clock::time_point time : runTimes_) {
-    count += time > moment ? 1 : 0;
+  for (const auto& [id, beganAt] : runs_) {
+    count += beganAt > moment ? 1 : 0;
   }
   return count;
 }
 
 Clock::time_point Leaf::lastRunAt() {
   const std::lock_guard<std::mutex> guard(mutex_);
-  return runTimes_.empty() ? Clock::time_point{} : runTimes_.back();
+  return runs_.empty() ? Clock::time_point{} : runs_.back().second;
+}
+
+std::vector<std::pair<std::string, Clock::time_point>> Leaf::runs() {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  return runs_;
 }
 
 void Leaf::removeEntry() { store_.remove("servers/" + id_); }
@@ -333,8 +342,7 @@
     ++running_;
     {
       const std::lock_guard<std::mutex> guard(mutex_);
-      ++runs_[requestId];
-      runTimes_.push_back(Clock::now());
+      runs_.emplace_back(requestId, Clock::now());
     }
     record_.line(id_ + " runs " + request->first + " of id " + requestId + ", body of " +
                  std::to_string(request->body.size()) + " bytes");
@@ -367,7 +375,7 @@
        << "\"addr_reuse_s\":2,\"contact_ms\":4000,\"ack_ms\":5000,\"sync_s\":4,\"drain_ms\":3000,"
        << "\"grace_s\":6,\"loss_slack_ms\":200,\"config_apply_ms\":3000,\"downgrade_ms\":250,"
        << "\"skew_max_ms\":12000,\"retry_budget_ratio\":0.2,\"budget_window_s\":10,\"budget_slack\":56,"
-       << "\"recovery_s\":12},\"platform\":{\"address\":\"127.0.0.1:" << settings.storePort
+       << "\"recovery_s\":12" << settings.moreBounds << "},\"platform\":{\"address\":\"127.0.0.1:" << settings.storePort
        << "\",\"form\":\"read\",\"writes_per_s\":400,\"reads_per_s\":2000,\"history_s\":20,"
        << "\"value_bytes\":1048576,\"min_ttl_ms\":1000}}";
 }
@@ -387,6 +395,8 @@
     const int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // The gateway ends with the script, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     execve(arguments[0], arguments, variables);
     _exit(127);
   }
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -130,9 +130,11 @@
   void setSlowness(double factor) { slowness_ = factor; }
   /// How often it began to work on the request with this id.
   unsigned runsOf(const std::string& requestId);
-  /// When it last began to work on a request, and how many it began after `moment`.
+  /// How many requests it began to work on after `moment`, and when it last began.
   unsigned runsAfter(Clock::time_point moment);
   Clock::time_point lastRunAt();
+  /// The ids of the requests that it ran, each with the moment at which it began.
+  std::vector<std::pair<std::string, Clock::time_point>> runs();
   /// Deletes its entry in the store; it serves on.
   void removeEntry();
 
@@ -147,8 +149,7 @@
   std::atomic<double> slowness_{1.0};
   std::atomic<unsigned> running_{0};
   std::mutex mutex_;
-  std::map<std::string, unsigned> runs_;
-  std::vector<Clock::time_point> runTimes_;
+  std::vector<std::pair<std::string, Clock::time_point>> runs_;
   std::atomic<unsigned> answers_{0};
   std::unique_ptr<Server> server_;
 };
@@ -167,6 +168,8 @@
     unsigned peerPort = 0;
     unsigned storePort = 0;
     std::vector<std::string> seedIps;
+    /// Further bounds, as JSON fields with a comma before each.
+    std::string moreBounds = {};
   };
   explicit Gateway(const Settings& settings);
   ~Gateway();
