--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -324,6 +324,11 @@
   return runs_;
 }
 
+std::map<std::string, std::string> Leaf::bodies() {
+  const std::lock_guard<std::mutex> guard(mutex_);
+  return bodies_;
+}
+
 void Leaf::removeEntry() { store_.remove("servers/" + id_); }
 
 void Leaf::serve(Connection& connection) {
@@ -343,6 +348,9 @@
     {
       const std::lock_guard<std::mutex> guard(mutex_);
       runs_.emplace_back(requestId, Clock::now());
+      if (!request->body.empty()) {
+        bodies_[requestId] = request->body;
+      }
     }
     record_.line(id_ + " runs " + request->first + " of id " + requestId + ", body of " +
                  std::to_string(request->body.size()) + " bytes");
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -135,6 +135,8 @@
   Clock::time_point lastRunAt();
   /// The ids of the requests that it ran, each with the moment at which it began.
   std::vector<std::pair<std::string, Clock::time_point>> runs();
+  /// The bodies of the requests that it ran and that had one, by request id.
+  std::map<std::string, std::string> bodies();
   /// Deletes its entry in the store; it serves on.
   void removeEntry();
 
@@ -150,6 +152,7 @@
   std::atomic<unsigned> running_{0};
   std::mutex mutex_;
   std::vector<std::pair<std::string, Clock::time_point>> runs_;
+  std::map<std::string, std::string> bodies_;
   std::atomic<unsigned> answers_{0};
   std::unique_ptr<Server> server_;
 };
