--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,9 +1,10 @@
-/// Case 2: two of three gateways have idle connections to the store that have gone silent some time ago. The
-/// gateway that reads the store for all is killed, and right after that two leafs leave without having said
-/// `draining`. Checks that no request reaches them more than `drain_ms` later.
+/// Case 2: the store is down for some seconds, so that all gateways call it. Some time later the connections
+/// that the other gateways than the reader have kept to the store go silent while they are idle. Again later
+/// the gateway that reads the store for all is killed, and right after that two leafs leave without having
+/// said `draining`. Checks that no request reaches them more than `drain_ms` later.
 ///
 /// Usage: case GATEWAY FOLDER RECORD TROUBLE
-/// TROUBLE: 0 none of it, 1 both, "silent" only the silent connections, "kill" only the killed gateway.
+/// TROUBLE: 0 none of it, 1 all, "silent" all but the killed gateway, "kill" only the killed gateway.
 
 #include <signal.h>
 
@@ -17,13 +18,17 @@
 
 namespace {
 
-constexpr std::size_t kGateways = 3;
+constexpr std::size_t kGateways = 8;
 constexpr std::size_t kLeafs = 5;
 constexpr milliseconds kWork(20);
-constexpr milliseconds kPace(25);
-/// `contact_ms` is 4,000, so a machine whose connections were reset is in touch again after this time.
-constexpr milliseconds kBackInTouch(7000);
+/// Between two requests to one gateway.
+constexpr milliseconds kPace(40);
+constexpr milliseconds kStoreDown(4000);
+/// `contact_ms` is 4,000, so the store is stable and all machines are in touch again after this time.
+constexpr milliseconds kBackInTouch(6000);
 constexpr milliseconds kDrain(3000);
+/// How long a killed process is away, by the `troubles` of cql-navfeed (`for_s` of `node_kill`).
+constexpr milliseconds kAway(3500);
 
 const char* const kConfiguration =
     R"({"version":1,"routes":[{"name":"holding-detail","host":"funds.example","path_prefix":"/detail/",)"
@@ -78,7 +83,7 @@
     Gateway::Settings settings{arguments[1],
                                folder,
                                "edge-" + std::to_string(number + 1),
-                               zones[number],
+                               zones[number % zones.size()],
                                "127.0.1." + std::to_string(number + 1),
                                ports[0],
                                ports[1],
@@ -94,7 +99,13 @@
       return 2;
     }
   }
-  std::this_thread::sleep_for(milliseconds(8000));
+  std::this_thread::sleep_for(milliseconds(6000));
+  if (trouble == "1" || trouble == "silent") {
+    store.setDown(true);
+    std::this_thread::sleep_for(kStoreDown);
+    store.setDown(false);
+  }
+  std::this_thread::sleep_for(kBackInTouch);
   std::atomic<bool> stopping{false};
   std::vector<std::thread> callers;
   for (std::size_t number = 1; number < kGateways; ++number) {
@@ -119,7 +130,12 @@
     leaf->removeEntry();
   }
   const auto goneAt = Clock::now();
-  std::this_thread::sleep_for(kDrain + milliseconds(4000));
+  std::this_thread::sleep_for(kAway);
+  if (!gateways[0]->running()) {
+    record.line("edge-1 starts again");
+    gateways[0]->start();
+  }
+  std::this_thread::sleep_for(milliseconds(3500));
   stopping = true;
   for (std::thread& caller : callers) {
     caller.join();
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -94,6 +94,8 @@
   unsigned port(std::size_t number = 0) const { return servers_[number]->port(); }
   void put(const std::string& key, const std::string& value);
   void remove(const std::string& key);
+  /// While the store is down it answers all calls with 503.
+  void setDown(bool down);
   /// The connections that are open at this port go silent for good; new ones work.
   void silenceConnections(std::size_t port);
   /// Waits for the next answer to a call at this port.
@@ -114,6 +116,7 @@
   std::condition_variable changed_;
   std::map<std::string, Item> items_;
   std::uint64_t revision_ = 1;
+  bool down_ = false;
   /// By port: connections opened before this moment are silent.
   std::vector<Clock::time_point> silentBefore_;
   /// By port.
