--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
 /// Case 2: the store is down for some seconds, so that all gateways call it. Some time later the connections
 /// that the other gateways than the reader have kept to the store go silent while they are idle. Again later
-/// the gateway that reads the store for all is killed, and right after that two leafs leave without having
-/// said `draining`. Checks that no request reaches them more than `drain_ms` later.
+/// the gateway that reads the store for all is killed, and right after that a leaf leaves without having
+/// said `draining`. Checks that no request reaches it more than `drain_ms` later.
 ///
 /// Usage: case GATEWAY FOLDER RECORD TROUBLE
 /// TROUBLE: 0 none of it, 1 all, "silent" all but the killed gateway, "kill" only the killed gateway.
@@ -125,7 +125,7 @@
     record.line("edge-1, which reads the store, is killed");
     gateways[0]->signal(SIGKILL);
   }
-  const std::vector<Leaf*> leaving = {leafs[1].get(), leafs[2].get()};
+  const std::vector<Leaf*> leaving = {leafs[1].get()};
   for (Leaf* leaf : leaving) {
     leaf->removeEntry();
   }
@@ -154,8 +154,8 @@
   const auto lastAfter = std::chrono::duration_cast<milliseconds>(last - goneAt).count();
   const std::string summary =
       std::to_string(late) +
-      " requests reached the leafs more than 3000 ms after the store had their leaving (" +
-      std::to_string(all) + " after it at all, the last " + std::to_string(lastAfter) + " ms after it)";
+      " requests reached the leaf more than 3000 ms after the store had its leaving (" + std::to_string(all) +
+      " after it at all, the last " + std::to_string(lastAfter) + " ms after it)";
   record.line(summary);
   std::cout << (late > 0 ? "DRAIN broken: " : "DRAIN held: ") << summary << "\n" << std::flush;
   std::_Exit(late > 0 ? 1 : 0);
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,9 @@
 cd "$(dirname "$0")"
 mkdir -p build
 for number in 1 2 3; do
-  if [ -f "$number/case.cpp" ]; then
-    g++ -std=c++17 -O2 -pthread -o "build/case-$number" "$number/case.cpp" standin/standin.cpp
+  program="build/case-$number"
+  [ -f "$number/case.cpp" ] || continue
+  if [ ! -x "$program" ] || [ -n "$(find "$number/case.cpp" standin -newer "$program")" ]; then
+    g++ -std=c++17 -O2 -pthread -o "$program" "$number/case.cpp" standin/standin.cpp
   fi
 done
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -12,7 +12,7 @@
 fi
 review/build.sh || exit 2
 folder="$(mktemp -d)" || exit 2
-timeout -k 5 115 "review/build/case-$number" "$gateway" "$folder" "review/$number/record.txt" "${TROUBLE:-1}"
+timeout -k 5 95 "review/build/case-$number" "$gateway" "$folder" "review/$number/record.txt" "${TROUBLE:-1}"
 result=$?
 if [ -n "$KEEP" ]; then echo "logs: $folder"; else rm -rf "$folder"; fi
 [ "$result" = 0 ] || [ "$result" = 1 ] || result=2
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -152,7 +152,10 @@
   unsigned slots_;
   std::chrono::milliseconds work_;
   std::atomic<double> slowness_{1.0};
-  std::atomic<unsigned> running_{0};
+  /// Requests at work, at most `slots_`, and those that wait for a slot.
+  unsigned running_ = 0;
+  unsigned waiting_ = 0;
+  std::condition_variable slotFree_;
   std::mutex mutex_;
   std::vector<std::pair<std::string, Clock::time_point>> runs_;
   std::map<std::string, std::string> bodies_;
