Log who takes over reading the source, and calls without an answer

Two lines, once a confirmation and once a failed call (at most one or two a second): that a daemon takes over reading, with the age of what it knows; and that a call got no answer, with the time waited, whether its connection was new or how long it had been idle, and the backoff that follows.

Hypotheses, written before: (1) the first call of those who take over goes on a connection that fell silent while idle and costs its timeout; (2) the loss of the reader is noticed late; (3) who reads first does not reach the others; (4) the removal delay is longer than planned; (5) failures of the outage make the backoff after the first failed call long.

--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -67,6 +67,7 @@
     ++counters_.calls;
     callSentAt_ = now;
     readsForOwnProof_ = !due;
+    callTakesOver_ = due && known().revision > 0 && !election_.isReader(now);
     if (call->kind == SourceCall::Kind::kList && call->afterKey.empty()) {
       listingSentAt_ = now;
     }
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -109,6 +109,13 @@
   /// This daemon's last call to the source failed.
   bool sourceLost() const { return reader_.consecutiveFailures() > 0; }
   std::size_t rank() const { return election_.rank(); }
+  /// When the source last confirmed what is known here, to this daemon or to the reader.
+  Moment confirmedAt() const { return relay_.confirmedAt(); }
+  /// The call in progress, or the last one, was made because the updates of the reader are overdue, or because
+  /// this daemon has become the first in order.
+  bool callTakesOver() const { return callTakesOver_; }
+  /// When the next call is due; `kNever` while one is in progress.
+  Moment nextCallAt() const { return reader_.nextCallAt(); }
   const ConfigurationProof& proof() const { return prover_.proof(); }
   /// The freshness proof is younger than its bound.
   bool proofHolds() const { return prover_.holds(); }
@@ -172,6 +179,7 @@
   Moment listingSentAt_{};
   /// The call in progress only renews this daemon's freshness proof; another daemon is the reader.
   bool readsForOwnProof_ = false;
+  bool callTakesOver_ = false;
   /// Records of the listing in progress, applied when it is complete.
   std::vector<SourceRecord> listing_;
   SourcePosition listingPosition_;
--- a/src/programs/gateway/source_synchronizer.cpp
+++ b/src/programs/gateway/source_synchronizer.cpp
@@ -114,6 +114,8 @@
   const Moment now = steadyNow();
   sendMessages(follower_.onTimer(now));
   if (const auto call = follower_.takeCall(now)) {
+    callSentAt_ = now;
+    logTakeover(now);
     client_.call(dialect_.requestFor(*call), call->wait + kCallTimeout,
                  [this, call = *call](std::optional<HttpReply> reply) {
                    onAnswer(call,
@@ -124,9 +126,36 @@
   schedule();
 }
 
+void SourceSynchronizer::logTakeover(Moment now) {
+  const Moment confirmedAt = follower_.confirmedAt();
+  if (!follower_.callTakesOver() || confirmedAt == loggedTakeoverOf_) {
+    return;
+  }
+  loggedTakeoverOf_ = confirmedAt;
+  log(LogLevel::kInfo, "taking over reading the configuration source",
+      {{"confirmed_before_ms", toMilliseconds(now - confirmedAt)},
+       {"reader_rank", follower_.rank()},
+       {"known_revision", follower_.known().revision}});
+}
+
+void SourceSynchronizer::logNoAnswer(Moment now) const {
+  const CallConnection& connection = client_.lastCallConnection();
+  log(LogLevel::kWarning, "configuration source gave no answer",
+      {{"waited_ms", toMilliseconds(now - callSentAt_)},
+       {"connection", connection.reused ? "reused" : "new"},
+       {"connection_idle_ms", toMilliseconds(connection.idle)},
+       {"confirmed_before_ms", toMilliseconds(now - follower_.confirmedAt())},
+       {"next_call_in_ms", toMilliseconds(follower_.nextCallAt() - now)}});
+}
+
 void SourceSynchronizer::onAnswer(const SourceCall& call, const SourceAnswer& answer) {
   const bool wasLost = follower_.sourceLost();
-  const FollowerActions actions = follower_.onAnswer(call, answer, steadyNow());
+  const Moment now = steadyNow();
+  const FollowerActions actions = follower_.onAnswer(call, answer, now);
+  const auto* failure = std::get_if<SourceFailure>(&answer.content);
+  if (failure != nullptr && *failure == SourceFailure::kNoAnswer) {
+    logNoAnswer(now);
+  }
   if (follower_.sourceLost() && !wasLost) {
     log(LogLevel::kWarning, "configuration source lost",
         {{"failure", textOf(std::get<SourceFailure>(answer.content))},
--- a/src/programs/gateway/source_synchronizer.h
+++ b/src/programs/gateway/source_synchronizer.h
@@ -58,6 +58,9 @@
   void schedule();
   void step();
   void onAnswer(const SourceCall& call, const SourceAnswer& answer);
+  /// Logs that this daemon reads in place of the reader; once until the source is next confirmed.
+  void logTakeover(Moment now);
+  void logNoAnswer(Moment now) const;
   void onUpdate(const Endpoint& sender, const SourceNews& update);
   void onUpdateRequest(const Endpoint& sender, const SourceNewsRequest& request);
   void onMembers(const DaemonGroup& daemons);
@@ -78,6 +81,9 @@
   std::vector<Endpoint> seeds_;
   PeerMessenger peers_;
   boost::asio::steady_timer timer_;
+  Moment callSentAt_{};
+  /// `SourceFollower::confirmedAt` at the last takeover that was logged.
+  Moment loggedTakeoverOf_ = Moment::min();
   Moment provenAt_{};
   bool proofFresh_ = false;
 };
--- a/src/transport/serving/source_client.cpp
+++ b/src/transport/serving/source_client.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "transport/serving/socket_options.h"
+#include "transport/steady_clock.h"
 
 namespace oakpier::serving {
 
@@ -46,7 +47,9 @@
       finish(std::nullopt);
     }
   });
+  lastCallConnection_ = CallConnection{};
   if (connection_ && connection_->open) {
+    lastCallConnection_ = CallConnection{true, steadyNow() - lastCallEndedAt_};
     write(connection_);
     return;
   }
@@ -108,6 +111,7 @@
 
 void SourceClient::finish(std::optional<HttpReply> reply) {
   timer_.cancel();
+  lastCallEndedAt_ = steadyNow();
   if (!reply || !connection_->reader.keepAlive() || connection_->reader.hasSurplus()) {
     boost::system::error_code ignored;
     if (connection_) {
--- a/src/transport/serving/source_client.h
+++ b/src/transport/serving/source_client.h
@@ -16,6 +16,14 @@
 
 namespace oakpier::serving {
 
+/// The connection that carried a call.
+struct CallConnection {
+  /// It had carried earlier calls.
+  bool reused = false;
+  /// For a reused one: how long it had been idle when the call was written.
+  Duration idle{};
+};
+
 class SourceClient {
  public:
   /// `reply` is empty if the connection failed or no complete reply arrived within the timeout.
@@ -29,6 +37,8 @@
   void closeConnection() { connection_.reset(); }
   /// Call only while no other call is in progress.
   void call(const HttpRequest& request, Duration timeout, Callback callback);
+  /// Of the last call.
+  const CallConnection& lastCallConnection() const { return lastCallConnection_; }
 
  private:
   struct Connection;
@@ -40,6 +50,9 @@
   Endpoint address_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<Connection> connection_;
+  CallConnection lastCallConnection_;
+  /// When the last call ended.
+  Moment lastCallEndedAt_{};
   std::string outgoing_;
   Callback callback_;
 };
