Do not call the source on a connection that was idle for long

Cause: daemons other than the reader keep the connection of their last call to the source for as long as it stays open. When it goes silent nothing shows it, as they have nothing to call. Once the reader is lost, all of them call on such a connection, in a few hundred milliseconds, and each waits for its timeout of 1 s (logged: reused, idle for 13 to 15 s, waited 1,000 ms, all seven). The removal delay of leafs counts on an update within 2 s.

A connection that was idle for more than 1 s is replaced before the call. Who reads regularly pauses for 250 ms, so the reader keeps its connection; the others pay one connect for each of their rare calls. A connection that fell silent within the last second before a call can still cost a timeout; machines are out of touch for four seconds then.

Reads for a daemon's own proof use the same client and gain with it.

--- a/src/transport/serving/source_client.cpp
+++ b/src/transport/serving/source_client.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+/// A connection that was idle for longer carries no further call. It may have gone silent without a reset,
+/// which only the call's timeout would show, and the first call after a long pause is the one that must be
+/// answered soon: it is made because the reader was lost. Longer than the reader's pauses between calls.
+constexpr Duration kMaxIdleTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -48,8 +52,9 @@
     }
   });
   lastCallConnection_ = CallConnection{};
-  if (connection_ && connection_->open) {
-    lastCallConnection_ = CallConnection{true, steadyNow() - lastCallEndedAt_};
+  const Duration idle = steadyNow() - lastCallEndedAt_;
+  if (connection_ && connection_->open && idle <= kMaxIdleTime) {
+    lastCallConnection_ = CallConnection{true, idle};
     write(connection_);
     return;
   }
--- a/src/transport/serving/source_client.h
+++ b/src/transport/serving/source_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// HTTP client for the configuration source, with one connection and one call at a time.
+/// HTTP client for the configuration source, with one connection and one call at a time. A connection that
+/// has been idle for long is replaced before the next call.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/tests/serving/support/loopback.h
+++ b/tests/serving/support/loopback.h
@@ -37,6 +37,15 @@
     bool ended = false;
     char chunk[4096];
 
+    /// Requests without a body that were received.
+    std::size_t requests() const {
+      std::size_t count = 0;
+      for (std::size_t place = received.find("\r\n\r\n"); place != std::string::npos;
+           place = received.find("\r\n\r\n", place + 1)) {
+        ++count;
+      }
+      return count;
+    }
     void write(const std::string& bytes) { boost::asio::write(socket, boost::asio::buffer(bytes)); }
     void end() { socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
     void reset() {
@@ -67,13 +76,11 @@
   }
   Endpoint address() const { return Endpoint(0x7f000001, acceptor_.local_endpoint().port()); }
   std::vector<std::shared_ptr<Connection>>& connections() { return connections_; }
+  /// Of all connections.
   std::size_t requests() const {
     std::size_t count = 0;
     for (const auto& connection : connections_) {
-      for (std::size_t place = connection->received.find("\r\n\r\n"); place != std::string::npos;
-           place = connection->received.find("\r\n\r\n", place + 1)) {
-        ++count;
-      }
+      count += connection->requests();
     }
     return count;
   }
--- a/tests/serving/transport/suspension_test.cpp
+++ b/tests/serving/transport/suspension_test.cpp
@@ -1,61 +1,27 @@
-/// Suspended machines: CLOCK_BOOTTIME continues during suspension, the clock of the timers does not. The test
-/// program wraps clock_gettime to advance CLOCK_BOOTTIME as a suspension does.
+/// Suspended machines.
+
+#include "serving/support/suspension.h"
 
 #include <catch2/catch.hpp>
-#include <ctime>
 
 #include "programs/gateway/decision_timer.h"
 #include "serving/support/loopback.h"
 #include "serving/support/serving_fixtures.h"
 #include "transport/steady_clock.h"
 
-namespace {
-
-long suspendedSeconds = 0;
-
-}  // namespace
-
-extern "C" {
-
-int __real_clock_gettime(clockid_t clock, std::timespec* time);  // NOLINT
-
-int __wrap_clock_gettime(clockid_t clock, std::timespec* time) {  // NOLINT
-  const int result = __real_clock_gettime(clock, time);
-  if (clock == CLOCK_BOOTTIME) {
-    time->tv_sec += suspendedSeconds;
-  }
-  return result;
-}
-}
-
 namespace oakpier::serving {
 
-namespace {
-
-constexpr long kSuspended = 100;
-
-/// Simulates a completed suspension; its destructor sets the clock back.
-class Suspension {
- public:
-  Suspension() { suspendedSeconds += kSuspended; }
-  Suspension(const Suspension&) = delete;
-  Suspension& operator=(const Suspension&) = delete;
-  ~Suspension() { suspendedSeconds -= kSuspended; }
-};
-
-}  // namespace
-
 TEST_CASE("the steady clock includes the time of a suspension", "[serving]") {
   const Moment before = steadyNow();
   const Suspension suspension;
-  REQUIRE(steadyNow() - before >= std::chrono::seconds(kSuspended));
+  REQUIRE(steadyNow() - before >= kSuspensionTime);
 }
 
 TEST_CASE("a timer that became due during a suspension fires soon after it", "[serving]") {
   boost::asio::io_context context;
   DecisionTimer timer(context);
   bool due = false;
-  timer.arm(steadyNow() + std::chrono::seconds(kSuspended), [&] { due = true; });
+  timer.arm(steadyNow() + kSuspensionTime, [&] { due = true; });
   context.run_one_for(std::chrono::milliseconds(1));
   REQUIRE_FALSE(due);
   const Suspension suspension;
