Start the backoff over for a call long after the last failure

Now a failure counts as one in a row only if the call was made within one bound of the backoff (1 to 1.5 s by the number of daemons) of the end of the backoff before. In an outage calls follow their backoff at once, so nothing changes there; calls for a daemon's own proof that the source refuses come closer than that as well. Whether the source counts as lost is unchanged.

Test: "the backoff starts over when a call fails long after an outage that others have seen end"; it failed before the change, with more than 150 ms.

--- a/src/coordination/serving/source_reader.cpp
+++ b/src/coordination/serving/source_reader.cpp
@@ -18,6 +18,7 @@
     return std::nullopt;
   }
   inProgress_ = true;
+  callMadeAt_ = now;
   currentCall_ = nextCall_;
   return nextCall_;
 }
@@ -98,6 +99,15 @@
       std::max(confirmedAt + settings_.minCallInterval + settings_.maxWait + stagger, backoffUntil_);
 }
 
+Duration SourceReader::nextBackoff(Duration backoffCap) {
+  // Updates of a reader may have delayed the call far beyond the last backoff. The failures before it, as of
+  // an outage that is over, must then not slow down a daemon that reads because the reader was lost.
+  const bool inARow = consecutiveFailures_ > 0 && callMadeAt_ - backoffUntil_ <= backoffCap;
+  backoffDoublings_ = inARow ? std::min(backoffDoublings_ + 1, kMaxDoublings) : 0;
+  ++consecutiveFailures_;
+  return std::min(backoffCap, settings_.initialBackoff * (1U << backoffDoublings_));
+}
+
 void SourceReader::onFailure(SourceFailure failure, Duration backoffCap, Moment now) {
   inProgress_ = false;
   listingComplete_ = false;
@@ -105,9 +115,7 @@
     historyUnavailableAfter_ = known_;
     nextCall_ = SourceCall{};
   }
-  const unsigned doublings = std::min(consecutiveFailures_, kMaxDoublings);
-  ++consecutiveFailures_;
-  const Duration cap = std::min(backoffCap, settings_.initialBackoff * (1U << doublings));
+  const Duration cap = nextBackoff(backoffCap);
   // Uniform jitter over the upper half, so that daemons whose calls failed together do not retry together.
   const auto half = static_cast<std::size_t>(cap.count() / 2);
   nextCallAt_ = now + cap / 2 + Duration(static_cast<std::int64_t>(drawBelow(half + 1, random_)));
--- a/src/coordination/serving/source_reader.h
+++ b/src/coordination/serving/source_reader.h
@@ -2,9 +2,9 @@
 
 /// Schedules the calls to the configuration source: a listing first, then the changes since.
 ///
-/// Invariants: one call at a time; after each failure in a row the backoff grows up to a bound; a listing is
-/// followed by the changes since its first page, because its pages are not one snapshot; the known position
-/// never decreases.
+/// Invariants: one call at a time; after each failure in a row the backoff grows up to a bound, and starts
+/// over for a call that its predecessor's backoff did not delay; a listing is followed by the changes since
+/// its first page, because its pages are not one snapshot; the known position never decreases.
 
 #include <algorithm>
 #include <cstdint>
@@ -78,6 +78,8 @@
   unsigned consecutiveFailures() const { return consecutiveFailures_; }
 
  private:
+  /// The upper bound of the backoff after the call in progress failed.
+  Duration nextBackoff(Duration backoffCap);
   /// A call for the changes since the known position, or a listing if the source no longer has that history.
   SourceCall nextCallFor(Duration wait) const;
 
@@ -94,8 +96,13 @@
   /// The source no longer has the changes since this position. While it is still the known one, the source is
   /// listed instead.
   std::optional<SourcePosition> historyUnavailableAfter_;
+  /// Failed calls since the last successful one.
   unsigned consecutiveFailures_ = 0;
+  /// How often the backoff was doubled.
+  unsigned backoffDoublings_ = 0;
   Moment nextCallAt_{};
+  /// When the call in progress was made.
+  Moment callMadeAt_{};
   /// The backoff after the last failed call ends then.
   Moment backoffUntil_{};
 };
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -126,6 +126,39 @@
   REQUIRE(changes->afterRevision == 10);
 }
 
+// Guards against leafs that are used too long after they left: the daemon that took over from a lost reader
+// retried its first failed call only after the backoff to which an outage long ago had grown.
+TEST_CASE("the backoff starts over when a call fails long after an outage that others have seen end",
+          "[serving]") {
+  constexpr Duration kBackoffCap = std::chrono::milliseconds(1000);
+  SourceReader reader = readerOf();
+  reader.takeCall(at(0));
+  reader.onPage(pageOf(10), 0, at(0));
+  Moment now = reader.nextCallAt();
+  for (int failures = 0; failures < 8; ++failures) {
+    REQUIRE(reader.takeCall(now));
+    reader.onFailure(SourceFailure::kUnavailable, kBackoffCap, now);
+    now = reader.nextCallAt();
+  }
+  for (int updates = 0; updates < 10; ++updates) {
+    now += std::chrono::milliseconds(1250);
+    reader.onUpdate(inFirstEpoch(10));
+    reader.awaitUpdate(now, std::chrono::milliseconds(320));
+  }
+  now = reader.nextCallAt();
+  REQUIRE(reader.takeCall(now));
+  reader.onFailure(SourceFailure::kNoAnswer, kBackoffCap, now);
+  REQUIRE(reader.nextCallAt() - now <= std::chrono::milliseconds(150));
+  SECTION("and grows again while calls fail") {
+    for (int failures = 0; failures < 3; ++failures) {
+      now = reader.nextCallAt();
+      REQUIRE(reader.takeCall(now));
+      reader.onFailure(SourceFailure::kNoAnswer, kBackoffCap, now);
+    }
+    REQUIRE(reader.nextCallAt() - now >= std::chrono::milliseconds(500));
+  }
+}
+
 TEST_CASE("missing history causes a new listing; the backoff after failures is bounded", "[serving]") {
   SourceReader reader = readerOf();
   reader.takeCall(at(0));
