Read from a caller into memory of its own

Cause: the read that is outstanding while a request is served had its target in the buffer that is parsed when the reply is out. Consuming all of the buffer moves it to its beginning; the new bytes were then looked for there, where the old ones still lay.

Now the read has its own memory, and its bytes are appended when it completes, so nothing moves under it. LeafConnection and SourceClient consume only in the handler of their read; oakpierd's HTTP server leaves reading to its library.

Tests, which failed before: the third request was the second again ("/y" == "/z"); a body came as "abcdPUT " in place of "abcdefgh"; of 200 random plays the one with seed 2 waited for a request in vain. RawClient now sends each write at once: with Nagle's algorithm a write waits for an acknowledgement, and the tests would have depended on that.

--- a/src/transport/serving/http_session.cpp
+++ b/src/transport/serving/http_session.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 4096;
 /// Reading stops while at least this many bytes of later requests are buffered; a disconnect is not detected
 /// then.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
@@ -95,7 +94,7 @@
   }
   reading_ = true;
   auto self = shared_from_this();
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
+  socket_.async_read_some(boost::asio::buffer(input_),
                           [self](const boost::system::error_code& error, std::size_t count) {
                             self->reading_ = false;
                             self->onRead(error, count);
@@ -115,9 +114,8 @@
     }
     return;
   }
-  buffer_.commit(count);
-  if (state_ == State::kLingering) {
-    buffer_.consume(buffer_.size());
+  if (state_ != State::kLingering) {
+    bufferInput(count);
   }
   if (state_ == State::kIdle || state_ == State::kReadingRequest) {
     parse();
@@ -126,6 +124,11 @@
   }
 }
 
+void HttpSession::bufferInput(std::size_t count) {
+  boost::asio::buffer_copy(buffer_.prepare(count), boost::asio::buffer(input_, count));
+  buffer_.commit(count);
+}
+
 void HttpSession::parse() {
   while (buffer_.size() > 0 && !parser_->is_done()) {
     if (state_ == State::kIdle) {
--- a/src/transport/serving/http_session.h
+++ b/src/transport/serving/http_session.h
@@ -2,7 +2,11 @@
 
 /// The connection of one caller. Serves one request at a time; pipelined requests stay buffered until the
 /// reply to the one before has been written.
+///
+/// Invariant: bytes are executed as part of one request only, in the order in which they arrived. A read is
+/// in progress also while buffered bytes are parsed, so it has memory of its own.
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -37,6 +41,7 @@
 
  private:
   enum class State { kIdle, kReadingRequest, kServing, kWriting, kLingering, kClosed };
+  static constexpr std::size_t kReadBytes = 4096;
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   /// Replies to the request being served, or to one that is refused while it is read. Has no effect while a
@@ -45,6 +50,8 @@
   void beginRequest();
   void read();
   void onRead(const boost::system::error_code& error, std::size_t count);
+  /// Moves the first `count` bytes of `input_` to the end of `buffer_`.
+  void bufferInput(std::size_t count);
   void parse();
   void onParseError(const boost::system::error_code& error);
   void sendContinue();
@@ -58,6 +65,9 @@
   HttpService* service_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  /// Target of the read in progress. Not part of `buffer_`, which moves its content when bytes are consumed.
+  std::array<char, kReadBytes> input_{};
+  /// Received bytes that are not parsed yet.
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   State state_ = State::kIdle;
--- a/tests/serving/support/loopback.h
+++ b/tests/serving/support/loopback.h
@@ -132,6 +132,8 @@
   RawClient(boost::asio::io_context& context, const Endpoint& address)
       : connection_(std::make_shared<RawServer::Connection>(boost::asio::ip::tcp::socket(context))) {
     connection_->socket.connect({boost::asio::ip::address_v4::loopback(), address.port()});
+    // Every write arrives at once, also while the one before is not acknowledged.
+    connection_->socket.set_option(boost::asio::ip::tcp::no_delay(true));
     read(connection_);
   }
 
--- a/tests/serving/transport/http_service_test.cpp
+++ b/tests/serving/transport/http_service_test.cpp
@@ -2,9 +2,11 @@
 
 #include <catch2/catch.hpp>
 #include <cstring>
+#include <sstream>
 
 #include "protocol/serving/caller_messages.h"
 #include "serving/support/loopback.h"
+#include "state/random.h"
 #include "support/free_endpoint.h"
 
 namespace oakpier::serving {
@@ -37,6 +39,15 @@
     runUntil(context, [&] { return client.received().find(text) != std::string::npos; });
   }
 
+  /// Lets the service read everything that was written to it.
+  void processInput() {
+    constexpr int kRounds = 4;
+    for (int round = 0; round < kRounds; ++round) {
+      context.restart();
+      context.poll();
+    }
+  }
+
   boost::asio::io_context context;
   RecordingHandler handler;
   HttpService service;
@@ -45,6 +56,68 @@
 
 const std::string kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/// A request of a caller that pipelines.
+struct PipelinedRequest {
+  std::string target;
+  std::string body;
+  bool chunked = false;
+
+  std::string bytes() const {
+    const std::string head = "PUT " + target + " HTTP/1.1\r\nHost: h\r\n";
+    if (!chunked) {
+      return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    std::ostringstream size;
+    size << std::hex << body.size();
+    const std::string chunk = body.empty() ? "" : size.str() + "\r\n" + body + "\r\n";
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n";
+  }
+};
+
+std::vector<PipelinedRequest> drawPipelinedRequests(RandomEngine& random) {
+  constexpr std::size_t kMaxRequests = 10;
+  constexpr std::size_t kMaxBody = 9000;
+  std::vector<PipelinedRequest> requests(1 + drawBelow(kMaxRequests, random));
+  for (std::size_t number = 0; number < requests.size(); ++number) {
+    PipelinedRequest& request = requests[number];
+    request.target = "/" + std::to_string(number);
+    request.body = std::string(drawBelow(kMaxBody, random), static_cast<char>('a' + number));
+    request.chunked = drawBelow(2, random) == 0;
+  }
+  return requests;
+}
+
+/// Sends the requests in parts of random sizes and replies to each at a random moment after it was read.
+/// Returns the requests that the service executed.
+std::vector<HttpRequest> playPipelined(const std::vector<PipelinedRequest>& requests, RandomEngine& random) {
+  constexpr std::size_t kMaxPart = 5000;
+  std::string unsent;
+  for (const PipelinedRequest& request : requests) {
+    unsent += request.bytes();
+  }
+  ServiceWorld world;
+  RawClient client(world.context, world.address);
+  std::size_t replied = 0;
+  while (replied < requests.size()) {
+    if (unsent.empty()) {
+      world.awaitRequests(replied + 1);
+    }
+    const bool mayReply = world.handler.requests.size() > replied;
+    if (mayReply && (unsent.empty() || drawBelow(2, random) == 0)) {
+      const std::string reply = "reply-" + std::to_string(replied) + ".";
+      world.handler.writers[replied].write(textReply(200, reply));
+      world.awaitText(client, reply);
+      ++replied;
+    } else {
+      const std::size_t count = std::min(unsent.size(), 1 + drawBelow(kMaxPart, random));
+      client.write(unsent.substr(0, count));
+      unsent.erase(0, count);
+    }
+    world.processInput();
+  }
+  return world.handler.requests;
+}
+
 }  // namespace
 
 TEST_CASE("pipelined requests are buffered and served in order", "[serving]") {
@@ -62,6 +135,60 @@
   REQUIRE(world.handler.disconnects == 0);
 }
 
+// Guards against a request that is executed again in place of the next one on its connection: a request that
+// arrived while another one was served was then taken from the buffer while a read into the buffer was in
+// progress, and the bytes of that read were looked for where the request had been.
+TEST_CASE("a pipelined request is not executed again in place of the next request", "[serving]") {
+  ServiceWorld world;
+  RawClient client(world.context, world.address);
+  client.write(kGet);
+  world.awaitRequests(1);
+  client.write("POST /y HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+  world.processInput();
+  world.handler.writers[0].write(textReply(200, "first"));
+  world.awaitRequests(2);
+  world.handler.writers[1].write(textReply(200, "second"));
+  world.awaitText(client, "second");
+  client.write("GET /z HTTP/1.1\r\nHost: h\r\nX-Padding: 12345678901234\r\n\r\n");
+  world.awaitRequests(3);
+  REQUIRE(world.handler.requests[1].target == "/y");
+  REQUIRE(world.handler.requests[2].target == "/z");
+}
+
+// Guards against a body whose second half is replaced by bytes of its own request's header, for the same
+// reason.
+TEST_CASE("the body of a pipelined request that arrives in parts is not changed", "[serving]") {
+  ServiceWorld world;
+  RawClient client(world.context, world.address);
+  client.write(kGet);
+  world.awaitRequests(1);
+  client.write("PUT /y HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nabcd");
+  world.processInput();
+  world.handler.writers[0].write(textReply(200, "first"));
+  world.awaitText(client, "first");
+  world.processInput();
+  client.write("efgh");
+  world.awaitRequests(2);
+  REQUIRE(world.handler.requests[1].body == "abcdefgh");
+}
+
+// Guards against the same for any number of pipelined requests, whose bytes arrive in any parts between the
+// replies.
+TEST_CASE("pipelined requests in any parts are executed once, in order and unchanged", "[serving]") {
+  constexpr unsigned kPlays = 200;
+  for (unsigned seed = 1; seed <= kPlays; ++seed) {
+    CAPTURE(seed);
+    RandomEngine random(seed);
+    const std::vector<PipelinedRequest> requests = drawPipelinedRequests(random);
+    const std::vector<HttpRequest> executed = playPipelined(requests, random);
+    REQUIRE(executed.size() == requests.size());
+    for (std::size_t number = 0; number < requests.size(); ++number) {
+      REQUIRE(executed[number].target == requests[number].target);
+      REQUIRE(executed[number].body == requests[number].body);
+    }
+  }
+}
+
 TEST_CASE("a disconnect of the caller while its request is in progress is detected", "[serving]") {
   ServiceWorld world;
   RawClient client(world.context, world.address);
