Take a predecessor for silent only if it left a probe unanswered

A successor that is asked for a tenant now and then took the time between two requests, in which it sent no probe, for silence of its predecessors: it refilled for that time and began with a new level, up to 1.4 initial levels as it sees the whole fleet, although the primary and the first successor granted meanwhile.

Now the selector keeps since when each predecessor has left probes unanswered. A successor's silence, and its refill, begin there.

--- a/src/coordination/serving/quota_server.cpp
+++ b/src/coordination/serving/quota_server.cpp
@@ -128,6 +128,10 @@
   if (bucket.predecessorResponds) {
     bucket.predecessorsUnresponsiveSince = now;
   }
+  // Without an unanswered probe, silence only means that nobody asked: the predecessors may have granted.
+  const Moment silentSince = std::min(now, serverRank.predecessorsSilentSince);
+  bucket.predecessorsUnresponsiveSince = std::max(bucket.predecessorsUnresponsiveSince, silentSince);
+  bucket.refilledAt = std::max(bucket.refilledAt, silentSince);
   refill(bucket, now);
   raiseToInitialLevel(bucket, serverRank, now);
   return bucket;
--- a/src/coordination/serving/quota_server.h
+++ b/src/coordination/serving/quota_server.h
@@ -5,7 +5,8 @@
 ///
 /// Invariants: in any span, tokens granted less those returned are at most the bucket's capacity plus its
 /// refill; each frame is processed at most once; returned tokens never raise a bucket beyond its capacity; a
-/// successor that still receives from a predecessor grants no more than its initial level.
+/// successor that still receives from a predecessor grants no more than its initial level. A successor refills
+/// only for time in which all predecessors left its probes unanswered.
 
 #include <cstdint>
 #include <optional>
--- a/src/coordination/serving/quota_server_selector.cpp
+++ b/src/coordination/serving/quota_server_selector.cpp
@@ -71,6 +71,7 @@
   };
   retain(lastReceivedAt_);
   retain(probedAt_);
+  retain(silentSince_);
   retain(unansweredProbeAt_);
 }
 
@@ -149,6 +150,7 @@
 QuotaServerRank QuotaServerSelector::rankOfSelf(const std::string& tenant) {
   QuotaServerRank serverRank;
   serverRank.predecessorsSuspectedSince = Moment::min();
+  serverRank.predecessorsSilentSince = Moment::min();
   for (const auto& [server, capacity] : rankingOf(tenant)) {
     if (server == self_) {
       break;
@@ -157,6 +159,9 @@
     const auto suspected = suspectedAt_.find(server);
     const Moment since = suspected == suspectedAt_.end() ? kNever : suspected->second;
     serverRank.predecessorsSuspectedSince = std::max(serverRank.predecessorsSuspectedSince, since);
+    const auto silent = silentSince_.find(server);
+    const Moment silentSince = silent == silentSince_.end() ? kNever : silent->second;
+    serverRank.predecessorsSilentSince = std::max(serverRank.predecessorsSilentSince, silentSince);
     const auto received = lastReceivedAt_.find(server);
     if (received != lastReceivedAt_.end()) {
       serverRank.predecessorReceivedAt = std::max(serverRank.predecessorReceivedAt, received->second);
@@ -174,6 +179,7 @@
     const auto [probed, isNew] = probedAt_.try_emplace(server, now);
     if (isNew || now - probed->second >= kProbePeriod) {
       probed->second = now;
+      silentSince_.try_emplace(server, now);
       due.push_back(server);
     }
   }
@@ -228,6 +234,7 @@
 void QuotaServerSelector::onReceived(const Endpoint& server, Moment now) {
   failureDetector_.onReceived(server, now);
   unansweredProbeAt_.erase(server);
+  silentSince_.erase(server);
   reachability_.onReceived(server);
   lastReceivedAt_[server] = now;
   if (suspectedAt_.count(server) != 0) {
--- a/src/coordination/serving/quota_server_selector.h
+++ b/src/coordination/serving/quota_server_selector.h
@@ -34,6 +34,9 @@
   std::size_t rank = 0;
   /// When a frame of any daemon that ranks before it, a predecessor, was last received.
   Moment predecessorReceivedAt = Moment::min();
+  /// Since when all predecessors have left probes of this daemon unanswered; `kNever` while one has not. A
+  /// predecessor that nobody probes is not known to be silent.
+  Moment predecessorsSilentSince = kNever;
   /// Since when all predecessors are suspected; `kNever` while one is not.
   Moment predecessorsSuspectedSince = kNever;
 };
@@ -93,6 +96,8 @@
   Moment suspectedReceivedAt_ = Moment::min();
   /// When a daemon was last probed as a predecessor.
   std::unordered_map<Endpoint, Moment> probedAt_;
+  /// When the first server probe was sent that the daemon has not answered since.
+  std::unordered_map<Endpoint, Moment> silentSince_;
   /// Last probe of each candidate that has not answered since.
   std::unordered_map<Endpoint, Moment> unansweredProbeAt_;
   std::vector<Endpoint> dueCandidateProbes_;
