Do not refill a tenant's bucket for the time of a suspension

Cause: a bucket is refilled by the clock. On waking the primary refilled for the time of its suspension, in which its first successor had granted.

A quota server now shows itself every 50 ms while it has buckets. A gap of 150 ms or more is a suspension: it is logged, and left out of the refill. Successors take over after a silence of 200 ms, so shorter gaps let no successor refill; a daemon that waits for its next CPU quota period (100 ms) stays below.

The tests of quotas and partitions passed unchanged.

--- a/src/coordination/serving/quota_server.cpp
+++ b/src/coordination/serving/quota_server.cpp
@@ -36,6 +36,18 @@
   }
 }
 
+Duration QuotaServer::onActivity(Moment now) {
+  // Without buckets nothing is counted, and nobody shows activity.
+  const bool observed = activeAt_ != kNever && !buckets_.empty();
+  const Duration idle = observed ? now - activeAt_ : Duration(0);
+  activeAt_ = now;
+  if (idle < kMinSuspension) {
+    return Duration(0);
+  }
+  suspended_ += idle;
+  return idle;
+}
+
 bool QuotaServer::acceptFrame(const Endpoint& sender, std::uint64_t runId, std::uint64_t number, Moment now) {
   Sender& last = senders_[sender];
   if (last.runId == runId && number <= last.number) {
@@ -83,12 +95,14 @@
 }
 
 void QuotaServer::refill(Bucket& bucket, Moment now) const {
-  const double elapsed = secondsBetween(bucket.refilledAt, now);
+  const Duration suspended = suspended_ - bucket.suspendedBefore;
+  const double elapsed = secondsBetween(bucket.refilledAt, now - suspended);
   const double refilled = elapsed * refillRateOf(bucket, now);
   const double capacity = partitionSideCapacity(bucket.plan, visibleFraction_);
   bucket.level = std::min(capacity, bucket.level + refilled);
   bucket.backlog = std::max(0.0, bucket.backlog - refilled);
   bucket.refilledAt = std::max(bucket.refilledAt, now);
+  bucket.suspendedBefore = suspended_;
 }
 
 double QuotaServer::initialLevelOf(const QuotaPlan& plan, const QuotaServerRank& serverRank,
@@ -119,6 +133,7 @@
   if (isNew) {
     bucket.predecessorsUnresponsiveSince = now;
     bucket.refilledAt = now;
+    bucket.suspendedBefore = suspended_;
     giveInitialLevel(bucket, serverRank, now);
   }
   bucket.rank = serverRank.rank;
--- a/src/coordination/serving/quota_server.h
+++ b/src/coordination/serving/quota_server.h
@@ -5,8 +5,9 @@
 ///
 /// Invariants: in any span, tokens granted less those returned are at most the bucket's capacity plus its
 /// refill; each frame is processed at most once; returned tokens never raise a bucket beyond its capacity; a
-/// successor that still receives from a predecessor grants no more than its initial level. A successor refills
-/// only for time in which all predecessors left its probes unanswered.
+/// successor that still receives from a predecessor grants no more than its initial level. A server does not
+/// refill for time in which another one may have done so: one that was suspended leaves out that time, and a
+/// successor counts only the time in which all predecessors left its probes unanswered.
 
 #include <cstdint>
 #include <optional>
@@ -54,6 +55,12 @@
   std::uint64_t framesIgnored = 0;
 };
 
+/// A process that shows no activity for longer was suspended. Shorter than `kAliveAfterFrame`, after which a
+/// successor takes over; longer than a throttled daemon waits for its next CPU quota period (100 ms).
+inline constexpr Duration kMinSuspension = std::chrono::milliseconds(150);
+/// How often a quota server shows activity.
+inline constexpr Duration kActivityInterval = std::chrono::milliseconds(50);
+
 /// Not thread-safe.
 class QuotaServer {
  public:
@@ -74,6 +81,9 @@
     reachableFraction_ = reachableFraction;
   }
 
+  /// The process runs. Call at least every `kActivityInterval` while there are buckets, and before each
+  /// request is processed. Returns how long the process was suspended since the last call; 0 if it was not.
+  Duration onActivity(Moment now);
   /// False for a duplicate or reordered frame, which must be ignored. `runId` identifies the sender's
   /// process: a restarted one numbers its frames from 1 again.
   bool acceptFrame(const Endpoint& sender, std::uint64_t runId, std::uint64_t number, Moment now);
@@ -103,6 +113,8 @@
     /// Since when no predecessor has responded; not before the bucket was created.
     Moment predecessorsUnresponsiveSince{};
     Moment refilledAt{};
+    /// `suspended_` then.
+    Duration suspendedBefore{};
     /// Its last initial level, and when it was given that.
     double givenLevel = 0;
     Moment initialLevelAt{};
@@ -138,6 +150,9 @@
   double visibleFraction_ = 1;
   std::optional<double> reachableFraction_;
   bool membershipStable_ = true;
+  Moment activeAt_ = kNever;
+  /// Total time for which the process was suspended.
+  Duration suspended_{};
   std::unordered_map<std::string, Bucket> buckets_;
   std::unordered_map<Endpoint, Sender> senders_;
   QuotaServerCounters counters_;
--- a/src/programs/gateway/quota_enforcer.cpp
+++ b/src/programs/gateway/quota_enforcer.cpp
@@ -37,6 +37,7 @@
       client_(serverSelector_, random),
       timer_(io),
       cleanupTimer_(io),
+      activityTimer_(io),
       logTokens_(kLogLinesPerSecond) {}
 
 void QuotaEnforcer::setTolerance(const QuotaTolerance& tolerance) {
@@ -141,6 +142,7 @@
 
 std::vector<TenantGrant> QuotaEnforcer::grant(const std::vector<TenantTokenRequest>& tenantRequests,
                                               Moment now) {
+  showActivity(now);
   visibility_.setReachability(serverSelector_.reachability(now));
   server_.setVisibleFraction(visibility_.visibleFraction(now), membershipStable_);
   server_.setReachableFraction(visibility_.reachableFraction(now));
@@ -158,6 +160,7 @@
       grants.push_back(std::move(*decision));
     }
   }
+  scheduleActivity();
   return grants;
 }
 
@@ -282,6 +285,29 @@
   });
 }
 
+void QuotaEnforcer::showActivity(Moment now) {
+  const Duration suspended = server_.onActivity(now);
+  if (suspended > Duration(0)) {
+    log(LogLevel::kWarning, "quota server was suspended, its buckets are not refilled for that time",
+        {{"suspended_ms", toMilliseconds(suspended)}, {"buckets", server_.buckets()}});
+  }
+}
+
+void QuotaEnforcer::scheduleActivity() {
+  if (server_.buckets() == 0 || std::exchange(activityScheduled_, true)) {
+    return;
+  }
+  activityTimer_.expires_after(kActivityInterval);
+  activityTimer_.async_wait([this](const boost::system::error_code& error) {
+    activityScheduled_ = false;
+    if (error) {
+      return;
+    }
+    showActivity(steadyNow());
+    scheduleActivity();
+  });
+}
+
 void QuotaEnforcer::scheduleCleanup() {
   if (std::exchange(cleanupScheduled_, true)) {
     return;
--- a/src/programs/gateway/quota_enforcer.h
+++ b/src/programs/gateway/quota_enforcer.h
@@ -100,6 +100,9 @@
   void refuse(const std::string& tenant, const TokenRefusal& refusal, const Listener& listener, Moment now);
   void logRefusal(const std::string& tenant, const TokenRefusal& refusal, Moment now);
   void armTimer();
+  /// Tells the quota server that the process runs, now and while it has buckets; logs a suspension.
+  void showActivity(Moment now);
+  void scheduleActivity();
   void scheduleCleanup();
   void updateVisibility();
 
@@ -119,9 +122,11 @@
   bool membershipStable_ = false;
   bool flushScheduled_ = false;
   bool cleanupScheduled_ = false;
+  bool activityScheduled_ = false;
   Moment armedFor_ = kNever;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer cleanupTimer_;
+  boost::asio::steady_timer activityTimer_;
   LatencyHistogram waits_;
   /// Token bucket that limits log lines.
   double logTokens_;
--- a/tests/serving/programs/quota_enforcer_test.cpp
+++ b/tests/serving/programs/quota_enforcer_test.cpp
@@ -15,6 +15,7 @@
 
 #include "serving/support/captured_log.h"
 #include "serving/support/loopback.h"
+#include "serving/support/suspension.h"
 #include "transport/steady_clock.h"
 
 namespace oakpier::serving {
@@ -284,6 +285,18 @@
   runUntil(fleet.context, [&] { return fleet.decisions.size() == 2; });
 }
 
+// Guards against a window limit that is exceeded because a suspended server and its successor both refill.
+TEST_CASE("a quota server does not refill for the time in which it was suspended", "[serving][suspension]") {
+  const CapturedLog captured;
+  Fleet fleet(8, tenantOf("t", 8, 8));
+  QuotaEnforcer& primary = fleet.at(fleet.order.front());
+  while (fleet.decide(primary).granted) {
+  }
+  const Suspension suspension;
+  REQUIRE_FALSE(fleet.decide(primary).granted);
+  REQUIRE(captured.text().find("quota server was suspended") != std::string::npos);
+}
+
 TEST_CASE("a lowered limit takes effect at the quota server immediately", "[serving]") {
   // The initial bucket holds far more than the capacity under the lowered limit.
   Fleet fleet(8, tenantOf("t", 80, 80));
--- a/tests/serving/support/quota_fleet.cpp
+++ b/tests/serving/support/quota_fleet.cpp
@@ -39,6 +39,7 @@
     daemons_[number]->known.assign(settings.daemons, true);
     daemons_[number]->suspected.assign(settings.daemons, false);
     applyMembership(number);
+    showActivity(number, daemons_[number]->runId);
   }
 }
 
@@ -136,6 +137,7 @@
       scheduleDetection(other, number, true);
     }
   }
+  showActivity(number, daemon.runId);
   at(now_ + kStabilizationTime, [this, number, runId = daemon.runId] {
     if (daemons_[number] != nullptr && daemons_[number]->runId == runId) {
       daemons_[number]->membershipStable = true;
@@ -144,6 +146,41 @@
   });
 }
 
+void QuotaFleet::suspend(std::size_t number) {
+  daemons_[number]->suspended = true;
+  for (std::size_t other = 0; other < daemons_.size(); ++other) {
+    scheduleDetection(other, number, false);
+  }
+}
+
+void QuotaFleet::resume(std::size_t number) {
+  if (daemons_[number] == nullptr) {
+    return;
+  }
+  daemons_[number]->suspended = false;
+  for (std::size_t other = 0; other < daemons_.size(); ++other) {
+    if (reaches(number, other)) {
+      scheduleDetection(other, number, true);
+    }
+  }
+  const std::vector<std::function<void()>> deferred = std::exchange(daemons_[number]->deferred, {});
+  for (const auto& action : deferred) {
+    action();
+  }
+}
+
+void QuotaFleet::runIn(std::size_t number, std::uint64_t runId, std::function<void()> action) {
+  if (daemons_[number] == nullptr || daemons_[number]->runId != runId) {
+    return;
+  }
+  if (daemons_[number]->suspended) {
+    daemons_[number]->deferred.push_back(
+        [this, number, runId, action = std::move(action)] { runIn(number, runId, action); });
+    return;
+  }
+  action();
+}
+
 void QuotaFleet::partitionNetwork(const std::vector<std::size_t>& sides) {
   const std::vector<std::size_t> previous = std::exchange(sides_, sides);
   for (std::size_t one = 0; one < daemons_.size(); ++one) {
@@ -176,7 +213,11 @@
     }
     const std::size_t daemon =
         daemons.empty() ? drawBelow(daemons_.size(), random_) : daemons[drawBelow(daemons.size(), random_)];
-    at(moment, [this, tenant, daemon] { onArrival(tenant, daemon); });
+    at(moment, [this, tenant, daemon] {
+      if (daemons_[daemon] != nullptr) {
+        runIn(daemon, daemons_[daemon]->runId, [this, tenant, daemon] { onArrival(tenant, daemon); });
+      }
+    });
   }
 }
 
@@ -238,6 +279,7 @@
 
 std::vector<TenantGrant> QuotaFleet::grant(Daemon& daemon,
                                            const std::vector<TenantTokenRequest>& tenantRequests) {
+  daemon.server.onActivity(now_);
   daemon.visibility.setReachability(daemon.selector.reachability(now_));
   daemon.server.setVisibleFraction(daemon.visibility.visibleFraction(now_), daemon.membershipStable);
   daemon.server.setReachableFraction(daemon.visibility.reachableFraction(now_));
@@ -317,23 +359,33 @@
     const Duration delay = draw() < settings_.delayed ? drawBetween(50, 400) : drawBetween(1, 2);
     at(now_ + delay, [this, to, from, deliver] {
       if (reaches(from, to)) {
-        deliver(*daemons_[to]);
+        runIn(to, daemons_[to]->runId, [this, to, deliver] { deliver(*daemons_[to]); });
       }
     });
   }
 }
 
+void QuotaFleet::showActivity(std::size_t number, std::uint64_t runId) {
+  at(now_ + kActivityInterval, [this, number, runId] {
+    runIn(number, runId, [this, number, runId] {
+      daemons_[number]->server.onActivity(now_);
+      showActivity(number, runId);
+    });
+  });
+}
+
 void QuotaFleet::armTimer(std::size_t number) {
   const Moment next = daemons_[number]->client.nextDueAt();
   if (next == kNever) {
     return;
   }
   at(next, [this, number, runId = daemons_[number]->runId] {
-    if (daemons_[number] != nullptr && daemons_[number]->runId == runId &&
-        daemons_[number]->client.nextDueAt() <= now_) {
-      completeAll(number, daemons_[number]->client.onTimer(now_));
-      sendDue(number);
-    }
+    runIn(number, runId, [this, number] {
+      if (daemons_[number]->client.nextDueAt() <= now_) {
+        completeAll(number, daemons_[number]->client.onTimer(now_));
+        sendDue(number);
+      }
+    });
   });
 }
 
--- a/tests/serving/support/quota_fleet.h
+++ b/tests/serving/support/quota_fleet.h
@@ -56,6 +56,9 @@
   void kill(std::size_t daemon);
   /// Restarts it without state.
   void start(std::size_t daemon);
+  /// The process does not run: frames, timers and requests of callers wait until it is resumed.
+  void suspend(std::size_t daemon);
+  void resume(std::size_t daemon);
   /// Each daemon reaches only those on its side of the network partition; `sides` holds the side of each.
   void partitionNetwork(const std::vector<std::size_t>& sides);
   void healNetwork();
@@ -86,6 +89,9 @@
     FleetVisibility visibility;
     std::uint64_t runId = 0;
     bool membershipStable = false;
+    bool suspended = false;
+    /// What waits until the process is resumed.
+    std::vector<std::function<void()>> deferred;
     std::vector<bool> known;
     std::vector<bool> suspected;
     std::map<TokenTicket, std::pair<std::string, std::size_t>> waiting;
@@ -119,6 +125,9 @@
               const OutgoingTokenRequest& request);
   std::vector<TenantGrant> grant(Daemon& daemon, const std::vector<TenantTokenRequest>& tenantRequests);
   void armTimer(std::size_t daemon);
+  void showActivity(std::size_t daemon, std::uint64_t runId);
+  /// Runs `action` now, or when the daemon is resumed; never if the process has ended.
+  void runIn(std::size_t daemon, std::uint64_t runId, std::function<void()> action);
   void applyMembership(std::size_t daemon);
   /// Schedules the changes of `daemon`'s member table after `other` became reachable or unreachable.
   void scheduleDetection(std::size_t daemon, std::size_t other, bool reachable);
