--- a/tests/serving/support/source_fleet.h
+++ b/tests/serving/support/source_fleet.h
@@ -34,6 +34,8 @@
   double delayedFrames = 0.0;
   double duplicatedFrames = 0.0;
   Duration maxExtraDelay = std::chrono::seconds(9);
+  /// The operator's bound on the use of a leaf after its departure.
+  Duration leaveBound = std::chrono::seconds(3);
   /// The configuration contains a tenant.
   bool tenants = false;
   /// The source's epoch at the start; 0: it reports none until it is restored from a backup.
