--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -111,8 +111,8 @@
   std::size_t rank() const { return election_.rank(); }
   /// When the source last confirmed what is known here, to this daemon or to the reader.
   Moment confirmedAt() const { return relay_.confirmedAt(); }
-  /// The call in progress, or the last one, was made because the updates of the reader are overdue, or because
-  /// this daemon has become the first in order.
+  /// The call in progress, or the last one, was made because the updates of the reader are overdue, or
+  /// because this daemon has become the first in order.
   bool callTakesOver() const { return callTakesOver_; }
   /// When the next call is due; `kNever` while one is in progress.
   Moment nextCallAt() const { return reader_.nextCallAt(); }
