--- a/src/coordination/serving/quota_server_selector.h
+++ b/src/coordination/serving/quota_server_selector.h
@@ -36,7 +36,7 @@
   Moment predecessorReceivedAt = Moment::min();
   /// Since when all predecessors have left probes of this daemon unanswered; `kNever` while one has not. A
   /// predecessor that nobody probes is not known to be silent.
-  Moment predecessorsSilentSince = kNever;
+  Moment predecessorsSilentSince = Moment::min();
   /// Since when all predecessors are suspected; `kNever` while one is not.
   Moment predecessorsSuspectedSince = kNever;
 };
