Remove a leaf within the bound, however late its deletion is learned of

Cause: the removal delay began when a daemon learned of a deletion, and rested on a figure of another file: that an update is at most 2 s late. With many daemons the others read up to 2.5 s after the last confirmation.

Now the delay ends 100 ms before the bound, counted from the last confirmation before the deletion was learned of: the source made the change after it. Where the source may have been away the delay stays whole, since entries that lapse in an outage are written again: after a call of the daemon's own without an answer or with 503, while one is overdue by 200 ms, and once the bound has passed.

--- a/src/coordination/serving/serving_state.cpp
+++ b/src/coordination/serving/serving_state.cpp
@@ -10,6 +10,9 @@
 
 /// How late the other daemons know at most what a lost reader would have sent them.
 constexpr Duration kMaxUpdateDelay = std::chrono::seconds(2);
+/// Part of the operator's bound that a shortened removal delay leaves, for requests on their way to the leaf
+/// and for the way of an update.
+constexpr Duration kDepartureMargin = std::chrono::milliseconds(100);
 
 /// The view needs only the digests of keys. Leaving out the keys prevents that they are logged or sent by
 /// mistake, and saves a second copy: the relay still holds the source's record.
@@ -31,6 +34,14 @@
   return std::clamp(leaveBound - kMaxUpdateDelay, leaveBound / 6, leaveBound / 2);
 }
 
+ServingStateSettings stateSettingsFor(Duration leaveBound, Duration leafHeartbeat) {
+  ServingStateSettings settings;
+  settings.removalDelay = removalDelayFor(leaveBound);
+  settings.leaveBound = leaveBound;
+  settings.expiryWindow = expiryWindowFor(leafHeartbeat);
+  return settings;
+}
+
 std::vector<std::string> ServingState::onConfiguration(
     std::shared_ptr<const ServingConfiguration> configuration) {
   if (configuration_ && configuration->version <= configuration_->version) {
@@ -131,7 +142,7 @@
   if (found == leafs_.end() || found->second.position >= position) {
     return false;
   }
-  beginRemoval(found->second, position, settings_.removalDelay, now);
+  beginRemoval(found->second, position, removalTime(now), now);
   onTimer(now);
   return true;
 }
@@ -146,9 +157,8 @@
       continue;
     }
     const bool lostBySource = leaf.position.epoch < position.epoch;
-    const Duration delay =
-        lostBySource ? std::max(settings_.removalDelay, settings_.rewriteWindow) : settings_.removalDelay;
-    beginRemoval(leaf, position, delay, now);
+    const Duration rewriteDelay = std::max(settings_.removalDelay, settings_.rewriteWindow);
+    beginRemoval(leaf, position, lostBySource ? now + rewriteDelay : removalTime(now), now);
   }
   for (auto conflict = conflicts_.begin(); conflict != conflicts_.end();) {
     const bool dropped = listed.count(conflict->first) == 0 && conflict->second.position <= position;
@@ -204,9 +214,20 @@
       leafs_.begin(), leafs_.end(), [](const auto& leaf) { return leaf.second.removeAt != kNever; }));
 }
 
-void ServingState::beginRemoval(KnownLeaf& leaf, const SourcePosition& position, Duration delay, Moment now) {
+Moment ServingState::removalTime(Moment now) const {
+  const Moment full = now + settings_.removalDelay;
+  // Once the bound has passed it cannot be kept, and records that lapsed may be written again.
+  if (changedAfter_ == kNever || now - changedAfter_ >= settings_.leaveBound) {
+    return full;
+  }
+  const Moment latest = changedAfter_ + settings_.leaveBound - kDepartureMargin;
+  return std::min(full, std::max(now, latest));
+}
+
+void ServingState::beginRemoval(KnownLeaf& leaf, const SourcePosition& position, Moment removeAt,
+                                Moment now) {
   leaf.position = position;
-  leaf.removeAt = leaf.entry.draining ? now : now + delay;
+  leaf.removeAt = leaf.entry.draining ? now : removeAt;
 }
 
 void ServingState::onTimer(Moment now) {
--- a/src/coordination/serving/serving_state.h
+++ b/src/coordination/serving/serving_state.h
@@ -41,6 +41,9 @@
   /// A leaf whose record is deleted without draining first stays in use for this long, because records are
   /// also deleted by mistake.
   Duration removalDelay = std::chrono::milliseconds(1000);
+  /// The operator's bound on the use of a leaf after its departure. If a deletion is learned of late, the
+  /// removal delay is shortened to keep it.
+  Duration leaveBound = std::chrono::seconds(3);
   /// After the source was restored, known records that the backup lacks stay in effect for this long.
   Duration rewriteWindow = kRewriteWindow;
   /// A deleted leaf that the backup lists is used if it is still listed after this time.
@@ -51,10 +54,16 @@
 /// a daemon receives the deletion, clamped between a sixth and a half of the bound.
 Duration removalDelayFor(Duration leaveBound);
 
+/// `leaveBound`: the operator's bound; `leafHeartbeat`: the period at which leafs write their entries.
+ServingStateSettings stateSettingsFor(Duration leaveBound, Duration leafHeartbeat);
+
 class ServingState {
  public:
   explicit ServingState(const ServingStateSettings& settings) : settings_(settings) {}
 
+  /// What is applied from now on was changed at the source after `moment`. `kNever`: unknown, as the source
+  /// was unavailable and may have dropped records by mistake meanwhile.
+  void setChangedAfter(Moment moment) { changedAfter_ = moment; }
   /// Returns why the configuration was rejected; empty if it was applied or is not newer.
   std::vector<std::string> onConfiguration(std::shared_ptr<const ServingConfiguration> configuration);
   /// The source was restored from a backup. The next listing, as of `position`, may contain older records
@@ -127,7 +136,9 @@
   void addConflict(const LeafEntry& entry, const SourcePosition& position, Moment applyAt);
   /// Drops the backup's entry of a leaf when a later record of it is received.
   void resolveConflict(const std::string& id, const SourcePosition& position);
-  void beginRemoval(KnownLeaf& leaf, const SourcePosition& position, Duration delay, Moment now);
+  /// When a leaf is removed whose deletion is learned of now.
+  Moment removalTime(Moment now) const;
+  void beginRemoval(KnownLeaf& leaf, const SourcePosition& position, Moment removeAt, Moment now);
   void removeDueLeafs(Moment now);
   void applyDueConflicts(Moment now);
   void endDueEvacuations(Moment now);
@@ -145,6 +156,7 @@
   /// The position of the first listing after the source was restored, and when it was read.
   SourcePosition restoredPosition_;
   Moment restoredAt_{};
+  Moment changedAfter_ = kNever;
   std::uint64_t leafsRestarted_ = 0;
   bool listed_ = false;
   bool changed_ = false;
--- a/src/coordination/serving/source_follower.cpp
+++ b/src/coordination/serving/source_follower.cpp
@@ -13,6 +13,10 @@
 /// each is a log line at every daemon.
 constexpr std::size_t kMaxReportedErrors = 8;
 
+/// A source that does not answer within this time, beyond the time for which it may hold the call open, may
+/// be unavailable.
+constexpr Duration kExpectedAnswerTime = std::chrono::milliseconds(200);
+
 }  // namespace
 
 SourceFollower::SourceFollower(const Endpoint& self, const FollowerSettings& settings, Interpreter interpret,
@@ -66,6 +70,7 @@
   if (call) {
     ++counters_.calls;
     callSentAt_ = now;
+    answerDueAt_ = now + call->wait + kExpectedAnswerTime;
     readsForOwnProof_ = !due;
     callTakesOver_ = due && known().revision > 0 && !election_.isReader(now);
     if (call->kind == SourceCall::Kind::kList && call->afterKey.empty()) {
@@ -130,6 +135,8 @@
 void SourceFollower::onFailure(SourceFailure failure, bool restored, Moment now, FollowerActions& actions) {
   ++counters_.failures;
   election_.onFailure();
+  const bool unavailable = failure == SourceFailure::kNoAnswer || failure == SourceFailure::kUnavailable;
+  unavailableAt_ = unavailable ? now : unavailableAt_;
   // An error answer of a newer epoch means that the changes since the known position are useless.
   const SourceFailure effectiveFailure = restored ? SourceFailure::kHistoryUnavailable : failure;
   reader_.onFailure(effectiveFailure, election_.backoffCap(), now);
@@ -189,6 +196,7 @@
                                        FollowerActions& actions) {
   const bool restored = knownBefore.revision > 0 && listingPosition_.epoch > knownBefore.epoch;
   if (listingPosition_ >= knownBefore) {
+    state_.setChangedAfter(unknownChangesAfter(now));
     applyListing(latestPerKey(listing_, listingPosition_.epoch), listingPosition_, knownBefore, now, actions);
     relay_.setConfirmedAt(now);
   } else {
@@ -215,6 +223,7 @@
   // An update may have brought a later position meanwhile; the older page could then restore deleted records.
   if (position >= known()) {
     const std::vector<SourceRecord> latest = latestPerKey(page.records, call.epoch);
+    state_.setChangedAfter(unknownChangesAfter(now));
     applyRecords(latest, now, actions);
     relay_.setConfirmedAt(now);
     if (!(readsForOwnProof_ && nothingNew)) {
@@ -233,30 +242,17 @@
   }
 }
 
+Moment SourceFollower::unknownChangesAfter(Moment now) const {
+  const bool overdue = reader_.callInProgress() && answerDueAt_ < now;
+  return overdue || unavailableAt_ > relay_.confirmedAt() ? kNever : relay_.confirmedAt();
+}
+
 void SourceFollower::deferToReader(Moment confirmedAt, Moment now) {
   if (!election_.isReader(now)) {
     reader_.awaitUpdate(confirmedAt, election_.stagger(now, random_));
   }
 }
 
-std::vector<SourceRecord> SourceFollower::latestPerKey(const std::vector<SourceRecord>& records,
-                                                       std::uint64_t epoch) {
-  std::map<std::string, const SourceRecord*> latest;
-  for (const SourceRecord& record : records) {
-    const SourceRecord*& kept = latest[record.key];
-    if (kept == nullptr || kept->revision <= record.revision) {
-      kept = &record;
-    }
-  }
-  std::vector<SourceRecord> result;
-  result.reserve(latest.size());
-  for (const auto& [key, record] : latest) {
-    result.push_back(*record);
-    result.back().epoch = epoch;
-  }
-  return result;
-}
-
 void SourceFollower::beginEpoch(const SourcePosition& position, const SourcePosition& before, Moment now) {
   epochStart_ = position;
   // This daemon cannot tell when the epoch began: after its own start, it may have begun just now.
@@ -365,6 +361,7 @@
 
 FollowerActions SourceFollower::onUpdate(const Endpoint& sender, const SourceNews& update, Moment now) {
   FollowerActions actions;
+  state_.setChangedAfter(unknownChangesAfter(now));
   RelayActions relayed = relay_.onUpdate(sender, update, known(), now);
   if (relayed.accepted) {
     ++counters_.updatesAccepted;
--- a/src/coordination/serving/source_follower.h
+++ b/src/coordination/serving/source_follower.h
@@ -135,9 +135,6 @@
   void onListingComplete(const SourcePosition& knownBefore, Moment now, FollowerActions& actions);
   /// An answer reports a newer epoch and does not continue the call: the source was restored from a backup.
   void onSourceRestored(Moment now);
-  /// The last record of each key. `epoch` is set in the result.
-  static std::vector<SourceRecord> latestPerKey(const std::vector<SourceRecord>& records,
-                                                std::uint64_t epoch);
   /// Applies a complete listing as of `position`. `before` is the known position until then.
   void applyListing(const std::vector<SourceRecord>& records, const SourcePosition& position,
                     const SourcePosition& before, Moment now, FollowerActions& actions);
@@ -158,6 +155,9 @@
   void applyConfiguration(ServingConfiguration configuration, const SourceRecord& record,
                           FollowerActions& actions);
   void onChanges(const SourceCall& call, const SourcePage& page, Moment now, FollowerActions& actions);
+  /// Changes that are not known here were made after this moment; `kNever` if this daemon found the source
+  /// unavailable since, or waits for an overdue answer.
+  Moment unknownChangesAfter(Moment now) const;
   /// Unless this daemon is the reader, postpones its next call until the reader's next update is overdue.
   /// `confirmedAt`: when the reader last read.
   void deferToReader(Moment confirmedAt, Moment now);
@@ -180,6 +180,10 @@
   /// The call in progress only renews this daemon's freshness proof; another daemon is the reader.
   bool readsForOwnProof_ = false;
   bool callTakesOver_ = false;
+  /// When a call last got no answer, or the answer that the source is unavailable.
+  Moment unavailableAt_ = Moment::min();
+  /// The answer to the last call is overdue from then on.
+  Moment answerDueAt_{};
   /// Records of the listing in progress, applied when it is complete.
   std::vector<SourceRecord> listing_;
   SourcePosition listingPosition_;
--- a/src/coordination/serving/source_reader.h
+++ b/src/coordination/serving/source_reader.h
@@ -45,6 +45,7 @@
 
   /// The call to make now, if one is due and none is in progress.
   std::optional<SourceCall> takeCall(Moment now);
+  bool callInProgress() const { return inProgress_; }
   Moment nextCallAt() const { return inProgress_ ? kNever : nextCallAt_; }
 
   /// Ends the call. `epoch`: of the answer; the same as the call's, except for a listing's first page.
--- a/src/coordination/serving/source_records.h
+++ b/src/coordination/serving/source_records.h
@@ -118,4 +118,7 @@
 using SourceStatement = std::variant<std::monostate, ServingConfiguration, LeafEntry, LeafRemoval,
                                      ZoneEvacuation, ZoneEvacuationEnd, UnusableRecord, UnusableLeaf>;
 
+/// The last record of each key. `epoch` is set in the result.
+std::vector<SourceRecord> latestPerKey(const std::vector<SourceRecord>& records, std::uint64_t epoch);
+
 }  // namespace oakpier::serving
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -85,8 +85,7 @@
 
 FollowerSettings followerSettings(const GatewaySettings& settings) {
   FollowerSettings follower;
-  follower.state.removalDelay = removalDelayFor(settings.leaveBound);
-  follower.state.expiryWindow = expiryWindowFor(settings.leafHeartbeat);
+  follower.state = stateSettingsFor(settings.leaveBound, settings.leafHeartbeat);
   follower.prover = proverSettings(settings);
   return follower;
 }
--- a/src/programs/gateway/source_synchronizer.cpp
+++ b/src/programs/gateway/source_synchronizer.cpp
@@ -140,11 +140,13 @@
 
 void SourceSynchronizer::logNoAnswer(Moment now) const {
   const CallConnection& connection = client_.lastCallConnection();
+  const nlohmann::json confirmedBefore =
+      follower_.known().revision == 0 ? nlohmann::json() : toMilliseconds(now - follower_.confirmedAt());
   log(LogLevel::kWarning, "configuration source gave no answer",
       {{"waited_ms", toMilliseconds(now - callSentAt_)},
        {"connection", connection.reused ? "reused" : "new"},
        {"connection_idle_ms", toMilliseconds(connection.idle)},
-       {"confirmed_before_ms", toMilliseconds(now - follower_.confirmedAt())},
+       {"confirmed_before_ms", confirmedBefore},
        {"next_call_in_ms", toMilliseconds(follower_.nextCallAt() - now)}});
 }
 
--- a/tests/serving/coordination/reader_loss_test.cpp
+++ b/tests/serving/coordination/reader_loss_test.cpp
@@ -107,8 +107,49 @@
 // Guards against the same in a large fleet with a short bound: where the first daemons in order are struck as
 // well, the others read so late that the removal delay no longer fits into the bound.
 TEST_CASE("a leaf that leaves while several readers are lost is used no longer than a short bound",
-          "[serving][readers][several-readers-lost]") {
+          "[serving][readers]") {
   requireLeafsLeaveInTime(74, seconds(3), 4);
 }
 
+// Guards against the loss of all leafs after an outage of the source: entries that lapse meanwhile are
+// written again within seconds, so they are kept for the whole removal delay.
+TEST_CASE("a leaf whose entry lapses during an outage is kept for the whole removal delay",
+          "[serving][readers]") {
+  constexpr Duration kStep = milliseconds(10);
+  for (const std::size_t daemons : {3, 8, 74}) {
+    for (const int outage : {500, 1200, 1500, 1800, 2000, 2400, 2700, 2900, 3400, 6000}) {
+      SourceFleetSettings settings;
+      settings.daemons = daemons;
+      SourceFleet fleet(settings);
+      fleet.runFor(seconds(12));
+      fleet.setSourceDown(true);
+      fleet.runFor(milliseconds(outage) - milliseconds(200));
+      fleet.removeLeaf(7);
+      const std::uint64_t deletion = fleet.sourceRevision();
+      const std::size_t leafs = fleet.followerOf(0).leafCount();
+      fleet.runFor(milliseconds(200));
+      fleet.setSourceDown(false);
+      std::vector<Moment> knownAt(daemons, kNever);
+      std::vector<bool> removed(daemons, false);
+      Duration shortest = seconds(10);
+      const Moment end = fleet.now() + seconds(8);
+      while (fleet.now() < end) {
+        fleet.runFor(kStep);
+        for (std::size_t number = 0; number < daemons; ++number) {
+          const bool known = fleet.knownRevisionOf(number) >= deletion;
+          if (known && knownAt[number] == kNever) {
+            knownAt[number] = fleet.now();
+          }
+          if (known && !removed[number] && fleet.followerOf(number).leafCount() < leafs) {
+            shortest = std::min(shortest, fleet.now() - knownAt[number]);
+            removed[number] = true;
+          }
+        }
+      }
+      CAPTURE(daemons, outage);
+      CHECK(shortest >= milliseconds(1000) - 2 * kStep);
+    }
+  }
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/coordination/source_test.cpp
+++ b/tests/serving/coordination/source_test.cpp
@@ -300,6 +300,26 @@
   REQUIRE(state.leafCount() == 1);
 }
 
+// Guards against a leaf that is used beyond the operator's bound because its deletion was learned of late.
+TEST_CASE("a deletion that is learned of late shortens the removal delay", "[serving]") {
+  ServingState state(stateSettingsFor(std::chrono::seconds(3), kDefaultLeafHeartbeat));
+  state.onLeaf(leafEntry("x", "s", 1), inFirstEpoch(1));
+  const auto removedAt = [&](Moment changedAfter, Moment now) {
+    state.setChangedAfter(changedAfter);
+    state.onLeafRemoved("x", inFirstEpoch(2), now);
+    return state.nextDueAt();
+  };
+  SECTION("soon enough for the whole delay") { REQUIRE(removedAt(at(1000), at(2500)) == at(3500)); }
+  SECTION("later, within the bound") { REQUIRE(removedAt(at(1000), at(3500)) == at(3900)); }
+  SECTION("at the end of the bound: at once") {
+    removedAt(at(1000), at(3950));
+    REQUIRE(state.leafCount() == 0);
+  }
+  // Records that lapsed during an outage may be written again.
+  SECTION("after the bound") { REQUIRE(removedAt(at(1000), at(4000)) == at(5000)); }
+  SECTION("the source was unavailable") { REQUIRE(removedAt(kNever, at(3500)) == at(4500)); }
+}
+
 TEST_CASE("the removal delay is at most half of the operator's bound", "[serving]") {
   for (const int bound : {600, 2500, 3000, 5000, 60'000}) {
     const Duration leaveBound = std::chrono::milliseconds(bound);
--- a/tests/serving/support/source_fleet.cpp
+++ b/tests/serving/support/source_fleet.cpp
@@ -195,7 +195,7 @@
     return interpret(record, tenants);
   };
   FollowerSettings follower;
-  follower.state.removalDelay = removalDelayFor(settings_.leaveBound);
+  follower.state = stateSettingsFor(settings_.leaveBound, kDefaultLeafHeartbeat);
   daemon.follower =
       std::make_unique<SourceFollower>(daemon.address, follower, interpreter, RandomEngine(random_()));
   daemon.follower->start(seeds_, clockOf(number));
