Build again: time since the last confirmation in the log line of a call without an answer

Nothing else was ruled out: the compiler names the line.

Change: the value is assigned only where a revision is known.

--- a/src/programs/gateway/source_synchronizer.cpp
+++ b/src/programs/gateway/source_synchronizer.cpp
@@ -140,8 +140,10 @@
 
 void SourceSynchronizer::logNoAnswer(Moment now) const {
   const CallConnection& connection = client_.lastCallConnection();
-  const nlohmann::json confirmedBefore =
-      follower_.known().revision == 0 ? nlohmann::json() : toMilliseconds(now - follower_.confirmedAt());
+  nlohmann::json confirmedBefore;
+  if (follower_.known().revision != 0) {
+    confirmedBefore = toMilliseconds(now - follower_.confirmedAt());
+  }
   log(LogLevel::kWarning, "configuration source gave no answer",
       {{"waited_ms", toMilliseconds(now - callSentAt_)},
        {"connection", connection.reused ? "reused" : "new"},
