A daemon that starts on a side of a network partition no longer takes that side for the fleet

What callers saw (in simulation only): a tenant at eight times its limit got up to 923 requests in 5 s where 770 are allowed, 812 and 183 of 170 in two other series, with three daemons that were killed, suspended, cut off and restarted in turn.

Cause, from the grants of each server in the window: a daemon that had been restarted while it could reach no other counted itself as the whole fleet after 1.5 s (visible fraction 1.00) and granted the whole limit, beside the primary on the other side. The same holds for one that joins a few members of its side, since only members that were not suspected counted as the fleet.

Ruled out: rolling restarts alone. Suspended daemons no longer follow the membership, and a healed partition no longer makes a suspended daemon look alive.

Change: the visible fraction refers to all known daemons, suspected ones included, so the member table that a daemon joins with tells it of the other sides for as long as their daemons are suspected. A daemon that has heard no other one although it has seeds is not stable for quotas and assumes 12 daemons.

--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -110,6 +110,8 @@
   std::uint64_t version() const { return version_; }
   /// Whether a message from another member or a seed has been received.
   bool joined() const { return joined_; }
+  /// No other daemon has been heard since the start, although there are seeds.
+  bool isolated() const { return !joined_ && !seeds_.empty(); }
   const MembershipCounters& counters() const { return counters_; }
   const Endpoint& self() const { return self_; }
   std::uint64_t incarnation() const { return incarnation_; }
--- a/src/coordination/serving/fleet_visibility.h
+++ b/src/coordination/serving/fleet_visibility.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// Estimates which fraction of the fleet a daemon can see: the daemons that are alive to it now, divided by
-/// the recent maximum. During a network partition each side sees its own fraction. A loss of machines looks
-/// the same until the maximum leaves the retention period.
+/// the recent maximum of those it knew. During a network partition each side sees its own fraction. A loss of
+/// machines looks the same until the maximum leaves the retention period.
 ///
 /// Invariants: at most 1; until the membership is stable after a start, the divisor is at least the
 /// expected size of the fleet.
@@ -21,11 +21,20 @@
 /// well return.
 inline constexpr Duration kMaximumRetention = std::chrono::seconds(30);
 
+struct FleetCount {
+  /// Daemons that are not suspected, this one included.
+  std::size_t alive = 1;
+  /// The same and the suspected ones. A daemon that starts on one side of a network partition learns of those
+  /// on the other sides as long as the members that it joins suspect them.
+  std::size_t known = 1;
+  /// Expected size of the fleet, used until the membership is stable.
+  std::size_t expected = 1;
+  bool membershipStable = false;
+};
+
 class FleetVisibility {
  public:
-  /// `alive`: daemons that are not suspected, this one included. `expected`: expected size of the fleet,
-  /// used until the membership is stable.
-  void onDaemons(std::size_t alive, std::size_t expected, bool membershipStable, Moment now);
+  void onDaemons(const FleetCount& count, Moment now);
   /// The last estimate from probes, if there is one.
   void setReachability(const std::optional<ReachabilityEstimate>& estimate) { reachability_ = estimate; }
   /// In (0, 1]. Follows the membership, and the probes where they are newer, as after a network partition has
@@ -36,8 +45,8 @@
   std::optional<double> reachableFraction(Moment now);
 
  private:
-  struct Count {
-    /// When `daemons` stopped being the current count.
+  struct PastCount {
+    /// When `daemons` stopped being the number of known daemons.
     Moment endedAt{};
     std::size_t daemons = 0;
   };
@@ -46,10 +55,8 @@
   std::size_t fleetSize(Moment now);
 
   /// Earlier counts that may still be the maximum: oldest first, in descending order.
-  std::deque<Count> maxima_;
-  std::size_t alive_ = 1;
-  std::size_t expected_ = 1;
-  bool membershipStable_ = false;
+  std::deque<PastCount> maxima_;
+  FleetCount count_;
   std::optional<ReachabilityEstimate> reachability_;
 };
 
--- a/src/coordination/serving/shard_owners.h
+++ b/src/coordination/serving/shard_owners.h
@@ -30,6 +30,8 @@
   /// Daemons of each other zone, by the zone's name.
   std::unordered_map<std::string, std::vector<ServingDaemon>> otherZones;
   std::size_t zones = 1;
+  /// This daemon has heard no other one since its start, although there are others.
+  bool isolated = false;
 };
 
 /// The sum of the daemons' placement weights, in hundredths of a core. A daemon with unknown capacity counts
--- a/src/programs/gateway/peer_messenger.cpp
+++ b/src/programs/gateway/peer_messenger.cpp
@@ -238,6 +238,7 @@
   const bool aloneInZone = daemons.ownZone.empty();
   insertSorted(own, daemons.ownZone);
   daemons.zones = zones.size() + (aloneInZone ? 1 : 0);
+  daemons.isolated = membership_.isolated();
   handlers_.onMembers(daemons);
 }
 
--- a/src/programs/gateway/quota_enforcer.cpp
+++ b/src/programs/gateway/quota_enforcer.cpp
@@ -65,7 +65,8 @@
 void QuotaEnforcer::updateVisibility() {
   const Moment now = steadyNow();
   const std::size_t known = serverSelector_.count();
-  visibility_.onDaemons(known - std::min(known, suspectedDaemons_), plannedDaemons_, membershipStable_, now);
+  const std::size_t alive = known - std::min(known, suspectedDaemons_);
+  visibility_.onDaemons(FleetCount{alive, known, plannedDaemons_, membershipStable_}, now);
   server_.setVisibleFraction(visibility_.visibleFraction(now), membershipStable_);
 }
 
--- a/src/programs/gateway/request_gateway.cpp
+++ b/src/programs/gateway/request_gateway.cpp
@@ -83,7 +83,12 @@
 
 void RequestGateway::setDaemons(const DaemonGroup& daemons, std::size_t planned, bool membershipStable) {
   quarantineGossip_.setDaemons(addressesOf(daemons.all));
-  quota_.setDaemons(daemons.all, planned, membershipStable);
+  if (daemons.isolated) {
+    // Otherwise each daemon that starts while it can reach no other one would grant a tenant's whole limit.
+    quota_.setDaemons(daemons.all, std::max(planned, kDefaultDaemons), false);
+  } else {
+    quota_.setDaemons(daemons.all, planned, membershipStable);
+  }
   owners_.setDaemons(daemons.ownZone);
   mergeServers_.setDaemons(daemons.otherZones);
   daemons_.planned = planned;
--- a/tests/coordination/membership_test.cpp
+++ b/tests/coordination/membership_test.cpp
@@ -98,6 +98,19 @@
 
 }  // namespace
 
+TEST_CASE("a daemon with seeds is isolated until it hears another one", "[coordination]") {
+  const Endpoint self(1, 1);
+  const Endpoint other(2, 1);
+  Membership alone(self, "a", 5, MembershipSettings{}, RandomEngine(1));
+  alone.setSeeds({self});
+  REQUIRE_FALSE(alone.isolated());
+  alone.setSeeds({self, other});
+  REQUIRE(alone.isolated());
+  Membership seed(other, "a", 5, MembershipSettings{}, RandomEngine(2));
+  alone.onReply(other, seed.fullTable(self), Moment(std::chrono::seconds(1)));
+  REQUIRE_FALSE(alone.isolated());
+}
+
 TEST_CASE("a member's capacity reaches other members, also indirectly", "[coordination]") {
   Membership subject = memberAt(1);
   Membership between = memberAt(2);
--- a/tests/serving/coordination/quota_plan_test.cpp
+++ b/tests/serving/coordination/quota_plan_test.cpp
@@ -76,8 +76,8 @@
 
 TEST_CASE("probes newer than what the membership has detected raise the visible fraction", "[serving]") {
   FleetVisibility visibility;
-  visibility.onDaemons(20, 20, true, at(0));
-  visibility.onDaemons(5, 20, true, at(2000));
+  visibility.onDaemons(FleetCount{20, 20, 20, true}, at(0));
+  visibility.onDaemons(FleetCount{5, 5, 20, true}, at(2000));
   REQUIRE_FALSE(visibility.reachableFraction(at(2000)));
   visibility.setReachability(ReachabilityEstimate{15, at(5000)});
   REQUIRE(*visibility.reachableFraction(at(5100)) == 0.75);
@@ -90,24 +90,38 @@
 
 TEST_CASE("the visible fraction refers to the recent maximum of the number of daemons", "[serving]") {
   FleetVisibility visibility;
-  visibility.onDaemons(20, 20, true, at(0));
+  visibility.onDaemons(FleetCount{20, 20, 20, true}, at(0));
   REQUIRE(visibility.visibleFraction(at(0)) == 1);
-  visibility.onDaemons(5, 20, true, at(10'000));
+  visibility.onDaemons(FleetCount{5, 5, 20, true}, at(10'000));
   REQUIRE(visibility.visibleFraction(at(10'000)) == 0.25);
-  visibility.onDaemons(4, 20, true, at(20'000));
+  visibility.onDaemons(FleetCount{4, 4, 20, true}, at(20'000));
   REQUIRE(visibility.visibleFraction(at(39'000)) == 0.2);
   REQUIRE(visibility.visibleFraction(at(41'000)) == 0.8);
   REQUIRE(visibility.visibleFraction(at(51'000)) == 1);
   // All daemons are reachable again.
-  visibility.onDaemons(20, 20, true, at(52'000));
+  visibility.onDaemons(FleetCount{20, 20, 20, true}, at(52'000));
   REQUIRE(visibility.visibleFraction(at(52'000)) == 1);
 }
 
+// Guards against a daemon that starts on one side of a network partition and takes that side for the fleet.
+TEST_CASE("the visible fraction refers to suspected daemons also after a start", "[serving]") {
+  FleetVisibility visibility;
+  visibility.onDaemons(FleetCount{1, 1, 12, false}, at(0));
+  visibility.onDaemons(FleetCount{5, 20, 20, false}, at(100));
+  REQUIRE(visibility.visibleFraction(at(100)) == 0.25);
+  visibility.onDaemons(FleetCount{5, 20, 20, true}, at(1500));
+  REQUIRE(visibility.visibleFraction(at(1500)) == 0.25);
+  // The suspected ones have been removed.
+  visibility.onDaemons(FleetCount{5, 5, 5, true}, at(6000));
+  REQUIRE(visibility.visibleFraction(at(6000)) == 0.25);
+  REQUIRE(visibility.visibleFraction(at(37'000)) == 1);
+}
+
 TEST_CASE("until the membership is stable the visible fraction refers to the expected size", "[serving]") {
   FleetVisibility visibility;
-  visibility.onDaemons(3, 12, false, at(0));
+  visibility.onDaemons(FleetCount{3, 3, 12, false}, at(0));
   REQUIRE(visibility.visibleFraction(at(0)) == 0.25);
-  visibility.onDaemons(3, 3, true, at(1500));
+  visibility.onDaemons(FleetCount{3, 3, 3, true}, at(1500));
   REQUIRE(visibility.visibleFraction(at(1500)) == 1);
 }
 
--- a/tests/serving/programs/tenant_requests_test.cpp
+++ b/tests/serving/programs/tenant_requests_test.cpp
@@ -266,6 +266,24 @@
   world.servedAs("/one/x", "");
 }
 
+// Guards against daemons that start while they can reach no other one and each grant a tenant's whole limit.
+TEST_CASE("a daemon that has heard no other one grants a tenant a part of its limit", "[serving]") {
+  std::vector<Tenant> tenants = twoTenants();
+  tenants.front().limit = TenantLimit{8, 8};
+  GatewayWorld world(tenants);
+  world.gateway.setQuotaTolerance(QuotaTolerance{std::chrono::seconds(5), 0.25, 20});
+  DaemonGroup alone{{kSelf}, {kSelf}, {}, 1};
+  SECTION("it is the only one") {
+    world.gateway.setDaemons(alone, 1, true);
+    world.servedAs("/one/x", kAmber);
+  }
+  SECTION("there are others") {
+    alone.isolated = true;
+    world.gateway.setDaemons(alone, 1, true);
+    REQUIRE(contains(world.refusalTo("/one/x", kAmber), "HTTP/1.1 429"));
+  }
+}
+
 TEST_CASE("a tenant's rank overrides its route's rank among requests that wait for a connection",
           "[serving]") {
   // A single connection to the leaf.
--- a/tests/serving/support/quota_fleet.cpp
+++ b/tests/serving/support/quota_fleet.cpp
@@ -63,12 +63,16 @@
   action();
 }
 
-std::size_t QuotaFleet::primaryOf(const std::string& tenant) const {
+std::vector<std::size_t> QuotaFleet::serversOf(const std::string& tenant) const {
   std::vector<ServingDaemon> all;
   for (std::size_t number = 0; number < daemons_.size(); ++number) {
     all.emplace_back(addressOf(number));
   }
-  return numberOf(rankQuotaServers(tenant, all).front());
+  std::vector<std::size_t> servers;
+  for (const Endpoint& server : rankQuotaServers(tenant, all)) {
+    servers.push_back(numberOf(server));
+  }
+  return servers;
 }
 
 void QuotaFleet::addLoad(const std::string& tenant, double perSecond, Moment from, Moment until,
@@ -149,7 +153,7 @@
                                            const std::vector<TenantTokenRequest>& tenantRequests) {
   daemon.server.onActivity(now_);
   daemon.visibility.setReachability(daemon.selector.reachability(now_));
-  daemon.server.setVisibleFraction(daemon.visibility.visibleFraction(now_), daemon.membershipStable);
+  daemon.server.setVisibleFraction(daemon.visibility.visibleFraction(now_), membershipStable(daemon));
   daemon.server.setReachableFraction(daemon.visibility.reachableFraction(now_));
   std::vector<TenantGrant> grants;
   const std::size_t number = numberOf(daemon.self);
--- a/tests/serving/support/quota_fleet.h
+++ b/tests/serving/support/quota_fleet.h
@@ -62,7 +62,11 @@
   /// Each daemon reaches only those on its side of the network partition; `sides` holds the side of each.
   void partitionNetwork(const std::vector<std::size_t>& sides);
   void healNetwork();
-  std::size_t primaryOf(const std::string& tenant) const;
+  bool isRunning(std::size_t daemon) const { return daemons_[daemon] != nullptr; }
+  /// The daemons of the tenant's ranking while all are running: its primary quota server, then the
+  /// successors.
+  std::vector<std::size_t> serversOf(const std::string& tenant) const;
+  std::size_t primaryOf(const std::string& tenant) const { return serversOf(tenant).front(); }
   std::size_t size() const { return daemons_.size(); }
 
   const std::vector<Request>& requestsOf(const std::string& tenant) { return requests_[tenant]; }
@@ -129,6 +133,11 @@
   /// Runs `action` now, or when the daemon is resumed; never if the process has ended.
   void runIn(std::size_t daemon, std::uint64_t runId, std::function<void()> action);
   void applyMembership(std::size_t daemon);
+  /// As the quota servers see it: not before the daemon knows another one.
+  bool membershipStable(const Daemon& daemon) const;
+  /// Schedules that the started `daemon` receives the member table of a running one.
+  void scheduleJoin(std::size_t daemon, Duration delay);
+  void receiveMemberTable(std::size_t daemon, std::size_t sender);
   /// Schedules the changes of `daemon`'s member table after `other` became reachable or unreachable.
   void scheduleDetection(std::size_t daemon, std::size_t other, bool reachable);
 
--- a/tests/serving/support/quota_fleet_faults.cpp
+++ b/tests/serving/support/quota_fleet_faults.cpp
@@ -14,6 +14,10 @@
 constexpr int kDeadAfterMilliseconds = 6000;
 constexpr int kJoinedFromMilliseconds = 200;
 constexpr int kJoinedUntilMilliseconds = 1500;
+/// Until a started daemon receives the first member table, and between its attempts to get one.
+constexpr int kTableFromMilliseconds = 2;
+constexpr int kTableUntilMilliseconds = 250;
+constexpr Duration kTableRetryInterval = std::chrono::milliseconds(250);
 /// Time until the membership is stable after a start; see `MembershipStabilization`.
 constexpr Duration kStabilizationTime = std::chrono::milliseconds(1500);
 constexpr std::size_t kExpectedFleet = 12;
@@ -32,13 +36,18 @@
       }
     }
   }
-  const std::size_t expected =
-      daemon.membershipStable ? serving.size() : std::max(serving.size(), kExpectedFleet);
-  const std::size_t alive = serving.size() - suspected.size();
+  const bool stable = membershipStable(daemon);
+  const std::size_t known = serving.size();
+  const std::size_t expected = stable ? known : std::max(known, kExpectedFleet);
   daemon.selector.setDaemons(std::move(serving));
-  daemon.selector.setMembershipStable(daemon.membershipStable);
+  daemon.selector.setMembershipStable(stable);
   daemon.selector.setSuspected(suspected, now_);
-  daemon.visibility.onDaemons(alive, expected, daemon.membershipStable, now_);
+  daemon.visibility.onDaemons(FleetCount{known - suspected.size(), known, expected, stable}, now_);
+}
+
+bool QuotaFleet::membershipStable(const Daemon& daemon) const {
+  const auto known = std::count(daemon.known.begin(), daemon.known.end(), true);
+  return daemon.membershipStable && (known > 1 || daemons_.size() == 1);
 }
 
 void QuotaFleet::scheduleDetection(std::size_t daemon, std::size_t other, bool reachable) {
@@ -49,12 +58,13 @@
   const auto later = [this, daemon, other, number, runId = daemons_[daemon]->runId](Moment moment, bool known,
                                                                                     bool suspected) {
     at(moment, [=] {
-      if (detections_[daemon][other] == number && daemons_[daemon] != nullptr &&
-          daemons_[daemon]->runId == runId) {
-        daemons_[daemon]->known[other] = known;
-        daemons_[daemon]->suspected[other] = suspected;
-        applyMembership(daemon);
-      }
+      runIn(daemon, runId, [=] {
+        if (detections_[daemon][other] == number) {
+          daemons_[daemon]->known[other] = known;
+          daemons_[daemon]->suspected[other] = suspected;
+          applyMembership(daemon);
+        }
+      });
     });
   };
   if (reachable) {
@@ -66,6 +76,39 @@
   }
 }
 
+void QuotaFleet::scheduleJoin(std::size_t number, Duration delay) {
+  at(now_ + delay, [this, number, runId = daemons_[number]->runId] {
+    runIn(number, runId, [this, number] {
+      std::vector<std::size_t> senders;
+      for (std::size_t other = 0; other < daemons_.size(); ++other) {
+        if (other != number && reaches(number, other) && !daemons_[other]->suspended) {
+          senders.push_back(other);
+        }
+      }
+      if (senders.empty()) {
+        scheduleJoin(number, kTableRetryInterval);
+        return;
+      }
+      receiveMemberTable(number, senders[drawBelow(senders.size(), random_)]);
+    });
+  });
+}
+
+void QuotaFleet::receiveMemberTable(std::size_t number, std::size_t sender) {
+  Daemon& daemon = *daemons_[number];
+  for (std::size_t other = 0; other < daemons_.size(); ++other) {
+    if (daemon.known[other] || !daemons_[sender]->known[other]) {
+      continue;
+    }
+    daemon.known[other] = true;
+    daemon.suspected[other] = daemons_[sender]->suspected[other];
+    if (!reaches(number, other) || daemons_[other]->suspended) {
+      scheduleDetection(number, other, false);
+    }
+  }
+  applyMembership(number);
+}
+
 void QuotaFleet::kill(std::size_t daemon) {
   for (const auto& [ticket, request] : daemons_[daemon]->waiting) {
     requests_[request.first][request.second].granted =
@@ -91,6 +134,7 @@
       scheduleDetection(other, number, true);
     }
   }
+  scheduleJoin(number, drawBetween(kTableFromMilliseconds, kTableUntilMilliseconds));
   showActivity(number, daemon.runId);
   at(now_ + kStabilizationTime, [this, number, runId = daemon.runId] {
     if (daemons_[number] != nullptr && daemons_[number]->runId == runId) {
@@ -128,7 +172,8 @@
   for (std::size_t one = 0; one < daemons_.size(); ++one) {
     for (std::size_t other = 0; other < daemons_.size(); ++other) {
       const bool together = sides_[one] == sides_[other];
-      if (daemons_[other] != nullptr && together != (previous[one] == previous[other])) {
+      const bool responds = daemons_[other] != nullptr && !daemons_[other]->suspended;
+      if (responds && together != (previous[one] == previous[other])) {
         scheduleDetection(one, other, together);
       }
     }
