--- a/src/coordination/serving/fleet_visibility.h
+++ b/src/coordination/serving/fleet_visibility.h
@@ -21,6 +21,7 @@
 /// well return.
 inline constexpr Duration kMaximumRetention = std::chrono::seconds(30);
 
+/// The daemons of the fleet, as one of them knows them.
 struct FleetCount {
   /// Daemons that are not suspected, this one included.
   std::size_t alive = 1;
