--- /dev/null
+++ b/tests/serving/programs/process_ends_test.cpp
@@ -0,0 +1,248 @@
+/// Guards against gateway processes that do not start or that end without an order.
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
+#include <string>
+
+#include "platform/header_names.h"
+#include "serving/support/gateway_process.h"
+#include "support/free_endpoint.h"
+#include "transport/serving/source_client.h"
+
+namespace oakpier::serving {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kSettingsRefused = 2;
+
+/// Ends the gateway by order and requires that it ends with success.
+void requireOrderlyStop(GatewayWorld& world) {
+  world.gateway.signal(SIGTERM);
+  const int status = world.awaitEnd();
+  CAPTURE(status, world.gateway.output());
+  REQUIRE(WIFEXITED(status));
+  REQUIRE(WEXITSTATUS(status) == 0);
+}
+
+/// Requires that the gateway has not ended and serves callers.
+void requireServing(GatewayWorld& world) {
+  const auto reply = world.get(world.gateway.callerAddress(), "/unknown/");
+  CAPTURE(world.gateway.output());
+  REQUIRE(!world.gateway.ended());
+  REQUIRE(reply);
+  REQUIRE(reply->status == 404);
+}
+
+/// A listening socket that holds an address.
+class HeldAddress {
+ public:
+  explicit HeldAddress(const Endpoint& address) : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_port = htons(address.port());
+    REQUIRE(inet_pton(AF_INET, address.ip().c_str(), &bound.sin_addr) == 1);
+    REQUIRE(bind(socket_, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
+    REQUIRE(listen(socket_, 1) == 0);
+  }
+  HeldAddress(const HeldAddress&) = delete;
+  HeldAddress& operator=(const HeldAddress&) = delete;
+  ~HeldAddress() { close(socket_); }
+
+ private:
+  int socket_;
+};
+
+void limitResource(__rlimit_resource resource, rlim_t limit) {
+  const rlimit limits{limit, limit};
+  setrlimit(resource, &limits);
+}
+
+/// Sends a request of the service, lets `answer` write at the leaf, and returns the caller's reply.
+std::optional<HttpReply> askLeaf(GatewayWorld& world, const std::string& answer) {
+  const HeaderNames names = platform::headerNames();
+  SourceClient client(world.context, world.gateway.callerAddress());
+  bool done = false;
+  std::optional<HttpReply> reply;
+  const std::size_t before = world.leaf.requests();
+  client.call(
+      {"GET", "/r/x", {{"Host", "host.example"}, {names.requestId, "id"}, {names.deadline, "500"}}, ""},
+      std::chrono::seconds(5), [&](std::optional<HttpReply> received) {
+        reply = std::move(received);
+        done = true;
+      });
+  runUntil(world.context, [&] { return done || world.leaf.requests() > before; });
+  for (const auto& connection : world.leaf.connections()) {
+    if (!connection->ended && connection->requests() > 0) {
+      connection->received.clear();
+      connection->write(answer);
+    }
+  }
+  runUntil(world.context, [&] { return done; });
+  return reply;
+}
+
+}  // namespace
+
+TEST_CASE("a gateway whose log has lost its reader serves on", "[process-ends]") {
+  GatewayWorld world;
+  std::array<int, 2> pipe{};
+  REQUIRE(pipe2(pipe.data(), O_CLOEXEC) == 0);
+  world.gateway.start([&] { dup2(pipe[1], STDOUT_FILENO); });
+  close(pipe[1]);
+  world.awaitReady();
+  close(pipe[0]);
+  requireServing(world);
+  requireServing(world);
+  const auto metrics = world.get(world.gateway.readinessAddress(), "/metrics");
+  REQUIRE(metrics);
+  REQUIRE(metrics->body.find("\noakpier_gateway_log_lines_unwritten_total 0\n") == std::string::npos);
+  REQUIRE(metrics->body.find("\noakpier_gateway_log_lines_unwritten_total ") != std::string::npos);
+  requireOrderlyStop(world);
+}
+
+TEST_CASE("a gateway whose log file may not grow serves on", "[process-ends]") {
+  GatewayWorld world;
+  world.gateway.start([] { limitResource(RLIMIT_FSIZE, 1); });
+  world.awaitReady();
+  requireServing(world);
+  requireOrderlyStop(world);
+}
+
+TEST_CASE("a gateway without standard streams writes no log line into a connection", "[process-ends]") {
+  GatewayWorld world;
+  world.gateway.start([] { close_range(STDIN_FILENO, STDERR_FILENO, 0); });
+  world.awaitReady();
+  for (const char* descriptor : {"0", "1", "2"}) {
+    const std::string link = "/proc/" + std::to_string(world.gateway.id()) + "/fd/" + descriptor;
+    std::array<char, 64> target{};
+    REQUIRE(readlink(link.c_str(), target.data(), target.size() - 1) > 0);
+    REQUIRE(std::string(target.data()) == "/dev/null");
+  }
+  requireServing(world);
+  requireOrderlyStop(world);
+}
+
+TEST_CASE("signals that carry no order do not end a gateway", "[process-ends]") {
+  GatewayWorld world;
+  world.gateway.start();
+  world.awaitReady();
+  for (const int number : {SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2, SIGALRM, SIGHUP}) {
+    world.gateway.signal(number);
+    requireServing(world);
+  }
+  requireOrderlyStop(world);
+}
+
+TEST_CASE("a gateway waits for an address that is still taken when it starts", "[process-ends]") {
+  for (const int taken : {0, 1, 2}) {
+    GatewayWorld world;
+    const std::array<Endpoint, 3> addresses{world.gateway.callerAddress(), world.gateway.readinessAddress(),
+                                            world.gateway.peerAddress()};
+    CAPTURE(taken);
+    {
+      const HeldAddress held(addresses.at(static_cast<std::size_t>(taken)));
+      world.gateway.start();
+      runUntil(world.context, [&] {
+        return world.gateway.ended() ||
+               world.gateway.output().find(R"("cannot listen)") != std::string::npos ||
+               world.gateway.output().find("not started") != std::string::npos;
+      });
+      world.runFor(milliseconds(300));
+      CAPTURE(world.gateway.output());
+      REQUIRE(!world.gateway.ended());
+    }
+    world.awaitReady();
+    requireServing(world);
+    requireOrderlyStop(world);
+  }
+}
+
+TEST_CASE("a gateway that waits for its address ends on order", "[process-ends]") {
+  GatewayWorld world;
+  const HeldAddress held(world.gateway.callerAddress());
+  world.gateway.start();
+  world.runFor(milliseconds(300));
+  requireOrderlyStop(world);
+}
+
+TEST_CASE("a gateway waits for settings that are being written when it starts", "[process-ends]") {
+  for (const double written : {-1.0, 0.0, 0.5}) {
+    GatewayWorld world;
+    const std::string whole = world.gateway.settings().dump();
+    std::remove(world.gateway.settingsFile().c_str());
+    if (written >= 0) {
+      std::ofstream(world.gateway.settingsFile())
+          << whole.substr(0, static_cast<std::size_t>(static_cast<double>(whole.size()) * written));
+    }
+    world.gateway.start();
+    world.runFor(milliseconds(300));
+    CAPTURE(written, world.gateway.output());
+    REQUIRE(!world.gateway.ended());
+    world.gateway.writeSettings();
+    world.awaitReady();
+    requireOrderlyStop(world);
+  }
+}
+
+TEST_CASE("deeply nested settings are refused with a message", "[process-ends]") {
+  GatewayWorld world;
+  constexpr std::size_t kDepth = 200000;
+  std::string text = world.gateway.settings().dump();
+  const std::string name = R"("gateway-1")";
+  text.replace(text.find(name), name.size(), std::string(kDepth, '[') + std::string(kDepth, ']'));
+  std::ofstream(world.gateway.settingsFile()) << text;
+  world.gateway.start();
+  const int status = world.awaitEnd();
+  CAPTURE(status);
+  REQUIRE(WIFEXITED(status));
+  REQUIRE(WEXITSTATUS(status) == kSettingsRefused);
+  REQUIRE(world.gateway.output().find("node_name") != std::string::npos);
+}
+
+TEST_CASE("an answer with an oversized trailer does not end a gateway", "[process-ends]") {
+  constexpr std::size_t kTrailerBytes = 66000;
+  GatewayWorld world;
+  world.gateway.start();
+  world.awaitReady();
+  const HeaderNames names = platform::headerNames();
+  askLeaf(world, "HTTP/1.1 200 OK\r\n" + names.requestId + ": id\r\n" + names.signature +
+                     ": s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: " +
+                     std::string(kTrailerBytes, 'x') + "\r\n\r\n");
+  requireServing(world);
+  requireOrderlyStop(world);
+}
+
+TEST_CASE("a request with an oversized trailer does not end a gateway", "[process-ends]") {
+  constexpr std::size_t kTrailerBytes = 66000;
+  GatewayWorld world;
+  world.gateway.start();
+  world.awaitReady();
+  const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(world.gateway.callerAddress().port());
+  REQUIRE(inet_pton(AF_INET, world.gateway.callerAddress().ip().c_str(), &address.sin_addr) == 1);
+  REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  const std::string request =
+      "POST /r/x HTTP/1.1\r\nHost: host.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: " +
+      std::string(kTrailerBytes, 'x') + "\r\n\r\n";
+  REQUIRE(send(caller, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size()));
+  std::array<char, 16> reply{};
+  REQUIRE(recv(caller, reply.data(), reply.size() - 1, 0) > 0);
+  REQUIRE(std::string(reply.data()).substr(9, 3) == "431");
+  close(caller);
+  requireServing(world);
+  requireOrderlyStop(world);
+}
+
+}  // namespace oakpier::serving
