Outlive the log's reader, a full log file and signals that carry no order

What callers saw: a gateway ended by itself, with nothing in any log, once the process that collected its output had gone (SIGPIPE, status -13), once its log file could not grow (SIGXFSZ), or by SIGUSR1, SIGUSR2 or SIGALRM. Started without standard streams, its first sockets got their numbers, and log lines were written into them.

Cause: the default actions of signals. oakpierd ignored SIGPIPE, the gateway did not.

Change: standard streams that are closed are opened on /dev/null; signals whose default action ends the process and that carry no order are ignored; lines that cannot be written are counted (oakpier_gateway_log_lines_unwritten_total) and the next one is tried, where the stream stayed broken for good before; an exception in the log ends no thread; the soft limit on descriptors is raised to the hard one and served as oakpier_gateway_descriptor_limit.

SIGQUIT, SIGIO and profiling signals still end it: nobody sends them by accident.

--- a/src/programs/common/logging.cpp
+++ b/src/programs/common/logging.cpp
@@ -3,15 +3,15 @@
 #include <unistd.h>
 
 #include <atomic>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
+#include <boost/log/utility/exception_handler.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/make_shared.hpp>
 #include <chrono>
@@ -21,6 +21,8 @@
 #include <memory>
 #include <thread>
 
+#include "programs/common/abnormal_end.h"
+
 namespace oakpier {
 
 namespace {
@@ -32,6 +34,7 @@
 constexpr std::size_t kMaxQueuedLines = 4096;
 constexpr std::chrono::milliseconds kFlushTimeout(200);
 std::atomic<std::uint64_t> droppedLines{0};
+std::atomic<std::uint64_t> unwrittenLines{0};
 
 /// Overflow policy of the queue.
 struct DropAndCount {
@@ -44,9 +47,23 @@
   static void interrupt() {}
 };
 
+/// Writes lines to standard output. A line that cannot be written, because the reader has gone or the device
+/// is full, is counted, and the next one is tried again.
+class StandardOutput : public boost::log::sinks::basic_formatted_sink_backend<char> {
+ public:
+  void consume(const boost::log::record_view& /*record*/, const std::string& text) {
+    const std::string line = (lineIncomplete_ ? "\n" : "") + text + "\n";
+    lineIncomplete_ = !writeCompletely(STDOUT_FILENO, line.data(), line.size());
+    unwrittenLines += lineIncomplete_ ? 1 : 0;
+  }
+
+ private:
+  /// Part of the last line may have been written.
+  bool lineIncomplete_ = false;
+};
+
 using BoundedSink = boost::log::sinks::asynchronous_sink<
-    boost::log::sinks::text_ostream_backend,
-    boost::log::sinks::bounded_fifo_queue<kMaxQueuedLines, DropAndCount>>;
+    StandardOutput, boost::log::sinks::bounded_fifo_queue<kMaxQueuedLines, DropAndCount>>;
 boost::shared_ptr<BoundedSink> boundedSink;
 
 trivial::severity_level severityOf(LogLevel level) {
@@ -75,17 +92,19 @@
 
 void startBoundedLogging(LogLevel level, const std::string& program) {
   programName = program;
-  const auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-  backend->auto_flush(true);
-  boundedSink = boost::make_shared<BoundedSink>(backend);
+  boundedSink = boost::make_shared<BoundedSink>();
   boundedSink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+  // A line that cannot be logged must not end the thread that logs it or writes it out.
+  boundedSink->set_exception_handler(boost::log::make_exception_suppressor());
+  boost::log::core::get()->set_exception_handler(boost::log::make_exception_suppressor());
   boost::log::core::get()->add_sink(boundedSink);
   boost::log::core::get()->set_filter(trivial::severity >= severityOf(level));
 }
 
 std::uint64_t droppedLogLines() { return droppedLines; }
 
+std::uint64_t unwrittenLogLines() { return unwrittenLines; }
+
 void flushLogsAndExit(int code) {
   if (boundedSink) {
     auto flushed = std::make_shared<std::promise<void>>();
--- a/src/programs/common/logging.h
+++ b/src/programs/common/logging.h
@@ -25,6 +25,8 @@
 void startBoundedLogging(LogLevel level, const std::string& program);
 /// Lines dropped since start-up because the queue was full.
 std::uint64_t droppedLogLines();
+/// Lines that could not be written to standard output, because its reader has gone or its device is full.
+std::uint64_t unwrittenLogLines();
 /// Flushes the queue and exits with `code`. Lines that a stalled reader has not consumed within a short
 /// timeout are lost. Runs no destructors.
 [[noreturn]] void flushLogsAndExit(int code);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "coordination/serving/membership_stabilization.h"
 #include "programs/common/blocked_signals.h"
 #include "programs/common/logging.h"
+#include "programs/common/process_environment.h"
 #include "programs/gateway/request_gateway.h"
 #include "programs/gateway/source_synchronizer.h"
 #include "protocol/serving/caller_messages.h"
@@ -287,7 +288,8 @@
                                       fleetCapacity_,
                                       view->tenants ? view->tenants->keyCount() : 0,
                                       proofAgeSeconds(),
-                                      requests_.quotaMetrics()});
+                                      requests_.quotaMetrics(),
+                                      ProcessMetrics{unwrittenLogLines(), raiseDescriptorLimit()}});
   }
 
   void awaitSignal() {
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -239,6 +239,13 @@
   list.counter("log_lines_dropped_total", "Log lines lost to a stalled reader", metrics.logLinesDropped);
 }
 
+void addProcess(FamilyList& list, const ProcessMetrics& process) {
+  list.counter("log_lines_unwritten_total", "Log lines that could not be written to the output",
+               process.logLinesUnwritten);
+  list.gauge("descriptor_limit", "Descriptors that the process may have open",
+             static_cast<double>(process.descriptorLimit));
+}
+
 }  // namespace
 
 std::string metricsText(const GatewayMetrics& metrics) {
@@ -249,6 +256,7 @@
   addPeersAndSource(list, metrics);
   addQuota(list, metrics.quota);
   addStateAndLogs(list, metrics);
+  addProcess(list, metrics.process);
   return prometheus::TextSerializer().Serialize(list.families());
 }
 
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -46,6 +46,12 @@
   std::map<std::string, LatencyHistogram> answerTimes;
 };
 
+/// What the process itself needs and has failed to get.
+struct ProcessMetrics {
+  std::uint64_t logLinesUnwritten = 0;
+  std::size_t descriptorLimit = 0;
+};
+
 /// Values of all metrics at one point in time. Refers to the counters of the gateway, which must outlive it.
 struct GatewayMetrics {
   const RequestCounters& requests;
@@ -75,6 +81,7 @@
   /// Age of the latest freshness proof of the configuration; infinite if there is none.
   double proofAgeSeconds = 0;
   QuotaMetrics quota;
+  ProcessMetrics process{};
 };
 
 std::string metricsText(const GatewayMetrics& metrics);
