Wait for addresses and settings when a gateway starts

What callers saw: a gateway did not start. One of its three addresses was still held, by a predecessor that answered its last requests, by a listener of somebody else or by the near end of an outgoing connection: "not started", status 1. Or the settings were still being written: status 2, though the file was whole 50 ms later.

Cause: a start that depends on a moment. Each was tried once.

Change (startup.h): addresses are tried again every 100 ms for as long as the process runs, with a line "not started yet; trying again" every 5 s; peers and readiness first, callers last, so that no caller is accepted before it can be served. A file that is missing or no whole JSON object is waited for up to 10 s; settings that are whole and wrong stay final, status 2. SIGTERM ends a wait with status 0; settings that change meanwhile are taken up. The gateway's derived settings and the status handler have files of their own now.

Ruled out: other ports in place of taken ones, as peers and the platform know the daemon by its port.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -12,10 +12,13 @@
 
 #include "coordination/serving/membership_stabilization.h"
 #include "programs/common/blocked_signals.h"
+#include "programs/common/exit_codes.h"
 #include "programs/common/logging.h"
 #include "programs/common/process_environment.h"
+#include "programs/gateway/derived_settings.h"
 #include "programs/gateway/request_gateway.h"
 #include "programs/gateway/source_synchronizer.h"
+#include "programs/gateway/status_handler.h"
 #include "protocol/serving/caller_messages.h"
 #include "transport/steady_clock.h"
 
@@ -23,10 +26,7 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
-constexpr std::string_view kMetricsPath = "/metrics";
 /// Connections are accepted for this long after the stop signal, because callers connect until readiness
 /// checks have shown that this daemon is not ready.
 constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
@@ -42,61 +42,12 @@
 /// Shares are planned for growth of the fleet by one daemon per this many, which may happen at any time.
 constexpr std::size_t kGrowthDivisor = 3;
 
-/// An unknown key is answered with 401 only under a proof that is younger than this fraction (1/n) of the
-/// time within which new keys take effect everywhere.
-constexpr int kFinalRefusalDivisor = 2;
-
-/// Answers readiness checks, and metrics at their path.
-class StatusHandler : public RequestHandler {
- public:
-  StatusHandler(std::function<bool()> ready, std::function<std::string()> metrics)
-      : ready_(std::move(ready)), metrics_(std::move(metrics)) {}
-
-  std::function<void()> onRequest(HttpRequest request, ResponseWriter writer) override {
-    if (request.target == kMetricsPath) {
-      HttpReply reply = textReply(kOk, "");
-      reply.body = metrics_();
-      writer.write(reply);
-    } else {
-      writer.write(ready_() ? textReply(kOk, "ready") : textReply(kUnavailable, "not ready"));
-    }
-    return nullptr;
-  }
-
- private:
-  std::function<bool()> ready_;
-  std::function<std::string()> metrics_;
-};
-
-/// Maximum age of the proof under which a key is accepted; empty if unbounded.
-std::optional<Duration> proofBoundFor(const GatewaySettings& settings) {
-  return settings.keyRevocationBound ? std::optional(*settings.keyRevocationBound - kProofMargin)
-                                     : std::nullopt;
-}
-
-ProverSettings proverSettings(const GatewaySettings& settings) {
-  ProverSettings prover;
-  prover.bound = proofBoundFor(settings).value_or(prover.bound);
-  return prover;
-}
-
-AuthorizationSettings authorizationSettings(const GatewaySettings& settings) {
-  return AuthorizationSettings{proofBoundFor(settings), settings.configurationBound / kFinalRefusalDivisor};
-}
-
-FollowerSettings followerSettings(const GatewaySettings& settings) {
-  FollowerSettings follower;
-  follower.state = stateSettingsFor(settings.leaveBound, settings.leafHeartbeat);
-  follower.prover = proverSettings(settings);
-  return follower;
-}
-
 class Gateway {
  public:
   Gateway(const GatewaySettings& settings, const HeaderNames& names, const SourceDialect& dialect,
-          SettingsReload reload)
+          const SettingsReader& read)
       : settings_(settings),
-        reload_(std::move(reload)),
+        read_(read),
         published_(emptyView()),
         proof_(std::make_shared<const ConfigurationProof>()),
         random_(std::random_device{}()),
@@ -148,16 +99,19 @@
         reloadTimer_(requestContext_),
         stabilizationTimer_(controlContext_) {}
 
+  /// Waits until all addresses are free.
+  ListenResult listen() {
+    return listenPatiently([this] { return tryListen(); }, [this] { return settingsChanged(); });
+  }
+
+  /// Call after `listen` has succeeded. Returns the exit code.
   int run() {
-    for (const std::string& problem : {callers_.listen(settings_.callerAddress),
-                                       status_.listen(settings_.readinessAddress), source_.start()}) {
-      if (!problem.empty()) {
-        log(LogLevel::kError, "not started", {{"problem", problem}});
-        return EXIT_FAILURE;
-      }
-    }
     log(LogLevel::kInfo, "started",
-        {{"name", settings_.name}, {"zone", settings_.zone}, {"callers", settings_.callerAddress.text()}});
+        {{"name", settings_.name},
+         {"zone", settings_.zone},
+         {"callers", settings_.callerAddress.text()},
+         {"descriptors", raiseDescriptorLimit()},
+         {"memory_mb", settings_.machine.memoryMegabytes}});
     requests_.setWarmupTolerance(settings_.warmup);
     requests_.setAuthorization(authorizationSettings(settings_));
     requests_.setQuotaTolerance(settings_.quota);
@@ -174,7 +128,7 @@
     control.join();
     source_.stop();
     log(LogLevel::kInfo, "stopped", {{"name", settings_.name}});
-    return EXIT_SUCCESS;
+    return kExitOk;
   }
 
  private:
@@ -184,6 +138,28 @@
     return view;
   }
 
+  /// Listens at the addresses that are not held yet. Callers come last, since they are accepted only once
+  /// all is in place. Returns an error message, or an empty string.
+  std::string tryListen() {
+    std::string problem = peersStarted_ ? std::string() : source_.start();
+    if (!problem.empty()) {
+      return problem;
+    }
+    peersStarted_ = true;
+    problem = statusListening_ ? std::string() : status_.listen(settings_.readinessAddress);
+    if (!problem.empty()) {
+      return problem;
+    }
+    statusListening_ = true;
+    return callers_.listen(settings_.callerAddress);
+  }
+
+  bool settingsChanged() const {
+    const auto current = read_();
+    const auto* usable = std::get_if<GatewaySettings>(&current);
+    return usable != nullptr && describe(*usable) != describe(settings_);
+  }
+
   /// On the control thread.
   void onView() {
     const bool complete = source_.complete();
@@ -318,11 +294,16 @@
   }
 
   void reload() {
-    const auto reloaded = reload_();
-    if (!reloaded || describe(*reloaded) == describe(settings_)) {
+    const auto current = read_();
+    if (const auto* error = std::get_if<SettingsError>(&current)) {
+      log(LogLevel::kError, "settings refused", {{"problem", error->text}});
+      return;
+    }
+    const auto& reloaded = std::get<GatewaySettings>(current);
+    if (describe(reloaded) == describe(settings_)) {
       return;
     }
-    settings_ = *reloaded;
+    settings_ = reloaded;
     retryShare_.setTotal(settings_.retryLimit);
     retryBudgets_.setLimit(retryShare_.limit());
     ownerRetryShare_.setTotal(settings_.retryLimit);
@@ -330,9 +311,9 @@
     requests_.setAuthorization(authorizationSettings(settings_));
     requests_.setQuotaTolerance(settings_.quota);
     ownerRetryBudgets_.setLimit(ownerRetryShare_.limit());
-    boost::asio::post(controlContext_, [this, reloaded = settings_] {
-      source_.reload(reloaded.sourceAddress, reloaded.seeds, capacityOf(reloaded.machine),
-                     proverSettings(reloaded));
+    boost::asio::post(controlContext_, [this, changed = settings_] {
+      source_.reload(changed.sourceAddress, changed.seeds, capacityOf(changed.machine),
+                     proverSettings(changed));
     });
     log(LogLevel::kInfo, "settings reloaded", {{"name", settings_.name}});
   }
@@ -381,7 +362,7 @@
   }
 
   GatewaySettings settings_;
-  SettingsReload reload_;
+  SettingsReader read_;
   boost::asio::io_context requestContext_{1};
   boost::asio::io_context controlContext_{1};
   Published<ServingView> published_;
@@ -404,6 +385,8 @@
   boost::asio::steady_timer reloadTimer_;
   boost::asio::steady_timer stabilizationTimer_;
   FollowerCounters sourceCounters_;
+  bool peersStarted_ = false;
+  bool statusListening_ = false;
   std::size_t daemons_ = 1;
   /// In hundredths of a core.
   std::uint64_t fleetCapacity_ = 0;
@@ -420,9 +403,29 @@
 
 }  // namespace
 
-int runGateway(const GatewaySettings& settings, const HeaderNames& names, const SourceDialect& dialect,
-               const SettingsReload& reload) {
-  return Gateway(settings, names, dialect, reload).run();
+int runGateway(const SettingsReader& read, const HeaderNames& names, const SourceDialect& dialect) {
+  while (true) {
+    const auto settings = awaitSettings(read);
+    if (const auto* error = std::get_if<SettingsError>(&settings)) {
+      log(LogLevel::kError, "settings refused", {{"problem", error->text}});
+      return kExitUsage;
+    }
+    if (std::holds_alternative<StopRequested>(settings)) {
+      log(LogLevel::kInfo, "stopped before the start");
+      return kExitOk;
+    }
+    Gateway gateway(std::get<GatewaySettings>(settings), names, dialect, read);
+    switch (gateway.listen()) {
+      case ListenResult::kListening:
+        return gateway.run();
+      case ListenResult::kStopRequested:
+        log(LogLevel::kInfo, "stopped before the start");
+        return kExitOk;
+      case ListenResult::kSettingsChanged:
+        log(LogLevel::kInfo, "settings changed before the start");
+        break;
+    }
+  }
 }
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -50,6 +50,13 @@
   QuotaTolerance quota;
 };
 
+/// Why settings cannot be used, for operators.
+struct SettingsError {
+  std::string text;
+  /// The settings are missing or incomplete, so that their writer may not be done with them.
+  bool mayBeIncomplete = false;
+};
+
 /// One line per setting; the unit is part of the name.
 std::string describe(const GatewaySettings& settings);
 /// Returns all validation errors as readable messages; empty if the settings are valid.
--- a/src/transport/serving/http_service.cpp
+++ b/src/transport/serving/http_service.cpp
@@ -44,7 +44,10 @@
     acceptor_.listen(kListenBacklog, error);
   }
   if (error) {
-    return "cannot listen at " + address.text() + ": " + error.message();
+    const std::string problem = "cannot listen at " + address.text() + ": " + error.message();
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    return problem;
   }
   accept();
   return {};
--- a/src/transport/serving/http_service.h
+++ b/src/transport/serving/http_service.h
@@ -50,6 +50,7 @@
   ~HttpService();
 
   /// Returns an error message if the service cannot listen at the address, otherwise an empty string.
+  /// May be called again after an error.
   std::string listen(const Endpoint& address);
   void setLimits(const RequestLimits& limits) { limits_ = limits; }
   const RequestLimits& limits() const { return limits_; }
