Bound every part of a leaf's reply, and the replies of all leafs together

What callers saw: a leaf that sends a chunk's size, its extension or a trailer without end took a gateway of 260 MB to 498, 506 and 254 MB within 2 s, and 30 requests to a leaf whose bodies do not end to 148 MB, with no bound on their sum: the machine ends a process over its memory. A trailer field of 66,000 bytes ended the process (std::length_error, SIGABRT).

Cause: the parser bounds headers and bodies only; the framing of chunks stays in the buffer until it is complete. Its field storage throws beyond 64 KB. And each reply was bounded for itself, at 16 MiB.

Change: at most 64 KiB stay unparsed, 1 MiB of a reply may be framing, 32 interim replies and 8 replies to other requests may come before the one that is due; beyond that, or when the parser throws, the reply is broken and the request goes on at once, where it waited for its deadline before. ReplyMemory counts replies above 16 KiB on all connections, unfinished and in use; the unfinished one that takes the most is given up first, so that a leaf that sends without end loses its own reply and not those of others.

--- a/src/transport/serving/leaf_connection.cpp
+++ b/src/transport/serving/leaf_connection.cpp
@@ -1,5 +1,6 @@
 #include "transport/serving/leaf_connection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -14,11 +15,20 @@
 /// A leaf that has reached its connection limit accepts further connections and resets them immediately. A
 /// new connection is used only after this time, so that no request is lost to such a reset.
 constexpr Duration kEarlyResetWindow = std::chrono::microseconds(2500);
+/// A leaf may repeat a reply or two; one that sends replies to other requests without end answers nothing.
+constexpr unsigned kMaxForeignReplies = 8;
 
 }  // namespace
 
-LeafConnection::LeafConnection(boost::asio::io_context& context, const Endpoint& address, Listener listener)
-    : socket_(context), connectTimer_(context), address_(address), listener_(std::move(listener)) {}
+LeafConnection::LeafConnection(boost::asio::io_context& context, const Endpoint& address,
+                               std::shared_ptr<ReplyMemory> memory, Listener listener)
+    : socket_(context),
+      connectTimer_(context),
+      address_(address),
+      memory_(std::move(memory)),
+      listener_(std::move(listener)) {}
+
+LeafConnection::~LeafConnection() { memory_->hold(*this, 0); }
 
 void LeafConnection::open(Duration timeout) {
   auto self = shared_from_this();
@@ -62,6 +72,8 @@
 
 void LeafConnection::exchange(std::string bytes, bool isHead, ReplyFilter filter) {
   state_ = State::kBusy;
+  ++exchange_;
+  foreignReplies_ = 0;
   isHead_ = isHead;
   filter_ = std::move(filter);
   outgoing_ = std::move(bytes);
@@ -79,6 +91,7 @@
 
 void LeafConnection::close() {
   state_ = State::kClosed;
+  memory_->hold(*this, 0);
   listener_ = nullptr;
   filter_ = nullptr;
   connectTimer_.cancel();
@@ -115,9 +128,10 @@
   } else if (!error) {
     state = reader_.advance();
   }
-  if (state == ReplyReader::State::kBroken) {
+  const bool needsMore = state == ReplyReader::State::kNeedsMore;
+  if (state == ReplyReader::State::kBroken || (needsMore && !memory_->hold(*this, reader_.heldBytes()))) {
     onConnectionLost(error);
-  } else if (state == ReplyReader::State::kNeedsMore) {
+  } else if (needsMore) {
     read();
   } else {
     onReply();
@@ -125,18 +139,13 @@
 }
 
 void LeafConnection::onReply() {
-  auto reply = std::make_shared<const HttpReply>(reader_.take());
+  HttpReply received = reader_.take();
   const bool reusable = reader_.keepAlive() && !writing_;
-  if (!filter_(*reply)) {
-    // A duplicate reply to an earlier request; the expected one may follow.
-    if (!reusable) {
-      fail();
-      return;
-    }
-    reader_.begin(isHead_);
-    onRead({}, 0);
+  if (!filter_(received)) {
+    skipForeignReply(reusable);
     return;
   }
+  const auto reply = memory_->keepFinished(*this, std::move(received));
   auto self = shared_from_this();
   auto listener = listener_;
   filter_ = nullptr;
@@ -146,7 +155,25 @@
   } else {
     close();
   }
-  listener(*this, Event::kReplied, std::move(reply));
+  listener(*this, Event::kReplied, reply);
+}
+
+void LeafConnection::skipForeignReply(bool reusable) {
+  if (!reusable || ++foreignReplies_ > kMaxForeignReplies) {
+    fail();
+    return;
+  }
+  reader_.begin(isHead_);
+  onRead({}, 0);
+}
+
+void LeafConnection::giveUpReply() {
+  auto self = shared_from_this();
+  boost::asio::post(socket_.get_executor(), [self, exchange = exchange_] {
+    if (self->state_ == State::kBusy && self->exchange_ == exchange) {
+      self->fail();
+    }
+  });
 }
 
 void LeafConnection::onConnectionLost(const boost::system::error_code& error) {
--- a/src/transport/serving/leaf_connection.h
+++ b/src/transport/serving/leaf_connection.h
@@ -10,11 +10,12 @@
 
 #include "state/endpoint.h"
 #include "state/time.h"
+#include "transport/serving/reply_memory.h"
 #include "transport/serving/reply_reader.h"
 
 namespace oakpier::serving {
 
-class LeafConnection : public std::enable_shared_from_this<LeafConnection> {
+class LeafConnection : public std::enable_shared_from_this<LeafConnection>, private ReplyMemory::Receiver {
  public:
   /// Result of an exchange or of opening the connection.
   enum class Event {
@@ -30,7 +31,11 @@
   /// Returns whether a reply answers the request in progress; other replies are discarded.
   using ReplyFilter = std::function<bool(const HttpReply&)>;
 
-  LeafConnection(boost::asio::io_context& context, const Endpoint& address, Listener listener);
+  LeafConnection(boost::asio::io_context& context, const Endpoint& address,
+                 std::shared_ptr<ReplyMemory> memory, Listener listener);
+  LeafConnection(const LeafConnection&) = delete;
+  LeafConnection& operator=(const LeafConnection&) = delete;
+  ~LeafConnection() override;
 
   void open(Duration timeout);
   /// Sends the request `bytes`. Call only when idle.
@@ -58,6 +63,9 @@
   void read();
   void onRead(const boost::system::error_code& error, std::size_t count);
   void onReply();
+  /// Discards a reply that answers another request, and goes on with what follows it.
+  void skipForeignReply(bool reusable);
+  void giveUpReply() override;
   /// Closes the connection; the request in progress gets no reply on it.
   void onConnectionLost(const boost::system::error_code& error);
   void fail();
@@ -65,11 +73,16 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer connectTimer_;
   Endpoint address_;
+  std::shared_ptr<ReplyMemory> memory_;
   Listener listener_;
   State state_ = State::kConnecting;
   ReplyReader reader_;
   ReplyFilter filter_;
   std::string outgoing_;
+  /// Number of exchanges on the connection.
+  std::uint64_t exchange_ = 0;
+  /// Replies to other requests that were received during the current exchange.
+  unsigned foreignReplies_ = 0;
   bool writing_ = false;
   bool reading_ = false;
   bool isHead_ = false;
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -106,6 +106,9 @@
   void retain(const std::function<RetainMode(const LeafIncarnation& leaf)>& modeOf);
 
   const LeafPoolCounters& counters() const { return counters_; }
+  /// Memory of the replies on all connections.
+  ReplyMemory& replyMemory() { return *replyMemory_; }
+  const ReplyMemory& replyMemory() const { return *replyMemory_; }
 
  private:
   struct Channel;
@@ -148,6 +151,8 @@
 
   boost::asio::io_context& context_;
   const HeaderNames& names_;
+  /// Shared with the connections, which pending handlers may keep alive for longer than the pool.
+  std::shared_ptr<ReplyMemory> replyMemory_ = std::make_shared<ReplyMemory>();
   /// Keyed by incarnation: a connection to an earlier incarnation of a leaf carries no request for a later
   /// one.
   std::unordered_map<LeafIncarnation, ChannelPointer, LeafIncarnationHash> channels_;
--- a/src/transport/serving/reply_reader.cpp
+++ b/src/transport/serving/reply_reader.cpp
@@ -1,5 +1,6 @@
 #include "transport/serving/reply_reader.h"
 
+#include <stdexcept>
 #include <utility>
 
 namespace oakpier::serving {
@@ -11,26 +12,48 @@
 /// Larger replies are treated as broken, so that a faulty leaf or source cannot exhaust the memory.
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{16} * 1024 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+/// The parser bounds headers and bodies, but neither the size line, the extension nor the trailer of chunks,
+/// which stay in the buffer until they are complete.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes;
+/// All bytes of a reply that do not belong to its body. Many chunks may each have a short extension.
+constexpr std::size_t kMaxFramingBytes = std::size_t{1024} * 1024;
+constexpr unsigned kMaxInterimReplies = 32;
 constexpr unsigned kFirstFinalStatus = 200;
 
 }  // namespace
 
 void ReplyReader::begin(bool isHeadRequest) {
   isHeadRequest_ = isHeadRequest;
+  interimReplies_ = 0;
+  beginMessage();
+}
+
+void ReplyReader::beginMessage() {
+  consumed_ = 0;
   parser_.emplace();
   parser_->eager(true);
-  parser_->skip(isHeadRequest);
+  parser_->skip(isHeadRequest_);
   parser_->body_limit(kMaxBodyBytes);
   parser_->header_limit(kMaxHeaderBytes);
 }
 
 ReplyReader::State ReplyReader::advance() {
+  try {
+    return parse();
+  } catch (const std::length_error&) {
+    // The parser throws for a header field that is longer than it can store, which a trailer may contain.
+    return State::kBroken;
+  }
+}
+
+ReplyReader::State ReplyReader::parse() {
   while (buffer_.size() > 0 && !parser_->is_done()) {
     boost::system::error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
+    consumed_ += used;
     if (error == http::error::need_more) {
-      return State::kNeedsMore;
+      break;
     }
     if (error) {
       return State::kBroken;
@@ -39,7 +62,16 @@
       break;
     }
   }
-  return parser_->is_done() ? finishMessage() : State::kNeedsMore;
+  if (parser_->is_done()) {
+    return finishMessage();
+  }
+  const bool framingTooLong =
+      buffer_.size() > kMaxUnparsedBytes || consumed_ > parser_->get().body().size() + kMaxFramingBytes;
+  return framingTooLong ? State::kBroken : State::kNeedsMore;
+}
+
+std::size_t ReplyReader::heldBytes() const {
+  return buffer_.capacity() + (parser_ ? parser_->get().body().capacity() : 0);
 }
 
 ReplyReader::State ReplyReader::onEof() {
@@ -53,8 +85,11 @@
 
 ReplyReader::State ReplyReader::finishMessage() {
   if (parser_->get().result_int() < kFirstFinalStatus) {
-    begin(isHeadRequest_);
-    return advance();
+    if (++interimReplies_ > kMaxInterimReplies) {
+      return State::kBroken;
+    }
+    beginMessage();
+    return parse();
   }
   keepAlive_ = parser_->keep_alive();
   return State::kComplete;
