Refuse callers' header fields that the parser cannot store

What callers saw: one request with a trailer field of 66,000 bytes ended the gateway that read it (std::length_error out of the event loop, SIGABRT), and with it all requests at work there. A header longer than 64 KiB was not read on though the operator's limit allowed it, and answered 408 after the header's timeout; a chunk's extension without end the same.

Cause: the parser throws where it cannot store a field, which its limit on headers does not count for trailers; and reading stopped at the bound for pipelined requests also within a request.

Change: what the parser throws is a header beyond the limit, 431; so is what stays unparsed beyond the larger of the operator's limit and 64 KiB; within a request reading goes on up to there.

--- a/src/transport/serving/http_session.cpp
+++ b/src/transport/serving/http_session.cpp
@@ -1,7 +1,9 @@
 #include "transport/serving/http_session.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
+#include <stdexcept>
 #include <utility>
 
 #include "protocol/serving/caller_messages.h"
@@ -89,7 +91,8 @@
 }
 
 void HttpSession::read() {
-  if (reading_ || inputClosed_ || state_ == State::kClosed || buffer_.size() >= kMaxPipelinedBytes) {
+  const bool bufferFull = state_ != State::kReadingRequest && buffer_.size() >= kMaxPipelinedBytes;
+  if (reading_ || inputClosed_ || state_ == State::kClosed || bufferFull) {
     return;
   }
   reading_ = true;
@@ -136,8 +139,7 @@
       armTimer(service_->limits().headerTimeout);
     }
     boost::system::error_code error;
-    const std::size_t used = parser_->put(buffer_.data(), error);
-    buffer_.consume(used);
+    const std::size_t used = parseSome(error);
     if (error == http::error::need_more) {
       break;
     }
@@ -153,12 +155,28 @@
     serve();
     return;
   }
+  if (buffer_.size() > std::max(service_->limits().headerBytes, kMaxPipelinedBytes)) {
+    onParseError(http::make_error_code(http::error::header_limit));
+    return;
+  }
   if (parser_->is_header_done()) {
     sendContinue();
   }
   read();
 }
 
+std::size_t HttpSession::parseSome(boost::system::error_code& error) {
+  try {
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    return used;
+  } catch (const std::length_error&) {
+    // The parser throws for a header field that is longer than it can store, which a trailer may contain.
+    error = http::make_error_code(http::error::header_limit);
+    return 0;
+  }
+}
+
 void HttpSession::sendContinue() {
   if (continueSent_ || parser_->get()[http::field::expect] != "100-continue") {
     return;
--- a/src/transport/serving/http_session.h
+++ b/src/transport/serving/http_session.h
@@ -53,6 +53,8 @@
   /// Moves the first `count` bytes of `input_` to the end of `buffer_`.
   void bufferInput(std::size_t count);
   void parse();
+  /// Parses the beginning of the buffer; returns the number of bytes consumed.
+  std::size_t parseSome(boost::system::error_code& error);
   void onParseError(const boost::system::error_code& error);
   void sendContinue();
   void serve();
--- a/tests/serving/transport/http_service_test.cpp
+++ b/tests/serving/transport/http_service_test.cpp
@@ -343,4 +343,37 @@
   }
 }
 
+TEST_CASE("a request field that the parser cannot store is refused", "[serving]") {
+  constexpr std::size_t kFieldBytes = 65534;
+  ServiceWorld world;
+  RawClient client(world.context, world.address);
+  client.write("PUT /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: " +
+               std::string(kFieldBytes, 'x') + "\r\n\r\n");
+  world.awaitText(client, "HTTP/1.1 431");
+  REQUIRE(world.handler.requests.empty());
+}
+
+TEST_CASE("a chunk's extension without end is refused", "[serving]") {
+  constexpr std::size_t kExtensionBytes = 80000;
+  ServiceWorld world;
+  RawClient client(world.context, world.address);
+  client.write("PUT /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;a=" +
+               std::string(kExtensionBytes, 'x'));
+  world.awaitText(client, "HTTP/1.1 431");
+}
+
+TEST_CASE("a request header as long as the limit allows is read", "[serving]") {
+  ServiceWorld world;
+  RequestLimits limits;
+  limits.headerBytes = std::size_t{256} * 1024;
+  world.service.setLimits(limits);
+  std::string bytes = "GET /x HTTP/1.1\r\nHost: h\r\n";
+  while (bytes.size() < limits.headerBytes / 2) {
+    bytes += "A: " + std::string(1000, 'x') + "\r\n";
+  }
+  RawClient client(world.context, world.address);
+  client.write(bytes + "\r\n");
+  world.awaitRequests(1);
+}
+
 }  // namespace oakpier::serving
