Say why a process ends, and let a handler that throws end alone

What callers saw: any exception that no code expected, on any thread, ended the process without a line in its log; so did a fault in memory.

Cause: nothing stood between a library that throws in a handler and the end of the process.

Change, one of two answers for each loop (event_loop.h): a handler of the request thread serves one connection or request and ends alone, with a line "handler failed" and oakpier_gateway_handler_failures_total; more than 100 in a minute end the process with status 70. A handler of the control thread is a step of one state machine, which would stop following without a word: it ends the process with status 70, after its line is flushed.

--- a/src/programs/common/exit_codes.h
+++ b/src/programs/common/exit_codes.h
@@ -12,4 +12,7 @@
 /// The peer, platform or daemon could not be reached.
 inline constexpr int kExitUnreachable = 3;
 
+/// The program found its own state broken; its log says why.
+inline constexpr int kExitInternalError = 70;
+
 }  // namespace oakpier
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -16,6 +16,7 @@
 #include "programs/common/logging.h"
 #include "programs/common/process_environment.h"
 #include "programs/gateway/derived_settings.h"
+#include "programs/gateway/event_loop.h"
 #include "programs/gateway/request_gateway.h"
 #include "programs/gateway/source_synchronizer.h"
 #include "programs/gateway/status_handler.h"
@@ -122,11 +123,14 @@
     scheduleReload();
     scheduleStabilization();
     const auto keepRunning = boost::asio::make_work_guard(controlContext_);
-    std::thread control([this] { controlContext_.run(); });
-    requestContext_.run();
+    std::thread control([this] { runOrEndProcess(controlContext_, "control"); });
+    const bool stopped = runIsolatingFailures(requestContext_, "requests", handlerFailures_);
     controlContext_.stop();
     control.join();
     source_.stop();
+    if (!stopped) {
+      return kExitInternalError;
+    }
     log(LogLevel::kInfo, "stopped", {{"name", settings_.name}});
     return kExitOk;
   }
@@ -245,27 +249,28 @@
     for (const auto& [service, entries] : *view->leafs) {
       leafs += entries.size();
     }
-    return metricsText(GatewayMetrics{requests_.counters(),
-                                      requests_.poolCounters(),
-                                      requests_.ownerCounters(),
-                                      requests_.partsServed(),
-                                      requests_.mergeCounters(),
-                                      requests_.partsMerged(),
-                                      source_.peerCounters(),
-                                      sourceCounters_,
-                                      view->configuration ? view->configuration->version : 0,
-                                      leafs,
-                                      daemons_,
-                                      requests_.quarantinedRequests(),
-                                      isReady(),
-                                      requests_.logLinesSuppressed(),
-                                      droppedLogLines(),
-                                      capacityOf(settings_.machine),
-                                      fleetCapacity_,
-                                      view->tenants ? view->tenants->keyCount() : 0,
-                                      proofAgeSeconds(),
-                                      requests_.quotaMetrics(),
-                                      ProcessMetrics{unwrittenLogLines(), raiseDescriptorLimit()}});
+    return metricsText(GatewayMetrics{
+        requests_.counters(),
+        requests_.poolCounters(),
+        requests_.ownerCounters(),
+        requests_.partsServed(),
+        requests_.mergeCounters(),
+        requests_.partsMerged(),
+        source_.peerCounters(),
+        sourceCounters_,
+        view->configuration ? view->configuration->version : 0,
+        leafs,
+        daemons_,
+        requests_.quarantinedRequests(),
+        isReady(),
+        requests_.logLinesSuppressed(),
+        droppedLogLines(),
+        capacityOf(settings_.machine),
+        fleetCapacity_,
+        view->tenants ? view->tenants->keyCount() : 0,
+        proofAgeSeconds(),
+        requests_.quotaMetrics(),
+        ProcessMetrics{unwrittenLogLines(), handlerFailures_.total(), raiseDescriptorLimit()}});
   }
 
   void awaitSignal() {
@@ -387,6 +392,7 @@
   FollowerCounters sourceCounters_;
   bool peersStarted_ = false;
   bool statusListening_ = false;
+  HandlerFailures handlerFailures_;
   std::size_t daemons_ = 1;
   /// In hundredths of a core.
   std::uint64_t fleetCapacity_ = 0;
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -242,6 +242,8 @@
 void addProcess(FamilyList& list, const ProcessMetrics& process) {
   list.counter("log_lines_unwritten_total", "Log lines that could not be written to the output",
                process.logLinesUnwritten);
+  list.counter("handler_failures_total", "Handlers of the request thread that ended by an exception",
+               process.handlerFailures);
   list.gauge("descriptor_limit", "Descriptors that the process may have open",
              static_cast<double>(process.descriptorLimit));
 }
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -49,6 +49,8 @@
 /// What the process itself needs and has failed to get.
 struct ProcessMetrics {
   std::uint64_t logLinesUnwritten = 0;
+  /// Handlers of the request thread that ended by an exception.
+  std::uint64_t handlerFailures = 0;
   std::size_t descriptorLimit = 0;
 };
 
