Keep a daemon without free descriptors, and reach any number of peers

What callers would see: a daemon whose descriptors are all held, by callers' connections for one, ended when it needed a socket to a new peer (zmq::error_t, "Too many open files", uncaught on the transport's thread); the same at the 1,024th peer used within a minute, the library's own limit on sockets. With 16 descriptors it ended by an assertion inside the library.

Cause: calls into ZeroMQ throw, and nobody handled it; nothing kept a reserve.

Change: a socket that cannot be had makes its frame undeliverable and is counted; at most maxPeers peers are connected to, the least recently used one makes room; the library may have as many sockets as that needs; before the library starts, 16 descriptors are tried, since it asserts otherwise, and the start is tried again. The transport's thread takes no signals.

Evidence: three tests in peer_transport_test.

--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -1,11 +1,15 @@
 #include "transport/peer_transport.h"
 
 #include <poll.h>
+#include <pthread.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <csignal>
 #include <deque>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 #include <zmq.hpp>
@@ -32,6 +36,33 @@
 constexpr std::chrono::milliseconds kPollTime(100);
 constexpr std::chrono::milliseconds kPollTimeWhilePending(2);
 constexpr int kMaxFramesPerIteration = 256;
+/// The library ends the process if it finds no descriptor for its own threads.
+constexpr int kDescriptorsToStart = 16;
+/// Sockets of the library besides those to peers.
+constexpr int kOtherSockets = 8;
+
+/// Whether this many more descriptors can be opened at present.
+bool canOpenDescriptors(int count) {
+  std::vector<int> opened;
+  while (static_cast<int>(opened.size()) < count) {
+    const int descriptor = eventfd(0, EFD_CLOEXEC);
+    if (descriptor < 0) {
+      break;
+    }
+    opened.push_back(descriptor);
+  }
+  for (const int descriptor : opened) {
+    close(descriptor);
+  }
+  return static_cast<int>(opened.size()) == count;
+}
+
+/// Signals are handled by the thread of the program's event loop, and interrupt no call of the library here.
+void blockAllSignals() {
+  sigset_t signals;
+  sigfillset(&signals);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
 
 }  // namespace
 
@@ -63,8 +94,11 @@
   explicit Loop(PeerTransport& owner)
       : owner_(owner),
         context_(kIoThreads),
-        receiver_(context_, zmq::socket_type::pull),
-        wake_(eventfd(0, EFD_NONBLOCK)) {
+        receiver_(contextWithSockets(owner.maxPeers_), zmq::socket_type::pull),
+        wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (wake_ < 0) {
+      throw std::runtime_error("no descriptor is free");
+    }
     receiver_.set(zmq::sockopt::linger, 0);
     receiver_.set(zmq::sockopt::rcvhwm, kHighWaterMark * kIoThreads);
     receiver_.set(zmq::sockopt::maxmsgsize, kMaxFrameBytes);
@@ -78,6 +112,7 @@
   ~Loop() { close(wake_); }
 
   void run() {
+    blockAllSignals();
     while (!stopping_) {
       const Readable readable = awaitReadable();
       if (readable.wake) {
@@ -126,6 +161,14 @@
     bool failing = false;
   };
 
+  /// The context, prepared for sockets to this many peers, and as many that are being closed.
+  zmq::context_t& contextWithSockets(std::size_t peers) {
+    context_.set(zmq::ctxopt::max_sockets, static_cast<int>(2 * peers) + kOtherSockets);
+    return context_;
+  }
+
+  using PeerMap = std::unordered_map<Endpoint, Peer>;
+
   struct Readable {
     bool receiver = false;
     bool wake = false;
@@ -155,7 +198,7 @@
   void receiveFrames() {
     for (int count = 0; count < kMaxFramesPerIteration; ++count) {
       zmq::message_t message;
-      if (!receiver_.recv(message, zmq::recv_flags::dontwait)) {
+      if (!receive(message)) {
         return;
       }
       PeerEnvelope envelope;
@@ -180,6 +223,16 @@
     wake();
   }
 
+  /// Returns false if no frame is there.
+  bool receive(zmq::message_t& message) {
+    try {
+      return receiver_.recv(message, zmq::recv_flags::dontwait).has_value();
+    } catch (const zmq::error_t&) {
+      // Interrupted; the next poll finds what is there.
+      return false;
+    }
+  }
+
   void sendFrames() {
     std::vector<Frame> frames;
     {
@@ -188,21 +241,29 @@
     }
     const Moment now = steadyNow();
     for (auto& frame : frames) {
-      Peer& peer = peerOf(frame.to);
-      peer.usedAt = now;
-      if (peer.pending.empty() && trySend(peer, frame)) {
-        peer.failing = false;
-        continue;
-      }
-      if (peer.pending.size() >= kMaxPendingFrames) {
-        peer.failing = true;
+      Peer* const peer = peerOf(frame.to);
+      if (peer == nullptr) {
         fail(frame);
         continue;
       }
-      frame.expiresAt = now + kConnectGrace;
-      peer.pending.push_back(std::move(frame));
-      ++pendingFrames_;
+      send(*peer, std::move(frame), now);
+    }
+  }
+
+  void send(Peer& peer, Frame frame, Moment now) {
+    peer.usedAt = now;
+    if (peer.pending.empty() && trySend(peer, frame)) {
+      peer.failing = false;
+      return;
     }
+    if (peer.pending.size() >= kMaxPendingFrames) {
+      peer.failing = true;
+      fail(frame);
+      return;
+    }
+    frame.expiresAt = now + kConnectGrace;
+    peer.pending.push_back(std::move(frame));
+    ++pendingFrames_;
   }
 
   /// Called for each received frame. If the sender has restarted or the last frame to it was undeliverable,
@@ -217,19 +278,47 @@
       return;
     }
     ++owner_.counters_.reconnections;
+    closePeer(peer);
+  }
+
+  /// Closes the connection; pending frames are undeliverable.
+  void closePeer(PeerMap::iterator peer) {
     pendingFrames_ -= peer->second.pending.size();
-    std::deque<Frame> pending = std::move(peer->second.pending);
+    const std::deque<Frame> pending = std::move(peer->second.pending);
     peers_.erase(peer);
     for (const Frame& frame : pending) {
       fail(frame);
     }
   }
 
-  Peer& peerOf(const Endpoint& to) {
+  /// Returns nothing if the process has no descriptor for a socket to the peer.
+  Peer* peerOf(const Endpoint& to) {
     const auto found = peers_.find(to);
     if (found != peers_.end()) {
-      return found->second;
+      return &found->second;
+    }
+    if (peers_.size() >= owner_.maxPeers_) {
+      closeLeastRecentlyUsed();
     }
+    try {
+      return &connect(to);
+    } catch (const zmq::error_t&) {
+      ++owner_.counters_.socketsFailed;
+      return nullptr;
+    }
+  }
+
+  void closeLeastRecentlyUsed() {
+    const auto oldest = std::min_element(
+        peers_.begin(), peers_.end(),
+        [](const auto& left, const auto& right) { return left.second.usedAt < right.second.usedAt; });
+    if (oldest != peers_.end()) {
+      ++owner_.counters_.socketsReplaced;
+      closePeer(oldest);
+    }
+  }
+
+  Peer& connect(const Endpoint& to) {
     Peer peer{zmq::socket_t(context_, zmq::socket_type::push), {}, {}, false};
     peer.socket.set(zmq::sockopt::linger, 0);
     peer.socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
@@ -243,7 +332,12 @@
   }
 
   bool trySend(Peer& peer, const Frame& frame) {
-    if (!peer.socket.send(zmq::buffer(frame.bytes), zmq::send_flags::dontwait)) {
+    try {
+      if (!peer.socket.send(zmq::buffer(frame.bytes), zmq::send_flags::dontwait)) {
+        return false;
+      }
+    } catch (const zmq::error_t&) {
+      // Not sent: retried while the frame is pending, as when the peer is not connected.
       return false;
     }
     ++owner_.counters_.framesSent;
@@ -305,7 +399,7 @@
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::vector<Frame> outgoing_;
-  std::unordered_map<Endpoint, Peer> peers_;
+  PeerMap peers_;
   /// Incarnation of the process that last sent a frame from each address.
   std::unordered_map<Endpoint, std::uint64_t> incarnations_;
   std::size_t pendingFrames_ = 0;
@@ -313,12 +407,16 @@
   FrameAge age_;
 };
 
-PeerTransport::PeerTransport(const Endpoint& listen, Handlers handlers)
-    : listen_(listen), handlers_(std::move(handlers)) {}
+PeerTransport::PeerTransport(const Endpoint& listen, Handlers handlers, std::size_t maxPeers)
+    : listen_(listen), handlers_(std::move(handlers)), maxPeers_(std::max<std::size_t>(1, maxPeers)) {}
 
 PeerTransport::~PeerTransport() { stop(); }
 
 std::string PeerTransport::start() {
+  if (!canOpenDescriptors(kDescriptorsToStart)) {
+    return "cannot listen on " + listen_.text() + ": fewer than " + std::to_string(kDescriptorsToStart) +
+           " descriptors are free";
+  }
   try {
     loop_ = std::make_unique<Loop>(*this);
   } catch (const std::exception& problem) {
--- a/src/transport/peer_transport.h
+++ b/src/transport/peer_transport.h
@@ -2,6 +2,9 @@
 
 /// Frames between daemons over ZeroMQ: one PULL socket receives, one PUSH socket a peer sends. A frame is one
 /// serialized PeerEnvelope; it is sent at most once and never queued in the library for a disconnected peer.
+///
+/// Invariant: a socket that cannot be had makes a frame undeliverable and nothing else. The number of peers
+/// connected to is bounded; the least recently used one makes room for another.
 
 #include <array>
 #include <atomic>
@@ -38,6 +41,10 @@
   std::atomic<std::uint64_t> reconnections{0};
   std::atomic<std::uint64_t> framesStale{0};
   std::atomic<std::uint64_t> framesMalformed{0};
+  /// Sockets to peers for which the process had no descriptor.
+  std::atomic<std::uint64_t> socketsFailed{0};
+  /// Sockets closed in favour of another peer, as the maximum was reached.
+  std::atomic<std::uint64_t> socketsReplaced{0};
 };
 
 class PeerTransport {
@@ -49,12 +56,16 @@
     std::function<void(const Endpoint& to, PeerEnvelope envelope)> onUndeliverable;
   };
 
-  PeerTransport(const Endpoint& listen, Handlers handlers);
+  static constexpr std::size_t kDefaultMaxPeers = 1000;
+
+  /// `maxPeers`: the number of peers that are connected to at a time, each with up to three descriptors.
+  PeerTransport(const Endpoint& listen, Handlers handlers, std::size_t maxPeers = kDefaultMaxPeers);
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
   ~PeerTransport();
 
-  /// Returns an error message if the address cannot be bound, else an empty string.
+  /// Returns an error message if the address cannot be bound, else an empty string. May be called again after
+  /// an error.
   std::string start();
   void stop();
 
@@ -73,6 +84,7 @@
 
   Endpoint listen_;
   Handlers handlers_;
+  std::size_t maxPeers_;
   PeerTransportCounters counters_;
   std::unique_ptr<Loop> loop_;
   std::thread thread_;
--- a/tests/transport/peer_transport_test.cpp
+++ b/tests/transport/peer_transport_test.cpp
@@ -1,5 +1,9 @@
 #include "transport/peer_transport.h"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <condition_variable>
@@ -7,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 #include "support/free_endpoint.h"
 #include "support/stalling_proxy.h"
@@ -24,6 +29,25 @@
   return envelope;
 }
 
+/// While it exists, the process can open no descriptor.
+class NoFreeDescriptors {
+ public:
+  NoFreeDescriptors() {
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &limit_) == 0);
+    const int lowestFree = dup(STDERR_FILENO);
+    REQUIRE(lowestFree >= 0);
+    close(lowestFree);
+    const rlimit lowered{static_cast<rlim_t>(lowestFree), limit_.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+  }
+  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+  ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &limit_); }
+
+ private:
+  rlimit limit_{};
+};
+
 }  // namespace
 
 TEST_CASE("a frame to a disconnected peer is undeliverable and does not arrive later", "[transport]") {
@@ -151,4 +175,76 @@
   REQUIRE(sendUntilArrived('b'));
 }
 
+TEST_CASE("a process without free descriptors reaches a new peer once one is free", "[transport]") {
+  const Endpoint here = freeEndpoint();
+  const Endpoint there = freeEndpoint();
+  std::promise<void> arrived;
+  std::promise<void> failed;
+  std::atomic<bool> resend{false};
+  PeerTransport receiver(there, {[&](const PeerEnvelope&, bool) { arrived.set_value(); },
+                                 [](const Endpoint&, const PeerEnvelope&) {}});
+  REQUIRE(receiver.start().empty());
+  std::unique_ptr<PeerTransport> sender;
+  sender = std::make_unique<PeerTransport>(
+      here, PeerTransport::Handlers{[](const PeerEnvelope&, bool) {},
+                                    [&](const Endpoint& to, const PeerEnvelope& envelope) {
+                                      if (resend) {
+                                        sender->send(to, envelope);
+                                      } else {
+                                        failed.set_value();
+                                      }
+                                    }});
+  REQUIRE(sender->start().empty());
+  {
+    const NoFreeDescriptors none;
+    sender->send(there, workFrom(here, "early"));
+    failed.get_future().get();
+  }
+  REQUIRE(sender->counters().socketsFailed == 1);
+  resend = true;
+  sender->send(there, workFrom(here, "late"));
+  arrived.get_future().get();
+}
+
+TEST_CASE("a transport that finds no descriptors tells so and can be started again", "[transport]") {
+  PeerTransport transport(freeEndpoint(),
+                          {[](const PeerEnvelope&, bool) {}, [](const Endpoint&, const PeerEnvelope&) {}});
+  {
+    const NoFreeDescriptors none;
+    REQUIRE(transport.start().find("descriptors") != std::string::npos);
+  }
+  REQUIRE(transport.start().empty());
+}
+
+TEST_CASE("more peers than may be connected to are all reached", "[transport]") {
+  constexpr std::size_t kMaxPeers = 4;
+  constexpr std::size_t kPeers = 12;
+  const Endpoint here = freeEndpoint();
+  std::vector<std::promise<void>> arrivals(kPeers);
+  std::vector<std::unique_ptr<PeerTransport>> receivers;
+  std::vector<Endpoint> addresses;
+  for (std::size_t number = 0; number < kPeers; ++number) {
+    addresses.push_back(freeEndpoint());
+    receivers.push_back(std::make_unique<PeerTransport>(
+        addresses.back(), PeerTransport::Handlers{[&arrivals, number](const PeerEnvelope&, bool) {
+                                                    arrivals[number].set_value();
+                                                  },
+                                                  [](const Endpoint&, const PeerEnvelope&) {}}));
+    REQUIRE(receivers.back()->start().empty());
+  }
+  std::unique_ptr<PeerTransport> sender;
+  sender = std::make_unique<PeerTransport>(
+      here,
+      PeerTransport::Handlers{
+          [](const PeerEnvelope&, bool) {},
+          [&](const Endpoint& to, const PeerEnvelope& envelope) { sender->send(to, envelope); }},
+      kMaxPeers);
+  REQUIRE(sender->start().empty());
+  for (std::size_t number = 0; number < kPeers; ++number) {
+    sender->send(addresses[number], workFrom(here, "work"));
+    arrivals[number].get_future().get();
+  }
+  REQUIRE(sender->counters().socketsReplaced == kPeers - kMaxPeers);
+}
+
 }  // namespace oakpier
