Wait for expired timers in the tests of the decision timer

Traced: the tests polled the event loop once or twice and expected timers that had expired to be found.

The tests now run the loop until the handler that comes first has run, and poll once more before they check; the checks are the same.

--- a/tests/serving/programs/decision_timer_test.cpp
+++ b/tests/serving/programs/decision_timer_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 
+#include "serving/support/loopback.h"
 #include "transport/steady_clock.h"
 
 namespace oakpier::serving {
@@ -18,11 +19,18 @@
   // Both timers have expired, so that their handlers are queued together, in this order.
   boost::asio::steady_timer earlier(context);
   earlier.expires_at(std::chrono::steady_clock::now() - std::chrono::milliseconds(20));
-  earlier.async_wait([&timer](const boost::system::error_code&) { timer.arm(kNever, {}); });
+  bool disarmed = false;
+  earlier.async_wait([&](const boost::system::error_code&) {
+    timer.arm(kNever, {});
+    disarmed = true;
+  });
   auto request = std::make_shared<int>(0);
   const std::weak_ptr<int> observed = request;
   bool due = false;
   timer.arm(past, [&due, request = std::move(request)] { due = true; });
+  // The system reports an expired timer only after a moment, so a single poll may find none.
+  runUntil(context, [&] { return disarmed; });
+  context.restart();
   context.poll();
   REQUIRE_FALSE(due);
   REQUIRE(observed.expired());
@@ -39,7 +47,7 @@
     timer.arm(past - std::chrono::milliseconds(1), [&calls] { calls += 10; });
   });
   timer.arm(past, [&calls] { calls += 1; });
-  context.poll();
+  runUntil(context, [&] { return calls != 0; });
   context.restart();
   context.poll();
   REQUIRE(calls == 10);
