Leave descriptors and memory for all purposes of a gateway

What callers would see: with 128 descriptors and 200 connections of callers, a gateway answered no readiness check; 40 replies without end took it beyond the 130 MB of its machine. Requests that are being read had no bound on their sum either.

Cause: the machine's limits were told in the settings and shown only.

Change: processLimitsOf (machine_limits.h) divides the lower of the configured and the system's limit on descriptors: half for callers, three eighths for peers, the rest for leafs and files. Connections of callers beyond that are answered 503 with a time to come back, at once. A quarter of the memory is for replies of leafs, an eighth for requests that are being read; of these the largest is given up, with 503. Figures for each in the metrics. The planned stop has a file of its own (stop_sequence.h).

--- a/src/coordination/serving/machine_limits.h
+++ b/src/coordination/serving/machine_limits.h
@@ -28,6 +28,22 @@
 /// configured.
 unsigned capacityOf(const MachineLimits& limits);
 
+/// What one process may use, so that neither its descriptors nor its memory run out.
+struct ProcessLimits {
+  std::size_t callerConnections = 0;
+  /// Peers connected to at a time, each with up to three descriptors.
+  std::size_t peers = 0;
+  /// Memory of replies on all connections to leafs, in bytes.
+  std::size_t replyBytes = 0;
+  /// Memory of requests that are being read, in bytes.
+  std::size_t requestBytes = 0;
+};
+
+/// `descriptorLimit`: the system's limit on open descriptors of the process; the lower of it and the
+/// configured one counts. Callers get half of the descriptors and peers three eighths; the rest is for leafs
+/// and files.
+ProcessLimits processLimitsOf(const MachineLimits& limits, std::size_t descriptorLimit);
+
 /// Validates the processor and link limits. Returns one message per invalid limit, none if they are valid.
 std::vector<std::string> validationErrors(const MachineLimits& limits);
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -20,22 +20,14 @@
 #include "programs/gateway/request_gateway.h"
 #include "programs/gateway/source_synchronizer.h"
 #include "programs/gateway/status_handler.h"
-#include "protocol/serving/caller_messages.h"
+#include "programs/gateway/stop_sequence.h"
 #include "transport/steady_clock.h"
 
 namespace oakpier::serving {
 
 namespace {
 
-constexpr unsigned kGatewayTimeout = 504;
-/// Connections are accepted for this long after the stop signal, because callers connect until readiness
-/// checks have shown that this daemon is not ready.
-constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2600);
 constexpr Duration kReloadPeriod = std::chrono::seconds(5);
-constexpr Duration kStopCheck = std::chrono::milliseconds(50);
-/// Time reserved before the process would be killed: this share of the grace period, up to this maximum.
-constexpr double kStopReserveShare = 0.15;
-constexpr Duration kMaxStopReserve = std::chrono::milliseconds(800);
 /// Minimum number of owners of a shard (one per zone) that is assumed, and how many more may replace them
 /// within a budget window.
 constexpr std::size_t kDefaultOwners = 4;
@@ -77,7 +69,8 @@
         status_(requestContext_, statusHandler_),
         source_(controlContext_, settings.sourceAddress, dialect,
                 PeerMessengerSettings{settings.peerAddress, settings.zone, settings.seeds,
-                                      capacityOf(settings.machine)},
+                                      capacityOf(settings.machine),
+                                      processLimitsOf(settings.machine, raiseDescriptorLimit()).peers},
                 followerSettings(settings), published_, proof_,
                 {[this] { onView(); }, [this] { onProof(); },
                  [this](const DaemonGroup& daemons) { onDaemons(daemons); },
@@ -96,7 +89,7 @@
                                      [this, suspected] { requests_.setSuspectedDaemons(suspected); });
                  }}),
         signals_(requestContext_, SIGTERM, SIGINT, SIGHUP),
-        stopTimer_(requestContext_),
+        stopSequence_(requestContext_, callers_, requests_),
         reloadTimer_(requestContext_),
         stabilizationTimer_(controlContext_) {}
 
@@ -116,6 +109,7 @@
     requests_.setWarmupTolerance(settings_.warmup);
     requests_.setAuthorization(authorizationSettings(settings_));
     requests_.setQuotaTolerance(settings_.quota);
+    applyMachineLimits();
     requests_.setOnConfigurationNeeded(
         [this] { boost::asio::post(controlContext_, [this] { source_.onConfigurationNeeded(); }); });
     awaitSignal();
@@ -174,7 +168,7 @@
       if (view->configuration) {
         callers_.setLimits(view->configuration->limits);
       }
-      if (complete && !stopping_) {
+      if (complete && !stopSequence_.begun()) {
         ready_ = true;
       }
     });
@@ -249,28 +243,47 @@
     for (const auto& [service, entries] : *view->leafs) {
       leafs += entries.size();
     }
-    return metricsText(GatewayMetrics{
-        requests_.counters(),
-        requests_.poolCounters(),
-        requests_.ownerCounters(),
-        requests_.partsServed(),
-        requests_.mergeCounters(),
-        requests_.partsMerged(),
-        source_.peerCounters(),
-        sourceCounters_,
-        view->configuration ? view->configuration->version : 0,
-        leafs,
-        daemons_,
-        requests_.quarantinedRequests(),
-        isReady(),
-        requests_.logLinesSuppressed(),
-        droppedLogLines(),
-        capacityOf(settings_.machine),
-        fleetCapacity_,
-        view->tenants ? view->tenants->keyCount() : 0,
-        proofAgeSeconds(),
-        requests_.quotaMetrics(),
-        ProcessMetrics{unwrittenLogLines(), handlerFailures_.total(), raiseDescriptorLimit()}});
+    return metricsText(GatewayMetrics{requests_.counters(),
+                                      requests_.poolCounters(),
+                                      requests_.ownerCounters(),
+                                      requests_.partsServed(),
+                                      requests_.mergeCounters(),
+                                      requests_.partsMerged(),
+                                      source_.peerCounters(),
+                                      sourceCounters_,
+                                      view->configuration ? view->configuration->version : 0,
+                                      leafs,
+                                      daemons_,
+                                      requests_.quarantinedRequests(),
+                                      isReady(),
+                                      requests_.logLinesSuppressed(),
+                                      droppedLogLines(),
+                                      capacityOf(settings_.machine),
+                                      fleetCapacity_,
+                                      view->tenants ? view->tenants->keyCount() : 0,
+                                      proofAgeSeconds(),
+                                      requests_.quotaMetrics(),
+                                      processMetrics()});
+  }
+
+  ProcessMetrics processMetrics() const {
+    ProcessMetrics process;
+    process.logLinesUnwritten = unwrittenLogLines();
+    process.handlerFailures = handlerFailures_.total();
+    process.descriptorLimit = raiseDescriptorLimit();
+    process.callerConnections = callers_.connections();
+    process.callerConnectionsRejected = callers_.connectionsRejected();
+    process.replyBytes = requests_.replyMemory().used();
+    process.repliesGivenUp = requests_.replyMemory().givenUp();
+    process.requestsGivenUp = callers_.memory().givenUp();
+    return process;
+  }
+
+  void applyMachineLimits() {
+    const ProcessLimits limits = processLimitsOf(settings_.machine, raiseDescriptorLimit());
+    callers_.setMaxConnections(limits.callerConnections);
+    callers_.memory().setLimit(limits.requestBytes);
+    requests_.setReplyMemory(limits.replyBytes);
   }
 
   void awaitSignal() {
@@ -315,6 +328,7 @@
     requests_.setWarmupTolerance(settings_.warmup);
     requests_.setAuthorization(authorizationSettings(settings_));
     requests_.setQuotaTolerance(settings_.quota);
+    applyMachineLimits();
     ownerRetryBudgets_.setLimit(ownerRetryShare_.limit());
     boost::asio::post(controlContext_, [this, changed = settings_] {
       source_.reload(changed.sourceAddress, changed.seeds, capacityOf(changed.machine),
@@ -324,46 +338,13 @@
   }
 
   void stop() {
-    if (stopping_) {
+    if (stopSequence_.begun()) {
       return;
     }
     log(LogLevel::kInfo, "stopping", {{"in_progress", callers_.inProgress()}});
-    stopping_ = true;
     ready_ = false;
-    stopRequestedAt_ = steadyNow();
     boost::asio::post(controlContext_, [this] { source_.leave(); });
-    callers_.startClosing();
-    checkStop();
-  }
-
-  Duration stopReserve() const {
-    const auto share = static_cast<std::int64_t>(settings_.stopGrace.count() * kStopReserveShare);
-    return std::min(kMaxStopReserve, Duration(share));
-  }
-
-  void checkStop() {
-    const Duration passed = steadyNow() - stopRequestedAt_;
-    if (passed >= kAcceptAfterStop) {
-      callers_.stopAccepting();
-      const bool idle =
-          callers_.inProgress() == 0 && callers_.connections() == 0 && requests_.inProgressForPeers() == 0;
-      if (idle || requestsAborted_) {
-        requestContext_.stop();
-        return;
-      }
-      if (passed >= settings_.stopGrace - stopReserve()) {
-        log(LogLevel::kWarning, "stop grace period ending; answering open requests with 504",
-            {{"in_progress", callers_.inProgress()}});
-        callers_.answerAll(textReply(kGatewayTimeout, "no answer before this daemon had to stop"));
-        requestsAborted_ = true;
-      }
-    }
-    stopTimer_.expires_after(kStopCheck);
-    stopTimer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) {
-        checkStop();
-      }
-    });
+    stopSequence_.begin(settings_.stopGrace);
   }
 
   GatewaySettings settings_;
@@ -386,7 +367,7 @@
   HttpService status_;
   SourceSynchronizer source_;
   boost::asio::signal_set signals_;
-  boost::asio::steady_timer stopTimer_;
+  StopSequence stopSequence_;
   boost::asio::steady_timer reloadTimer_;
   boost::asio::steady_timer stabilizationTimer_;
   FollowerCounters sourceCounters_;
@@ -398,13 +379,9 @@
   std::uint64_t fleetCapacity_ = 0;
   /// Control thread only.
   DaemonGroup lastDaemons_;
-  bool stopping_ = false;
-  /// Requests in progress were answered with 504; the process stops at the next check.
-  bool requestsAborted_ = false;
   MembershipStabilization stabilization_{MembershipStabilizationSettings{}, steadyNow()};
   /// Membership has become stable; never reset. Control thread only.
   bool membershipStable_ = false;
-  Moment stopRequestedAt_{};
 };
 
 }  // namespace
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -181,6 +181,10 @@
 
 void addPeersAndSource(FamilyList& list, const GatewayMetrics& metrics) {
   list.bytesByKind(metrics.peers);
+  list.counter("peer_sockets_failed_total", "Sockets to daemons for which no descriptor was free",
+               metrics.peers.socketsFailed);
+  list.counter("peer_sockets_replaced_total", "Sockets closed in favour of another daemon",
+               metrics.peers.socketsReplaced);
   list.counter("peer_reconnections_total", "Connections made anew, as an unreachable daemon was heard",
                metrics.peers.reconnections);
   list.counter("source_calls_total", "Calls to the configuration source", metrics.source.calls);
@@ -246,6 +250,14 @@
                process.handlerFailures);
   list.gauge("descriptor_limit", "Descriptors that the process may have open",
              static_cast<double>(process.descriptorLimit));
+  list.gauge("caller_connections", "Connections of callers", static_cast<double>(process.callerConnections));
+  list.counter("caller_connections_rejected_total", "Connections of callers beyond the maximum",
+               process.callerConnectionsRejected);
+  list.gauge("reply_bytes", "Memory of large replies of leafs", static_cast<double>(process.replyBytes));
+  list.counter("replies_given_up_total", "Replies that took too much memory together with others",
+               process.repliesGivenUp);
+  list.counter("requests_given_up_total", "Requests refused while read, as they took too much memory",
+               process.requestsGivenUp);
 }
 
 }  // namespace
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -52,6 +52,14 @@
   /// Handlers of the request thread that ended by an exception.
   std::uint64_t handlerFailures = 0;
   std::size_t descriptorLimit = 0;
+  std::size_t callerConnections = 0;
+  /// Beyond the maximum number of connections.
+  std::uint64_t callerConnectionsRejected = 0;
+  /// Memory of large replies, in bytes.
+  std::size_t replyBytes = 0;
+  /// Replies and requests given up, as all of them together took too much memory.
+  std::uint64_t repliesGivenUp = 0;
+  std::uint64_t requestsGivenUp = 0;
 };
 
 /// Values of all metrics at one point in time. Refers to the counters of the gateway, which must outlive it.
--- a/src/programs/gateway/peer_messenger.cpp
+++ b/src/programs/gateway/peer_messenger.cpp
@@ -62,16 +62,18 @@
       handlers_(std::move(handlers)),
       membership_(settings.self, settings.zone, newIncarnation(), membershipSettings(),
                   RandomEngine(std::random_device{}())),
-      transport_(settings.self, {[this](PeerEnvelope envelope, bool stale) {
-                                   if (!stale) {
-                                     receive(std::move(envelope));
-                                   }
-                                 },
-                                 [this](const Endpoint&, PeerEnvelope envelope) {
-                                   if (isForRequestThread(envelope)) {
-                                     handlers_.onRequestFrameUndeliverable(std::move(envelope));
-                                   }
-                                 }}),
+      transport_(settings.self,
+                 {[this](PeerEnvelope envelope, bool stale) {
+                    if (!stale) {
+                      receive(std::move(envelope));
+                    }
+                  },
+                  [this](const Endpoint&, PeerEnvelope envelope) {
+                    if (isForRequestThread(envelope)) {
+                      handlers_.onRequestFrameUndeliverable(std::move(envelope));
+                    }
+                  }},
+                 settings.maxConnectedPeers),
       tick_(context) {
   membership_.setSeeds(settings.seeds);
   membership_.setCapacity(settings.capacity);
--- a/src/programs/gateway/peer_messenger.h
+++ b/src/programs/gateway/peer_messenger.h
@@ -24,6 +24,8 @@
   std::vector<Endpoint> seeds;
   /// Capacity reported to peers, in hundredths of a core; 0 reports none.
   unsigned capacity = 0;
+  /// Number of peers that are connected to at a time.
+  std::size_t maxConnectedPeers = PeerTransport::kDefaultMaxPeers;
 };
 
 class PeerMessenger {
--- a/src/programs/gateway/request_gateway.h
+++ b/src/programs/gateway/request_gateway.h
@@ -57,6 +57,9 @@
   void setWarmupTolerance(const WarmupTolerance& tolerance) { daemons_.warmup = tolerance; }
   void setAuthorization(const AuthorizationSettings& settings) { authorization_ = settings; }
   void setQuotaTolerance(const QuotaTolerance& tolerance) { quota_.setTolerance(tolerance); }
+  /// `bytes`: memory of replies on all connections to leafs.
+  void setReplyMemory(std::size_t bytes) { pool_.memory().setLimit(bytes); }
+  const ReceiveMemory& replyMemory() const { return pool_.memory(); }
   /// `suspected`: all daemons that the membership protocol suspects.
   void setSuspectedDaemons(const std::vector<Endpoint>& suspected) { quota_.setSuspected(suspected); }
   /// `handler` is called at most once, when a caller is first refused because no configuration is known.
--- a/src/transport/serving/http_service.cpp
+++ b/src/transport/serving/http_service.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "protocol/serving/caller_messages.h"
 #include "transport/serving/http_session.h"
 #include "transport/serving/socket_options.h"
 
@@ -13,6 +14,8 @@
 constexpr int kListenBacklog = 1024;
 /// Delay after a failed accept, e.g. when the process is out of file descriptors.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+/// For callers beyond the maximum number of connections, who may reach another daemon meanwhile.
+constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -64,11 +67,21 @@
           retryAccept();
           return;
         }
-        std::make_shared<HttpSession>(*this, std::move(socket))->start();
+        onAccepted(std::move(socket));
         accept();
       });
 }
 
+void HttpService::onAccepted(boost::asio::ip::tcp::socket socket) {
+  const bool tooMany = sessions_.size() >= maxConnections_;
+  const auto session = std::make_shared<HttpSession>(*this, std::move(socket));
+  session->start();
+  if (tooMany) {
+    ++connectionsRejected_;
+    session->reject(refusalReply(kBusyRetryAfter, "not run: too many connections"));
+  }
+}
+
 void HttpService::retryAccept() {
   acceptRetry_.expires_after(kAcceptRetryDelay);
   acceptRetry_.async_wait(
--- a/src/transport/serving/http_service.h
+++ b/src/transport/serving/http_service.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -15,6 +16,7 @@
 #include "state/serving/http_message.h"
 #include "state/serving/serving_configuration.h"
 #include "state/time.h"
+#include "transport/serving/receive_memory.h"
 
 namespace oakpier::serving {
 
@@ -53,6 +55,13 @@
   /// May be called again after an error.
   std::string listen(const Endpoint& address);
   void setLimits(const RequestLimits& limits) { limits_ = limits; }
+  /// Connections beyond this number are answered with 503 and closed, so that descriptors remain for other
+  /// purposes.
+  void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
+  std::uint64_t connectionsRejected() const { return connectionsRejected_; }
+  /// Memory of the requests that are being read.
+  ReceiveMemory& memory() { return *memory_; }
+  const ReceiveMemory& memory() const { return *memory_; }
   const RequestLimits& limits() const { return limits_; }
 
   /// From now on, a connection closes after its next reply.
@@ -69,6 +78,7 @@
  private:
   friend class HttpSession;
   void accept();
+  void onAccepted(boost::asio::ip::tcp::socket socket);
   void retryAccept();
 
   boost::asio::io_context& context_;
@@ -76,6 +86,10 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer acceptRetry_;
   RequestLimits limits_;
+  std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
+  std::uint64_t connectionsRejected_ = 0;
+  /// Shared with the sessions, which pending handlers may keep alive for longer than the service.
+  std::shared_ptr<ReceiveMemory> memory_ = std::make_shared<ReceiveMemory>();
   std::unordered_set<HttpSession*> sessions_;
   std::size_t inProgress_ = 0;
   bool closing_ = false;
--- a/src/transport/serving/http_session.cpp
+++ b/src/transport/serving/http_session.cpp
@@ -1,6 +1,7 @@
 #include "transport/serving/http_session.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <stdexcept>
@@ -25,6 +26,13 @@
 constexpr unsigned kRequestTimeout = 408;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Used while requests that are being read take too much memory; about the time that reading one takes.
+constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(300);
+
+HttpReply tooBusyReply() {
+  return refusalReply(kBusyRetryAfter, "not run: requests that are being read take too much memory");
+}
+
 HttpRequest requestOf(http::request<http::string_body> message) {
   HttpRequest request;
   request.method = std::string(message.method_string().data(), message.method_string().size());
@@ -42,12 +50,16 @@
 }  // namespace
 
 HttpSession::HttpSession(HttpService& service, boost::asio::ip::tcp::socket socket)
-    : service_(&service), socket_(std::move(socket)), timer_(socket_.get_executor()) {
+    : service_(&service),
+      memory_(service.memory_),
+      socket_(std::move(socket)),
+      timer_(socket_.get_executor()) {
   configureConnection(socket_, kCallerUnacknowledgedLimit);
   service_->sessions_.insert(this);
 }
 
 HttpSession::~HttpSession() {
+  memory_->hold(*this, 0);
   if (service_ != nullptr) {
     service_->sessions_.erase(this);
   }
@@ -159,12 +171,30 @@
     onParseError(http::make_error_code(http::error::header_limit));
     return;
   }
+  if (!memory_->hold(*this, buffer_.capacity() + parser_->get().body().capacity())) {
+    reject(tooBusyReply());
+    return;
+  }
   if (parser_->is_header_done()) {
     sendContinue();
   }
   read();
 }
 
+void HttpSession::giveUp() {
+  auto self = shared_from_this();
+  boost::asio::post(socket_.get_executor(), [self, requestNumber = requestNumber_] {
+    if (self->state_ == State::kReadingRequest && self->requestNumber_ == requestNumber) {
+      self->reject(tooBusyReply());
+    }
+  });
+}
+
+void HttpSession::reject(const HttpReply& reply) {
+  keepAlive_ = false;
+  respond(reply);
+}
+
 std::size_t HttpSession::parseSome(boost::system::error_code& error) {
   try {
     const std::size_t used = parser_->put(buffer_.data(), error);
@@ -200,6 +230,7 @@
 
 void HttpSession::serve() {
   timer_.cancel();
+  memory_->hold(*this, 0);
   state_ = State::kServing;
   ++service_->inProgress_;
   ++requestNumber_;
@@ -236,6 +267,7 @@
   }
   onDisconnect_ = nullptr;
   timer_.cancel();
+  memory_->hold(*this, 0);
   keepAlive_ = keepAlive_ && !service_->closing();
   state_ = State::kWriting;
   outgoing_ = serialize(reply, !keepAlive_, isHead_);
@@ -299,6 +331,7 @@
     return;
   }
   state_ = State::kClosed;
+  memory_->hold(*this, 0);
   timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
--- a/src/transport/serving/http_session.h
+++ b/src/transport/serving/http_session.h
@@ -21,12 +21,12 @@
 
 namespace oakpier::serving {
 
-class HttpSession : public std::enable_shared_from_this<HttpSession> {
+class HttpSession : public std::enable_shared_from_this<HttpSession>, private ReceiveMemory::Receiver {
  public:
   HttpSession(HttpService& service, boost::asio::ip::tcp::socket socket);
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
-  ~HttpSession();
+  ~HttpSession() override;
 
   void start();
   /// Replies to the request being served, if there is one.
@@ -34,6 +34,8 @@
   /// Replies to the request with this number if it is being served. Otherwise the reply would be taken for
   /// that to a later request.
   void respondTo(std::uint64_t requestNumber, const HttpReply& reply);
+  /// Replies before a request has been read, and closes the connection.
+  void reject(const HttpReply& reply);
   /// Closes the connection unless a request is being read, served or replied to.
   void closeIfIdle();
   /// Called when the service is destroyed; closes the connection without a reply.
@@ -55,6 +57,8 @@
   void parse();
   /// Parses the beginning of the buffer; returns the number of bytes consumed.
   std::size_t parseSome(boost::system::error_code& error);
+  /// The request being read does not fit into the memory of all of them.
+  void giveUp() override;
   void onParseError(const boost::system::error_code& error);
   void sendContinue();
   void serve();
@@ -65,6 +69,7 @@
   void close();
 
   HttpService* service_;
+  std::shared_ptr<ReceiveMemory> memory_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   /// Target of the read in progress. Not part of `buffer_`, which moves its content when bytes are consumed.
--- a/src/transport/serving/leaf_connection.cpp
+++ b/src/transport/serving/leaf_connection.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 LeafConnection::LeafConnection(boost::asio::io_context& context, const Endpoint& address,
-                               std::shared_ptr<ReplyMemory> memory, Listener listener)
+                               std::shared_ptr<ReceiveMemory> memory, Listener listener)
     : socket_(context),
       connectTimer_(context),
       address_(address),
@@ -167,7 +167,7 @@
   onRead({}, 0);
 }
 
-void LeafConnection::giveUpReply() {
+void LeafConnection::giveUp() {
   auto self = shared_from_this();
   boost::asio::post(socket_.get_executor(), [self, exchange = exchange_] {
     if (self->state_ == State::kBusy && self->exchange_ == exchange) {
--- a/src/transport/serving/leaf_connection.h
+++ b/src/transport/serving/leaf_connection.h
@@ -10,12 +10,12 @@
 
 #include "state/endpoint.h"
 #include "state/time.h"
-#include "transport/serving/reply_memory.h"
+#include "transport/serving/receive_memory.h"
 #include "transport/serving/reply_reader.h"
 
 namespace oakpier::serving {
 
-class LeafConnection : public std::enable_shared_from_this<LeafConnection>, private ReplyMemory::Receiver {
+class LeafConnection : public std::enable_shared_from_this<LeafConnection>, private ReceiveMemory::Receiver {
  public:
   /// Result of an exchange or of opening the connection.
   enum class Event {
@@ -32,7 +32,7 @@
   using ReplyFilter = std::function<bool(const HttpReply&)>;
 
   LeafConnection(boost::asio::io_context& context, const Endpoint& address,
-                 std::shared_ptr<ReplyMemory> memory, Listener listener);
+                 std::shared_ptr<ReceiveMemory> memory, Listener listener);
   LeafConnection(const LeafConnection&) = delete;
   LeafConnection& operator=(const LeafConnection&) = delete;
   ~LeafConnection() override;
@@ -65,7 +65,7 @@
   void onReply();
   /// Discards a reply that answers another request, and goes on with what follows it.
   void skipForeignReply(bool reusable);
-  void giveUpReply() override;
+  void giveUp() override;
   /// Closes the connection; the request in progress gets no reply on it.
   void onConnectionLost(const boost::system::error_code& error);
   void fail();
@@ -73,7 +73,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer connectTimer_;
   Endpoint address_;
-  std::shared_ptr<ReplyMemory> memory_;
+  std::shared_ptr<ReceiveMemory> memory_;
   Listener listener_;
   State state_ = State::kConnecting;
   ReplyReader reader_;
--- a/src/transport/serving/leaf_pool.cpp
+++ b/src/transport/serving/leaf_pool.cpp
@@ -113,7 +113,7 @@
 void LeafPool::open(const ChannelPointer& channel) {
   const std::weak_ptr<Channel> weak = channel;
   auto connection = std::make_shared<LeafConnection>(
-      context_, channel->leaf.address, replyMemory_,
+      context_, channel->leaf.address, memory_,
       [this, weak](LeafConnection& source, LeafConnection::Event event,
                    const std::shared_ptr<const HttpReply>& reply) { onEvent(weak, source, event, reply); });
   channel->connections.push_back(connection);
--- a/src/transport/serving/leaf_pool.h
+++ b/src/transport/serving/leaf_pool.h
@@ -107,8 +107,8 @@
 
   const LeafPoolCounters& counters() const { return counters_; }
   /// Memory of the replies on all connections.
-  ReplyMemory& replyMemory() { return *replyMemory_; }
-  const ReplyMemory& replyMemory() const { return *replyMemory_; }
+  ReceiveMemory& memory() { return *memory_; }
+  const ReceiveMemory& memory() const { return *memory_; }
 
  private:
   struct Channel;
@@ -152,7 +152,7 @@
   boost::asio::io_context& context_;
   const HeaderNames& names_;
   /// Shared with the connections, which pending handlers may keep alive for longer than the pool.
-  std::shared_ptr<ReplyMemory> replyMemory_ = std::make_shared<ReplyMemory>();
+  std::shared_ptr<ReceiveMemory> memory_ = std::make_shared<ReceiveMemory>();
   /// Keyed by incarnation: a connection to an earlier incarnation of a leaf carries no request for a later
   /// one.
   std::unordered_map<LeafIncarnation, ChannelPointer, LeafIncarnationHash> channels_;
--- a/src/transport/serving/reply_memory.cpp
+++ b/src/transport/serving/receive_memory.cpp
@@ -1,11 +1,11 @@
-#include "transport/serving/reply_memory.h"
+#include "transport/serving/receive_memory.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace oakpier::serving {
 
-bool ReplyMemory::hold(Receiver& receiver, std::size_t bytes) {
+bool ReceiveMemory::hold(Receiver& receiver, std::size_t bytes) {
   forget(receiver);
   if (bytes <= kUncountedBytes) {
     return true;
@@ -18,16 +18,16 @@
                          [](const auto& left, const auto& right) { return left.second < right.second; });
     Receiver* const owner = largest->first;
     forget(*owner);
-    ++repliesGivenUp_;
+    ++givenUp_;
     if (owner == &receiver) {
       return false;
     }
-    owner->giveUpReply();
+    owner->giveUp();
   }
   return true;
 }
 
-std::shared_ptr<const HttpReply> ReplyMemory::keepFinished(Receiver& receiver, HttpReply reply) {
+std::shared_ptr<const HttpReply> ReceiveMemory::keepFinished(Receiver& receiver, HttpReply reply) {
   forget(receiver);
   const std::size_t bytes = reply.body.capacity();
   if (bytes <= kUncountedBytes) {
@@ -41,7 +41,7 @@
   return std::shared_ptr<const HttpReply>(new HttpReply(std::move(reply)), release);
 }
 
-void ReplyMemory::forget(Receiver& receiver) {
+void ReceiveMemory::forget(Receiver& receiver) {
   const auto held = unfinished_.find(&receiver);
   if (held != unfinished_.end()) {
     unfinishedBytes_ -= held->second;
--- a/tests/serving/coordination/machine_limits_test.cpp
+++ b/tests/serving/coordination/machine_limits_test.cpp
@@ -37,4 +37,20 @@
   REQUIRE(validationErrors(machine(300, 1)).size() == 1);
 }
 
+TEST_CASE("a process leaves descriptors and memory for all its purposes", "[serving]") {
+  MachineLimits limits;
+  limits.descriptors = 4100;
+  limits.memoryMegabytes = 260;
+  const ProcessLimits process = processLimitsOf(limits, 1048576);
+  REQUIRE(process.callerConnections == 1950);
+  REQUIRE(process.peers == 487);
+  REQUIRE(process.replyBytes == std::size_t{65} * 1024 * 1024);
+  for (const std::size_t descriptors : {16U, 64U, 1024U, 4100U, 1048576U}) {
+    const ProcessLimits some = processLimitsOf(MachineLimits{}, descriptors);
+    REQUIRE(some.callerConnections >= 1);
+    REQUIRE(some.peers >= 1);
+    REQUIRE(some.callerConnections + 3 * some.peers < descriptors);
+  }
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/programs/process_ends_test.cpp
+++ b/tests/serving/programs/process_ends_test.cpp
@@ -7,10 +7,14 @@
 #include <unistd.h>
 
 #include <array>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "platform/header_names.h"
 #include "serving/support/gateway_process.h"
@@ -67,6 +71,64 @@
   setrlimit(resource, &limits);
 }
 
+/// A connection of a caller, on which calls block.
+class CallerConnection {
+ public:
+  explicit CallerConnection(const Endpoint& address)
+      : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in remote{};
+    remote.sin_family = AF_INET;
+    remote.sin_port = htons(address.port());
+    REQUIRE(inet_pton(AF_INET, address.ip().c_str(), &remote.sin_addr) == 1);
+    REQUIRE(connect(socket_, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) == 0);
+  }
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
+  ~CallerConnection() { close(socket_); }
+
+  void send(const std::string& bytes) const {
+    REQUIRE(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+  /// Waits for bytes and returns the first of them; empty if the connection has ended.
+  std::string receive() const {
+    std::array<char, 64> bytes{};
+    const ssize_t count = recv(socket_, bytes.data(), bytes.size(), 0);
+    return count > 0 ? std::string(bytes.data(), static_cast<std::size_t>(count)) : std::string();
+  }
+
+ private:
+  int socket_;
+};
+
+/// Writes a chunked body without end on a leaf's connection, once a request has arrived there.
+class EndlessReply : public std::enable_shared_from_this<EndlessReply> {
+ public:
+  EndlessReply(std::shared_ptr<RawServer::Connection> connection, const std::string& chunk)
+      : connection_(std::move(connection)), chunk_(chunk) {}
+
+  void begin() {
+    if (!std::exchange(begun_, begun_ || connection_->requests() > 0) && begun_) {
+      write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+  }
+
+ private:
+  void write(const std::string& bytes) {
+    boost::asio::async_write(
+        connection_->socket, boost::asio::buffer(bytes_ = bytes),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+          if (!error) {
+            self->write(self->chunk_);
+          }
+        });
+  }
+
+  std::shared_ptr<RawServer::Connection> connection_;
+  const std::string& chunk_;
+  std::string bytes_;
+  bool begun_ = false;
+};
+
 /// Sends a request of the service, lets `answer` write at the leaf, and returns the caller's reply.
 std::optional<HttpReply> askLeaf(GatewayWorld& world, const std::string& answer) {
   const HeaderNames names = platform::headerNames();
@@ -227,22 +289,73 @@
   GatewayWorld world;
   world.gateway.start();
   world.awaitReady();
-  const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(world.gateway.callerAddress().port());
-  REQUIRE(inet_pton(AF_INET, world.gateway.callerAddress().ip().c_str(), &address.sin_addr) == 1);
-  REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-  const std::string request =
+  const CallerConnection caller(world.gateway.callerAddress());
+  caller.send(
       "POST /r/x HTTP/1.1\r\nHost: host.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: " +
-      std::string(kTrailerBytes, 'x') + "\r\n\r\n";
-  REQUIRE(send(caller, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size()));
-  std::array<char, 16> reply{};
-  REQUIRE(recv(caller, reply.data(), reply.size() - 1, 0) > 0);
-  REQUIRE(std::string(reply.data()).substr(9, 3) == "431");
-  close(caller);
+      std::string(kTrailerBytes, 'x') + "\r\n\r\n");
+  REQUIRE(caller.receive().substr(0, 12) == "HTTP/1.1 431");
   requireServing(world);
   requireOrderlyStop(world);
 }
 
+TEST_CASE("callers cannot take the descriptors that a gateway needs for its readiness", "[process-ends]") {
+  constexpr rlim_t kDescriptors = 128;
+  constexpr std::size_t kCallers = 200;
+  GatewayWorld world;
+  world.gateway.start([] { limitResource(RLIMIT_NOFILE, kDescriptors); });
+  world.awaitReady();
+  std::vector<std::unique_ptr<CallerConnection>> callers;
+  while (callers.size() < kCallers) {
+    callers.push_back(std::make_unique<CallerConnection>(world.gateway.callerAddress()));
+  }
+  const auto ready = world.get(world.gateway.readinessAddress(), "/ready");
+  REQUIRE(ready);
+  REQUIRE(ready->status == 200);
+  REQUIRE(callers.back()->receive().substr(0, 12) == "HTTP/1.1 503");
+  callers.clear();
+  // The gateway sees that they have gone after a moment.
+  bool served = false;
+  while (!served) {
+    const auto reply = world.get(world.gateway.callerAddress(), "/unknown/");
+    served = reply && reply->status == 404;
+    REQUIRE(!world.gateway.ended());
+  }
+  requireOrderlyStop(world);
+}
+
+TEST_CASE("replies without end keep within the memory of the machine", "[process-ends]") {
+  constexpr std::size_t kMachineMegabytes = 130;
+  constexpr std::size_t kRequests = 40;
+  constexpr std::size_t kChunkBytes = std::size_t{1024} * 1024;
+  const std::string chunk = "100000\r\n" + std::string(kChunkBytes, 'x') + "\r\n";
+  const HeaderNames names = platform::headerNames();
+  GatewayWorld world;
+  world.gateway.settings()["limits"]["memory_mb"] = kMachineMegabytes;
+  world.gateway.writeSettings();
+  world.gateway.start();
+  world.awaitReady();
+  std::vector<std::unique_ptr<SourceClient>> callers;
+  std::size_t done = 0;
+  for (std::size_t number = 0; number < kRequests; ++number) {
+    callers.push_back(std::make_unique<SourceClient>(world.context, world.gateway.callerAddress()));
+    callers.back()->call(
+        {"GET", "/r/x", {{"Host", "host.example"}, {names.requestId, std::to_string(number)}}, ""},
+        std::chrono::seconds(10), [&](const std::optional<HttpReply>&) { ++done; });
+  }
+  std::vector<std::shared_ptr<EndlessReply>> replies;
+  runUntil(world.context, [&] {
+    for (std::size_t index = replies.size(); index < world.leaf.connections().size(); ++index) {
+      replies.push_back(std::make_shared<EndlessReply>(world.leaf.connections()[index], chunk));
+    }
+    for (const auto& reply : replies) {
+      reply->begin();
+    }
+    return done == kRequests || world.gateway.ended();
+  });
+  CAPTURE(world.gateway.memoryMegabytes("VmHWM"), world.gateway.output());
+  REQUIRE(!world.gateway.ended());
+  REQUIRE(world.gateway.memoryMegabytes("VmHWM") < kMachineMegabytes);
+  requireOrderlyStop(world);
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/transport/reply_memory_test.cpp
+++ b/tests/serving/transport/receive_memory_test.cpp
@@ -1,4 +1,4 @@
-#include "transport/serving/reply_memory.h"
+#include "transport/serving/receive_memory.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,8 +8,8 @@
 
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
-struct CountingReceiver : ReplyMemory::Receiver {
-  void giveUpReply() override { ++givenUp; }
+struct CountingReceiver : ReceiveMemory::Receiver {
+  void giveUp() override { ++givenUp; }
   int givenUp = 0;
 };
 
@@ -22,7 +22,7 @@
 }  // namespace
 
 TEST_CASE("the reply that takes the most memory is given up for the others", "[serving]") {
-  ReplyMemory memory;
+  ReceiveMemory memory;
   memory.setLimit(10 * kMegabyte);
   CountingReceiver large;
   CountingReceiver small;
@@ -31,11 +31,11 @@
   REQUIRE(large.givenUp == 1);
   REQUIRE(small.givenUp == 0);
   REQUIRE(memory.used() == 2 * kMegabyte);
-  REQUIRE(memory.repliesGivenUp() == 1);
+  REQUIRE(memory.givenUp() == 1);
 }
 
 TEST_CASE("a reply that takes the most memory itself is refused", "[serving]") {
-  ReplyMemory memory;
+  ReceiveMemory memory;
   memory.setLimit(10 * kMegabyte);
   CountingReceiver small;
   CountingReceiver large;
@@ -46,7 +46,7 @@
 }
 
 TEST_CASE("a finished reply counts until it is released", "[serving]") {
-  ReplyMemory memory;
+  ReceiveMemory memory;
   memory.setLimit(10 * kMegabyte);
   CountingReceiver first;
   CountingReceiver second;
@@ -59,10 +59,10 @@
 }
 
 TEST_CASE("small replies are not counted", "[serving]") {
-  ReplyMemory memory;
+  ReceiveMemory memory;
   memory.setLimit(1);
   CountingReceiver receiver;
-  REQUIRE(memory.hold(receiver, ReplyMemory::kUncountedBytes));
+  REQUIRE(memory.hold(receiver, ReceiveMemory::kUncountedBytes));
   const auto reply = memory.keepFinished(receiver, replyOf(1000));
   REQUIRE(memory.used() == 0);
 }
