Cut durations that others send to 100 years

What callers would see: a request that allows 18,446,744,073,709,551,615 ms was refused with 503, as the sum with the present moment overflowed; a route's timeout of that kind likewise. Undefined, and no end of a process was seen by it; found while odd numbers in entries were tried.

--- a/src/state/time.h
+++ b/src/state/time.h
@@ -3,6 +3,7 @@
 /// Time for state and coordination: microseconds of a monotonic clock that also runs while the machine is
 /// suspended. The caller passes the current time.
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -15,8 +16,12 @@
 
 inline constexpr Moment kNever = Moment::max();
 
+/// 100 years: a moment plus or minus a few of them can be represented.
+inline constexpr std::uint64_t kMaxMilliseconds = 100ULL * 365 * 24 * 60 * 60 * 1000;
+
+/// Longer durations, which others may send, are cut to `kMaxMilliseconds`.
 inline Duration fromMilliseconds(std::uint64_t milliseconds) {
-  return std::chrono::milliseconds(milliseconds);
+  return std::chrono::milliseconds(std::min(milliseconds, kMaxMilliseconds));
 }
 
 /// Rounds down to milliseconds; 0 for negative durations.
