Wait for addresses when oakpierd starts, and say why it ends

It now tries for 10 s, with a line, before it ends with status 3 as before (fleet_test holds that); a stop signal ends the wait.

Evidence: daemon_start_test, for each of the three addresses.

--- a/src/programs/daemon/daemon.cpp
+++ b/src/programs/daemon/daemon.cpp
@@ -79,7 +79,19 @@
 }
 
 std::string Daemon::start() {
-  std::string problem = peers_.start();
+  std::string problem = startInternals();
+  if (!problem.empty()) {
+    return problem;
+  }
+  problem = operatorServer_.listening() ? std::string() : operatorServer_.start();
+  return problem.empty() ? callerServer_.start() : problem;
+}
+
+std::string Daemon::startInternals() {
+  if (internalsStarted_) {
+    return {};
+  }
+  const std::string problem = peers_.start();
   if (!problem.empty()) {
     return problem;
   }
@@ -88,8 +100,8 @@
   if (settings_.platform != Endpoint()) {
     platform_.start();
   }
-  problem = operatorServer_.start();
-  return problem.empty() ? callerServer_.start() : problem;
+  internalsStarted_ = true;
+  return {};
 }
 
 void Daemon::beginStop() {
--- a/src/programs/daemon/daemon.h
+++ b/src/programs/daemon/daemon.h
@@ -21,7 +21,8 @@
  public:
   explicit Daemon(const DaemonSettings& settings);
 
-  /// Returns an error message if an address cannot be listened on, else an empty string.
+  /// Returns an error message if an address cannot be listened on, else an empty string. May be called again
+  /// after an error; callers come last.
   std::string start();
 
   /// Begins a graceful shutdown: leaves the membership and refuses new queries.
@@ -35,6 +36,8 @@
   void stop();
 
  private:
+  /// Listens for peers and starts the roles, once.
+  std::string startInternals();
   void onEnvelope(PeerEnvelope envelope, bool stale);
   void onUndeliverable(const Endpoint& to, const PeerEnvelope& envelope);
   void refuseStale(const Endpoint& sender, const WorkBatch& work);
@@ -56,6 +59,7 @@
   HttpServer callerServer_;
   HttpServer operatorServer_;
   std::atomic<bool> stopping_{false};
+  bool internalsStarted_ = false;
 };
 
 }  // namespace oakpier
--- a/src/programs/daemon/main.cpp
+++ b/src/programs/daemon/main.cpp
@@ -1,11 +1,14 @@
 /// oakpierd: reads its settings, runs the daemon, and shuts it down gracefully on SIGTERM or SIGINT.
 
 #include <pthread.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <iostream>
 
+#include "programs/common/abnormal_end.h"
 #include "programs/common/exit_codes.h"
+#include "programs/common/process_environment.h"
 #include "programs/daemon/daemon.h"
 
 namespace oakpier {
@@ -16,6 +19,11 @@
 /// Peers may not know yet that this daemon leaves, so it serves until no work arrives for this long.
 constexpr Duration kIdleTime = std::chrono::milliseconds(1000);
 
+constexpr Duration kStartRetryDelay = std::chrono::milliseconds(100);
+constexpr Duration kStartPatience = std::chrono::seconds(10);
+
+enum class StartResult { kStarted, kStopRequested, kAddressTaken };
+
 /// How long calls in progress may continue once new connections are refused.
 constexpr Duration kDrainTimeout = std::chrono::seconds(3);
 
@@ -52,16 +60,36 @@
   }
 }
 
+/// Tries until all addresses are free: an earlier process may still be ending, or an outgoing connection may
+/// hold one.
+StartResult startPatiently(Daemon& daemon, const sigset_t& signals) {
+  const Moment end = steadyNow() + kStartPatience;
+  std::string problem = daemon.start();
+  if (!problem.empty()) {
+    log(LogLevel::kWarning, "not started yet; trying again", {{"problem", problem}});
+  }
+  while (!problem.empty()) {
+    if (steadyNow() >= end) {
+      log(LogLevel::kError, problem);
+      return StartResult::kAddressTaken;
+    }
+    if (signalledWithin(signals, kStartRetryDelay)) {
+      log(LogLevel::kInfo, "stopped before the start");
+      return StartResult::kStopRequested;
+    }
+    problem = daemon.start();
+  }
+  return StartResult::kStarted;
+}
+
 int runDaemon(const DaemonSettings& settings) {
   const sigset_t signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
   Daemon daemon(settings);
-  const std::string problem = daemon.start();
-  if (!problem.empty()) {
-    log(LogLevel::kError, problem);
+  const StartResult result = startPatiently(daemon, signals);
+  if (result != StartResult::kStarted) {
     daemon.stop();
-    return kExitUnreachable;
+    return result == StartResult::kStopRequested ? kExitOk : kExitUnreachable;
   }
   log(LogLevel::kInfo, "started",
       {{"zone", settings.zone},
@@ -84,6 +112,7 @@
 }  // namespace oakpier
 
 int main(int argumentCount, char** arguments) {
+  oakpier::prepareProcess();
   const auto read = oakpier::readDaemonSettings(argumentCount, arguments);
   if (const auto* exit = std::get_if<oakpier::SettingsExit>(&read)) {
     (exit->code == oakpier::kExitOk ? std::cout : std::cerr) << exit->text;
@@ -94,6 +123,7 @@
     std::cout << "settings are valid\n";
     return oakpier::kExitOk;
   }
+  oakpier::reportAbnormalEnds("oakpierd", STDERR_FILENO);
   oakpier::startLogging(settings.logLevel, "oakpierd");
   return oakpier::runDaemon(settings);
 }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -200,6 +200,7 @@
     server_->addService(cxxtools::Regex(".*"), *dispatcher_);
     server_->listen(options_.listen.ip(), options_.listen.port());
   } catch (const std::exception& problem) {
+    server_.reset();
     return "cannot listen on " + options_.listen.text() + ": " + problem.what();
   }
   thread_ = std::thread([this] { loop_.run(); });
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -48,6 +48,7 @@
 
   /// Starts to accept connections; returns an error message if it cannot listen, else an empty string.
   std::string start();
+  bool listening() const { return thread_.joinable(); }
 
   /// Begins a graceful shutdown: refuses new connections, keeps serving open ones, and asks their callers in
   /// each reply to close them, so that no call is interrupted.
