--- a/bench/fleet/process.cpp
+++ b/bench/fleet/process.cpp
@@ -47,11 +47,16 @@
 }
 
 Process::Process(Process&& other) noexcept
-    : id_(std::exchange(other.id_, -1)), exitCode_(std::exchange(other.exitCode_, -1)) {}
+    : id_(std::exchange(other.id_, -1)),
+      exitCode_(std::exchange(other.exitCode_, -1)),
+      killed_(other.killed_),
+      toldToStop_(other.toldToStop_) {}
 
 Process& Process::operator=(Process&& other) noexcept {
   std::swap(id_, other.id_);
   std::swap(exitCode_, other.exitCode_);
+  std::swap(killed_, other.killed_);
+  std::swap(toldToStop_, other.toldToStop_);
   return *this;
 }
 
@@ -76,10 +81,28 @@
 
 void Process::signal(int number) {
   if (running()) {
+    killed_ = killed_ || number == SIGKILL;
+    toldToStop_ = toldToStop_ || number == SIGTERM || number == SIGINT;
     kill(id_, number);
   }
 }
 
+std::optional<std::string> Process::endedWithoutOrder(bool mayLackHandlers) {
+  if (running()) {
+    return std::nullopt;
+  }
+  const bool bySignalOfOrder =
+      (killed_ && exitCode_ == kSignalExitBase + SIGKILL) ||
+      (mayLackHandlers && toldToStop_ &&
+       (exitCode_ == kSignalExitBase + SIGTERM || exitCode_ == kSignalExitBase + SIGINT));
+  if (bySignalOfOrder || (exitCode_ == 0 && (killed_ || toldToStop_))) {
+    return std::nullopt;
+  }
+  const bool bySignal = exitCode_ > kSignalExitBase;
+  return (bySignal ? "ended by signal " : "ended with exit code ") +
+         std::to_string(bySignal ? exitCode_ - kSignalExitBase : exitCode_);
+}
+
 int Process::wait() {
   if (id_ > 0) {
     int status = 0;
--- a/bench/fleet/process.h
+++ b/bench/fleet/process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,10 +26,16 @@
   /// Waits for the end; the exit code, or 128 plus the signal that ended it.
   int wait();
   pid_t id() const { return id_; }
+  /// If the process has ended otherwise than by order, tells how. SIGKILL, SIGTERM and SIGINT are orders;
+  /// after the latter two it must end with success, unless `mayLackHandlers`: it may have had no handlers
+  /// yet.
+  std::optional<std::string> endedWithoutOrder(bool mayLackHandlers);
 
  private:
   pid_t id_ = -1;
   int exitCode_ = -1;
+  bool killed_ = false;
+  bool toldToStop_ = false;
 };
 
 /// Ports on the loopback address that nothing listens on at this moment, all different.
--- a/tests/platform_model/fault_schedule.cpp
+++ b/tests/platform_model/fault_schedule.cpp
@@ -31,6 +31,7 @@
 constexpr Duration kMeanRestorationGap = std::chrono::seconds(4);
 constexpr Duration kMaxQuickGap = std::chrono::milliseconds(900);
 constexpr double kQuickProbability = 0.3;
+constexpr Duration kMaxProcessFaultGap = std::chrono::seconds(3);
 constexpr Duration kMaxBackupAge = std::chrono::seconds(9);
 /// Minimum time between the last restoration and the recovery time: writers rewrite lost records in it, and
 /// daemons receive them.
@@ -97,6 +98,45 @@
   return restorations;
 }
 
+const char* textOf(ProcessFaultKind kind) {
+  switch (kind) {
+    case ProcessFaultKind::kLogReaderGone:
+      return "its output is not read";
+    case ProcessFaultKind::kAddressTaken:
+      return "its address is taken";
+    case ProcessFaultKind::kSettingsIncomplete:
+      return "its settings are incomplete";
+    default:
+      return "it has few descriptors";
+  }
+}
+
+std::vector<ProcessFault> generateProcessFaults(Duration length, std::uint64_t seed) {
+  constexpr std::uint64_t kSeedOffset = 0x9e3779b97f4a7c15;
+  RandomEngine random(seed ^ kSeedOffset);
+  std::vector<ProcessFault> faults;
+  Duration at = drawBetween(kMinDuration, kMaxProcessFaultGap, random);
+  while (at < length - kRecoveryTime) {
+    ProcessFault fault;
+    fault.at = at;
+    fault.kind =
+        static_cast<ProcessFaultKind>(drawBelow(static_cast<std::size_t>(ProcessFaultKind::kCount), random));
+    fault.target = drawBelow(kMaxTargets, random);
+    fault.duration = drawDuration(random);
+    faults.push_back(fault);
+    at += drawBetween(kMinDuration, kMaxProcessFaultGap, random);
+  }
+  return faults;
+}
+
+void printProcessFaults(const std::vector<ProcessFault>& faults, std::ostream& out) {
+  for (const ProcessFault& fault : faults) {
+    out << "  " << std::fixed << std::setprecision(3) << std::chrono::duration<double>(fault.at).count()
+        << " s  gateway " << fault.target << " is killed and started again; for "
+        << std::chrono::duration<double>(fault.duration).count() << " s " << textOf(fault.kind) << "\n";
+  }
+}
+
 void printRestorations(const std::vector<Restoration>& restorations, std::ostream& out) {
   for (const Restoration& restoration : restorations) {
     out << "  " << std::fixed << std::setprecision(3) << std::chrono::duration<double>(restoration.at).count()
--- a/tests/platform_model/fault_schedule.h
+++ b/tests/platform_model/fault_schedule.h
@@ -64,6 +64,30 @@
 std::vector<Restoration> generateRestorations(Duration length, std::uint64_t seed);
 
 void printFaults(const std::vector<Fault>& faults, std::ostream& out);
+/// What a gateway that is killed and started again finds in its environment.
+enum class ProcessFaultKind {
+  /// Whoever collects its output has gone; for as long as the process runs.
+  kLogReaderGone,
+  /// Another process listens at its address for callers.
+  kAddressTaken,
+  /// Its settings file holds only the first half.
+  kSettingsIncomplete,
+  /// Few descriptors may be open; for as long as the process runs.
+  kFewDescriptors,
+  kCount,
+};
+
+struct ProcessFault {
+  Duration at{};
+  ProcessFaultKind kind = ProcessFaultKind::kLogReaderGone;
+  /// Selects the gateway, modulo their number.
+  std::size_t target = 0;
+  Duration duration{};
+};
+
+/// Drawn apart from the other faults, so that a seed has the same ones with and without these.
+std::vector<ProcessFault> generateProcessFaults(Duration length, std::uint64_t seed);
+void printProcessFaults(const std::vector<ProcessFault>& faults, std::ostream& out);
 void printRestorations(const std::vector<Restoration>& restorations, std::ostream& out);
 
 }  // namespace oakpier::serving::model
--- a/tests/platform_model/main.cpp
+++ b/tests/platform_model/main.cpp
@@ -36,6 +36,8 @@
   app.add_flag("--faults", settings.faults,
                "inject random faults drawn from the seed and print their schedule");
   app.add_flag("--restorations", settings.restorations, "restore the store from backups (requires --faults)");
+  app.add_flag("--process-faults", settings.processFaults,
+               "kill gateways and start them under faults of their environment (requires --faults)");
   app.add_flag("--stalled-output", settings.stalledOutput, "leave the gateways' output unread");
   app.add_flag(
       "--few-connections", settings.expectDelegation,
@@ -67,6 +69,10 @@
     oakpier::serving::model::printRestorations(
         oakpier::serving::model::generateRestorations(settings.length, settings.seed), std::cout);
   }
+  if (settings.faults && settings.processFaults) {
+    oakpier::serving::model::printProcessFaults(
+        oakpier::serving::model::generateProcessFaults(settings.length, settings.seed), std::cout);
+  }
   day.run();
   day.report(std::cout);
   return day.passed() ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/platform_model/platform_day.cpp
+++ b/tests/platform_model/platform_day.cpp
@@ -1,9 +1,5 @@
 #include "platform_model/platform_day.h"
 
-#include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
@@ -26,6 +22,8 @@
 constexpr Duration kCatchUpTime = std::chrono::seconds(4);
 /// Writers rewrite the records that a restored store has lost within this time.
 constexpr Duration kRewriteWindow = std::chrono::seconds(2);
+/// A gateway is started again this long after it was killed for a process fault.
+constexpr Duration kMinDownTime = std::chrono::milliseconds(50);
 constexpr Duration kExitPollInterval = std::chrono::milliseconds(50);
 /// End of a run with faults, after recovery, in which service is checked.
 constexpr Duration kServiceCheckTime = std::chrono::seconds(2);
@@ -64,22 +62,7 @@
 
 }  // namespace
 
-struct PlatformDay::Gateway {
-  std::string name;
-  std::string zone;
-  Endpoint callerAddress;
-  Endpoint readinessAddress;
-  std::string settingsFile;
-  std::unique_ptr<Process> process;
-  /// It was stopped or killed, or has exited, and is not restarted yet.
-  bool stopping = false;
-  bool paused = false;
-  /// The process has answered a request, so its signal handlers are installed.
-  bool answered = false;
-  /// When it was last stopped, killed, restarted or resumed.
-  Moment lastFaultAt{};
-  /// When it was last killed or resumed: requests sent before may remain unanswered.
-  Moment connectionsLostAt{};
+struct PlatformDay::Gateway : ModelGateway {
   std::vector<std::shared_ptr<Client>> idleClients;
 };
 
@@ -95,11 +78,7 @@
       store_(context_),
       results_(deployment_.classes.size()) {}
 
-PlatformDay::~PlatformDay() {
-  for (const int pipe : pipes_) {
-    close(pipe);
-  }
-}
+PlatformDay::~PlatformDay() = default;
 
 std::string PlatformDay::start() {
   std::filesystem::create_directories(settings_.folder);
@@ -145,7 +124,14 @@
     startGateway(*gateway);
     gateways_.push_back(std::move(gateway));
   }
-  return allReady() ? "" : "not every gateway became ready; see the logs in " + settings_.folder;
+  if (allReady()) {
+    return "";
+  }
+  std::string failure = "not every gateway became ready; see the logs in " + settings_.folder;
+  for (const auto& gateway : gateways_) {
+    failure += "\n" + gateway->unexpectedEnd(settings_.folder).value_or("");
+  }
+  return failure;
 }
 
 void PlatformDay::addLeaf(const std::string& service, const std::string& zone) {
@@ -176,24 +162,15 @@
 }
 
 void PlatformDay::startGateway(Gateway& gateway) {
-  gateway.answered = false;
-  const std::string log = settings_.folder + "/" + gateway.name + ".log";
-  constexpr int kReplace = 1;
-  setenv("OAKPIER_BOOT", gateway.settingsFile.c_str(), kReplace);
-  gateway.process = std::make_unique<Process>(settings_.gatewayProgram, std::vector<std::string>{},
-                                              settings_.stalledOutput ? stalledPipe(gateway) : log);
+  checkEnd(gateway);
+  gateway.start(settings_.gatewayProgram, settings_.folder, settings_.stalledOutput);
 }
 
-std::string PlatformDay::stalledPipe(const Gateway& gateway) {
-  std::string path = settings_.folder + "/" + gateway.name + ".pipe";
-  constexpr int kOwnerOnly = 0600;
-  mkfifo(path.c_str(), kOwnerOnly);
-  const int pipe = open(path.c_str(), O_RDWR | O_NONBLOCK);
-  const char filler = '\n';
-  while (write(pipe, &filler, 1) == 1) {
+void PlatformDay::checkEnd(Gateway& gateway) {
+  const std::optional<std::string> end = gateway.unexpectedEnd(settings_.folder);
+  if (end) {
+    observations_.addViolation(*end);
   }
-  pipes_.push_back(pipe);
-  return path;
 }
 
 void PlatformDay::fetchMetrics() {
@@ -210,7 +187,7 @@
   const Moment deadline = steadyNow() + kReadyTimeout;
   for (const auto& gateway : gateways_) {
     bool ready = false;
-    while (!ready && steadyNow() < deadline) {
+    while (!ready && steadyNow() < deadline && gateway->process->running()) {
       SourceClient probe(context_, gateway->readinessAddress);
       bool done = false;
       probe.call({"GET", "/ready", {}, ""}, std::chrono::seconds(1),
@@ -252,6 +229,7 @@
   if (settings_.faults) {
     scheduleFaults();
   }
+  checkGateways();
   if (settings_.disturbances) {
     scheduleDisturbances();
   }
@@ -269,6 +247,7 @@
     while (gateway->process->running()) {
       runFor(std::chrono::milliseconds(20));
     }
+    checkEnd(*gateway);
   }
   observations_.checkExecutedAtMostOnce(nonIdempotentIds_);
   observations_.checkCrashingRequests();
@@ -313,11 +292,29 @@
   if (settings_.restorations) {
     scheduleRestorations();
   }
+  if (settings_.processFaults) {
+    scheduleProcessFaults();
+  }
   after(settings_.length - kServiceCheckTime, [this] {
     faultFreeFrom_ = steadyNow();
     checkConfigurations();
   });
-  checkGateways();
+}
+
+void PlatformDay::scheduleProcessFaults() {
+  for (const ProcessFault& fault : generateProcessFaults(settings_.length, settings_.seed)) {
+    after(fault.at, [this, fault] { apply(fault); });
+  }
+}
+
+void PlatformDay::apply(const ProcessFault& fault) {
+  Gateway& gateway = *gateways_[fault.target % gateways_.size()];
+  if (gateway.stopping || gateway.paused) {
+    return;
+  }
+  gateway.nextStart = fault.kind;
+  killGateway(gateway, kMinDownTime);
+  after(kMinDownTime + fault.duration, [&gateway] { gateway.endStartFault(); });
 }
 
 void PlatformDay::scheduleRestorations() {
@@ -454,9 +451,8 @@
     return;
   }
   for (const auto& gateway : gateways_) {
-    if (!gateway->stopping && !gateway->process->running()) {
-      observations_.addViolation(gateway->name + " exited unexpectedly");
-      gateway->stopping = true;
+    if (!gateway->process->running()) {
+      checkEnd(*gateway);
     }
   }
   after(kExitPollInterval, [this] { checkGateways(); });
--- a/tests/platform_model/platform_day.h
+++ b/tests/platform_model/platform_day.h
@@ -12,6 +12,7 @@
 #include "platform_model/deployment.h"
 #include "platform_model/fault_schedule.h"
 #include "platform_model/leaf_standin.h"
+#include "platform_model/model_gateway.h"
 #include "platform_model/observations.h"
 #include "platform_model/store_standin.h"
 #include "transport/serving/source_client.h"
@@ -35,6 +36,8 @@
   bool faults = false;
   /// The store is restored from backups; requires `faults`.
   bool restorations = false;
+  /// Gateways are killed and started again under faults of their environment; requires `faults`.
+  bool processFaults = false;
   /// The leafs' connection limits are too low for all gateways, so that shards must be delegated to owners.
   /// Without this, none may be delegated. Not checked in runs with `faults`.
   bool expectDelegation = false;
@@ -74,8 +77,8 @@
   void addLeaf(const std::string& service, const std::string& zone);
   void publish(const LeafStandin& leaf);
   void startGateway(Gateway& gateway);
-  /// Creates a full pipe that is never read, and returns its path.
-  std::string stalledPipe(const Gateway& gateway);
+  /// Records a violation if the gateway's process has ended without an order.
+  void checkEnd(Gateway& gateway);
   void fetchMetrics();
   bool allReady();
   void runFor(Duration duration);
@@ -92,6 +95,9 @@
   void sendCrashingRequest(const std::string& target, Gateway& gateway);
   void scheduleFaults();
   void scheduleRestorations();
+  void scheduleProcessFaults();
+  /// Kills the gateway and starts it again under the fault.
+  void apply(const ProcessFault& fault);
   /// Checks that every gateway that had time to recover uses the newest configuration.
   void checkConfigurations();
   void apply(const Fault& fault);
@@ -122,7 +128,6 @@
   std::size_t metricsFetched_ = 0;
   /// The first gateway has delegated shards to their owners.
   bool delegationObserved_ = false;
-  std::vector<int> pipes_;
   bool trafficActive_ = false;
   std::uint64_t configurationVersion_ = 1;
   unsigned storeOutages_ = 0;
