--- a/tests/serving/support/gateway_process.cpp
+++ b/tests/serving/platform/gateway_process.cpp
@@ -1,4 +1,4 @@
-#include "serving/support/gateway_process.h"
+#include "serving/platform/gateway_process.h"
 
 #include <fcntl.h>
 #include <sys/wait.h>
@@ -45,7 +45,7 @@
           {"platform", {{"address", store.text()}}}};
 }
 
-std::string configuration() {
+std::string configuration(std::uint64_t version) {
   const nlohmann::json route = {{"name", "route"},
                                 {"host", kHost},
                                 {"path_prefix", "/r/"},
@@ -57,7 +57,7 @@
                                 {"service", GatewayWorld::kService}};
   const nlohmann::json service = {
       {"name", GatewayWorld::kService}, {"health_check_path", "/health"}, {"max_connections", 110}};
-  const nlohmann::json body = {{"version", 1},
+  const nlohmann::json body = {{"version", version},
                                {"routes", nlohmann::json::array({route})},
                                {"services", nlohmann::json::array({service})},
                                {"limits",
@@ -137,7 +137,7 @@
 
 GatewayWorld::GatewayWorld()
     : store(context), storeAddress(listen(store)), leaf(context), gateway(storeAddress) {
-  store.put("op/config", configuration());
+  putConfiguration(1);
   addLeaf("leaf-1", leaf.address());
   gateway.writeSettings();
 }
@@ -148,6 +148,8 @@
   return address;
 }
 
+void GatewayWorld::putConfiguration(std::uint64_t version) { store.put("op/config", configuration(version)); }
+
 void GatewayWorld::addLeaf(const std::string& id, const Endpoint& address) {
   const nlohmann::json entry = {
       {"service", kService}, {"address", address.text()}, {"zone", "zone-a"},    {"version", "v1"},
--- a/tests/serving/support/gateway_process.h
+++ b/tests/serving/platform/gateway_process.h
@@ -65,6 +65,8 @@
 
   GatewayWorld();
 
+  /// Writes the configuration, as of this version, to the store.
+  void putConfiguration(std::uint64_t version);
   /// Adds a leaf of the service at this address to the store.
   void addLeaf(const std::string& id, const Endpoint& address);
   /// Serves until the gateway answers readiness checks with 200; fails the test if it ends instead.
--- a/tests/serving/programs/process_ends_test.cpp
+++ b/tests/serving/platform/process_ends_test.cpp
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "platform/header_names.h"
-#include "serving/support/gateway_process.h"
+#include "serving/platform/gateway_process.h"
 #include "support/free_endpoint.h"
 #include "transport/serving/source_client.h"
 
@@ -129,27 +129,33 @@
   bool begun_ = false;
 };
 
+enum class AfterAnswer { kKeepOpen, kClose };
+
 /// Sends a request of the service, lets `answer` write at the leaf, and returns the caller's reply.
-std::optional<HttpReply> askLeaf(GatewayWorld& world, const std::string& answer) {
+std::optional<HttpReply> askLeaf(GatewayWorld& world, const std::string& answer,
+                                 AfterAnswer after = AfterAnswer::kKeepOpen) {
   const HeaderNames names = platform::headerNames();
   SourceClient client(world.context, world.gateway.callerAddress());
   bool done = false;
   std::optional<HttpReply> reply;
-  const std::size_t before = world.leaf.requests();
   client.call(
       {"GET", "/r/x", {{"Host", "host.example"}, {names.requestId, "id"}, {names.deadline, "500"}}, ""},
       std::chrono::seconds(5), [&](std::optional<HttpReply> received) {
         reply = std::move(received);
         done = true;
       });
-  runUntil(world.context, [&] { return done || world.leaf.requests() > before; });
-  for (const auto& connection : world.leaf.connections()) {
-    if (!connection->ended && connection->requests() > 0) {
-      connection->received.clear();
-      connection->write(answer);
+  runUntil(world.context, [&] {
+    for (const auto& connection : world.leaf.connections()) {
+      if (!connection->ended && connection->requests() > 0) {
+        connection->received.clear();
+        connection->write(answer);
+        if (after == AfterAnswer::kClose) {
+          connection->end();
+        }
+      }
     }
-  }
-  runUntil(world.context, [&] { return done; });
+    return done;
+  });
   return reply;
 }
 
@@ -358,4 +364,60 @@
   requireOrderlyStop(world);
 }
 
+TEST_CASE("odd entries among the leafs end no gateway, and it follows what comes after", "[process-ends]") {
+  constexpr std::size_t kDepth = 100000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string beginning =
+      R"({"service":"single","zone":"a","version":"v","state":"ready","sequence":1,)";
+  const std::vector<std::string> odd{
+      nested,
+      std::string(kDepth, '['),
+      beginning + R"("address":"127.0.0.1:1","capacity":1,"warmup_left_ms":0,"more":)" + nested + "}",
+      beginning + R"("address":)" + nested + R"(,"capacity":1,"warmup_left_ms":0})",
+      beginning + R"("address":"127.0.0.1:1","capacity":1e999,"warmup_left_ms":0})",
+      beginning + R"("address":"127.0.0.1:1","capacity":123456789012345678901234567890,"warmup_left_ms":0})",
+      beginning + R"("address":"127.0.0.1:1","capacity":1,"warmup_left_ms":1e308})",
+      beginning + R"("address":"127.0.0.1:99999","capacity":1,"warmup_left_ms":0})",
+      beginning + R"("address":"127.0.0.1:-1","capacity":1,"warmup_left_ms":0})",
+      beginning + R"("address":"127.0.0.1:0","capacity":1,"warmup_left_ms":0})",
+      "\xff\xfe",
+      ""};
+  GatewayWorld world;
+  for (std::size_t number = 0; number < odd.size(); ++number) {
+    world.store.put("servers/odd-before-" + std::to_string(number), odd[number]);
+  }
+  world.gateway.start();
+  world.awaitReady();
+  for (std::size_t number = 0; number < odd.size(); ++number) {
+    world.store.put("servers/odd-after-" + std::to_string(number), odd[number]);
+  }
+  constexpr std::uint64_t kNextVersion = 2;
+  world.putConfiguration(kNextVersion);
+  bool followed = false;
+  while (!followed) {
+    const auto metrics = world.get(world.gateway.readinessAddress(), "/metrics");
+    REQUIRE(!world.gateway.ended());
+    followed =
+        metrics && metrics->body.find("\noakpier_gateway_configuration_version 2\n") != std::string::npos;
+  }
+  requireServing(world);
+  requireOrderlyStop(world);
+}
+
+TEST_CASE("an answer that is cut in its head is no success", "[process-ends]") {
+  const HeaderNames names = platform::headerNames();
+  const std::string head = "HTTP/1.1 200 OK\r\n" + names.requestId + ": id\r\n" + names.signature + ": s\r\n";
+  constexpr std::size_t kStep = 7;
+  GatewayWorld world;
+  world.gateway.start();
+  world.awaitReady();
+  for (std::size_t length = 1; length <= head.size(); length += kStep) {
+    const auto reply = askLeaf(world, head.substr(0, length), AfterAnswer::kClose);
+    CAPTURE(length);
+    REQUIRE(reply);
+    REQUIRE(reply->status >= 500);
+  }
+  requireOrderlyStop(world);
+}
+
 }  // namespace oakpier::serving
