--- a/src/programs/daemon/daemon.cpp
+++ b/src/programs/daemon/daemon.cpp
@@ -91,7 +91,7 @@
   if (internalsStarted_) {
     return {};
   }
-  const std::string problem = peers_.start();
+  std::string problem = peers_.start();
   if (!problem.empty()) {
     return problem;
   }
--- a/src/transport/serving/http_service.cpp
+++ b/src/transport/serving/http_service.cpp
@@ -47,7 +47,7 @@
     acceptor_.listen(kListenBacklog, error);
   }
   if (error) {
-    const std::string problem = "cannot listen at " + address.text() + ": " + error.message();
+    std::string problem = "cannot listen at " + address.text() + ": " + error.message();
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     return problem;
