--- a/review/standin-2/harness.h
+++ b/review/standin-2/harness.h
@@ -283,8 +283,11 @@
   }
   std::uint64_t put(const std::string& key, const std::string& value) {
     const std::lock_guard<std::mutex> guard(mutex_);
-    json item = {{"tls_key", key}, {"value", base64Of(value)}, {"revision", ++revision_},
-                 {"created", items_.count(key) ? items_[key]["created"] : json(revision_)}, {"lease", 0}};
+    json item = {{"tls_key", key},
+                 {"value", base64Of(value)},
+                 {"revision", ++revision_},
+                 {"created", items_.count(key) ? items_[key]["created"] : json(revision_)},
+                 {"lease", 0}};
     items_[key] = item;
     history_.push_back(item);
     changed_.notify_all();
@@ -399,6 +402,8 @@
   std::string service;
   std::string leaf;
   std::string tenant;
+  /// The leaf works longer than usual.
+  bool slow = false;
 };
 
 inline std::mutex runsMutex;
@@ -406,6 +411,9 @@
 
 struct LeafOptions {
   double workSeconds = 0.005;
+  /// Requests that it works on at once, and that may wait besides; it turns further ones away.
+  int slots = 8;
+  int queue = 12;
   /// Answer body.
   std::string body = "answer\n";
 };
@@ -423,10 +431,12 @@
     server_.start(ip, port, [this](const Message& request) { return answer(request); });
   }
   std::string entry(const std::string& state = "ready") const {
-    return json{{"service", service}, {"address", address}, {"zone", zone},      {"version", "1"},
-                {"capacity", 8},      {"state", state},     {"warmup_left_ms", 0}, {"sequence", 1}}
+    return json{{"service", service},         {"address", address}, {"zone", zone},        {"version", "1"},
+                {"capacity", options_.slots}, {"state", state},     {"warmup_left_ms", 0}, {"sequence", 1}}
         .dump();
   }
+  /// Works this many times as long from now on.
+  void setSlowness(double factor) { slowness_ = factor; }
   std::string id;
   std::string service;
   std::string zone;
@@ -438,17 +448,37 @@
     if (request.header("X-Expect-Instance") != id) {
       return replyText(421, {{"X-Request-Id", requestId}, {"X-Not-Executed", "1"}}, "");
     }
+    {
+      std::unique_lock<std::mutex> guard(slotsMutex_);
+      if (running_ + waiting_ >= options_.slots + options_.queue) {
+        return replyText(503, {{"X-Request-Id", requestId}, {"X-Not-Executed", "1"}}, "");
+      }
+      ++waiting_;
+      slotFree_.wait(guard, [this] { return running_ < options_.slots; });
+      --waiting_;
+      ++running_;
+    }
     {
       const std::lock_guard<std::mutex> guard(runsMutex);
-      runs.push_back(Run{now(), requestId, service, id, request.header("X-Tenant-Id")});
+      runs.push_back(Run{now(), requestId, service, id, request.header("X-Tenant-Id"), slowness_ != 1});
+    }
+    sleepFor(options_.workSeconds * slowness_);
+    {
+      const std::lock_guard<std::mutex> guard(slotsMutex_);
+      --running_;
     }
-    sleepFor(options_.workSeconds);
+    slotFree_.notify_one();
     const std::string stamp = id + "." + std::to_string(++answers_);
     return replyText(200, {{"X-Request-Id", requestId}, {"X-Response-Stamp", stamp}}, options_.body);
   }
   Server server_;
   LeafOptions options_;
   std::atomic<unsigned> answers_{0};
+  std::atomic<double> slowness_{1};
+  std::mutex slotsMutex_;
+  std::condition_variable slotFree_;
+  int running_ = 0;
+  int waiting_ = 0;
 };
 
 /// What a caller sees of one attempt. Status 0: the connection ended or nothing came in time.
@@ -578,8 +608,8 @@
     }
     Message reply;
     Reader reader(connection);
-    const bool answered = sendAll(connection, "GET /ready HTTP/1.1\r\nHost: " + ip + "\r\n\r\n") &&
-                          reader.read(reply);
+    const bool answered =
+        sendAll(connection, "GET /ready HTTP/1.1\r\nHost: " + ip + "\r\n\r\n") && reader.read(reply);
     close(connection);
     return answered && reply.status() == 200;
   }
@@ -613,8 +643,8 @@
     folder = mkdtemp(path);
     std::vector<std::string> ips;
     std::random_device random;
-    const std::string net = "127." + std::to_string(10 + random() % 200) + "." +
-                            std::to_string(random() % 250) + ".";
+    const std::string net =
+        "127." + std::to_string(10 + random() % 200) + "." + std::to_string(random() % 250) + ".";
     for (std::size_t number = 0; number < zones.size(); ++number) {
       ips.push_back(net + std::to_string(number + 1));
     }
@@ -639,27 +669,42 @@
       gateway->readinessPort = readinessPort;
       const auto at = [&](int port) { return gateway->ip + ":" + std::to_string(port); };
       json& settings = gateway->settings;
-      settings = {{"node_name", gateway->name}, {"role", "gateway"}, {"machine_class", "edge"},
-                  {"serves", {"edge", "control_plane"}}, {"ip", gateway->ip}, {"zone", gateway->zone},
-                  {"region", "region"}, {"zones", zoneTable},
-                  {"bind_addresses", {{"http", at(httpPort)}, {"readiness", at(readinessPort)},
-                                      {"admin", at(adminPort)}}},
-                  {"internal_port_range", {peerPort, peerPort}}, {"seeds", seeds}, {"bootstrap", true},
-                  {"in_tolerance", false}, {"data_dir", nullptr}, {"discovery", "platform"},
-                  {"entrypoint", "virtual_ip"}, {"heartbeat_ms", 1200},
-                  {"platform", {{"address", storeAddress}, {"form", "read"}, {"writes_per_s", 1200},
-                                {"reads_per_s", 6000}, {"history_s", 20}, {"value_bytes", 1048576},
-                                {"min_ttl_ms", 1000}}}};
-      settings["limits"] = {{"cpu_share", 0.5}, {"cpu_cores", 1}, {"memory_mb", 512},
+      settings = {{"node_name", gateway->name},
+                  {"role", "gateway"},
+                  {"machine_class", "edge"},
+                  {"serves", {"edge", "control_plane"}},
+                  {"ip", gateway->ip},
+                  {"zone", gateway->zone},
+                  {"region", "region"},
+                  {"zones", zoneTable},
+                  {"bind_addresses",
+                   {{"http", at(httpPort)}, {"readiness", at(readinessPort)}, {"admin", at(adminPort)}}},
+                  {"internal_port_range", {peerPort, peerPort}},
+                  {"seeds", seeds},
+                  {"bootstrap", true},
+                  {"in_tolerance", false},
+                  {"data_dir", nullptr},
+                  {"discovery", "platform"},
+                  {"entrypoint", "virtual_ip"},
+                  {"heartbeat_ms", 1200},
+                  {"platform",
+                   {{"address", storeAddress},
+                    {"form", "read"},
+                    {"writes_per_s", 1200},
+                    {"reads_per_s", 6000},
+                    {"history_s", 20},
+                    {"value_bytes", 1048576},
+                    {"min_ttl_ms", 1000}}}};
+      settings["limits"] = {{"cpu_share", 0.5},       {"cpu_cores", 1},        {"memory_mb", 512},
                             {"max_open_files", 4100}, {"network_mbps", 200.0}, {"disk_mb", 0}};
       if (limits.is_object()) {
         settings["limits"].update(limits);
       }
-      settings["bounds"] = {{"seed_lag_s", 3}, {"addr_reuse_s", 2}, {"contact_ms", 5000}, {"ack_ms", 8000},
-                            {"sync_s", 6}, {"drain_ms", 5000}, {"grace_s", 6}, {"loss_slack_ms", 200},
-                            {"config_apply_ms", 5000}, {"downgrade_ms", 250}, {"skew_max_ms", 15000},
-                            {"retry_budget_ratio", 0.2}, {"budget_window_s", 10}, {"budget_slack", 188},
-                            {"recovery_s", 15}};
+      settings["bounds"] = {{"seed_lag_s", 3},       {"addr_reuse_s", 2},    {"contact_ms", 5000},
+                            {"ack_ms", 8000},        {"sync_s", 6},          {"drain_ms", 5000},
+                            {"grace_s", 6},          {"loss_slack_ms", 200}, {"config_apply_ms", 5000},
+                            {"downgrade_ms", 250},   {"skew_max_ms", 15000}, {"retry_budget_ratio", 0.2},
+                            {"budget_window_s", 10}, {"budget_slack", 188},  {"recovery_s", 15}};
       if (bounds.is_object()) {
         settings["bounds"].update(bounds);
       }
