Count requests with a key that are admitted as anonymous

Logs and metrics did not tell a caller without a key from one whose key was not taken: both run without a tenant on a public route. The new counter oakpier_gateway_anonymous_with_key_total counts the latter, also where no line is logged. No behaviour changes.

Evidence: gateway_log_test.

--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -122,6 +122,9 @@
                requests.rejectedQuarantined);
   list.counter("rejected_keys_total", "Requests answered 401: no readable key, or one that no tenant holds",
                requests.rejectedKeys);
+  list.counter("anonymous_with_key_total",
+               "Requests with a key that no tenant holds, admitted as anonymous on a public route",
+               requests.anonymousWithKey);
   list.counter("refusals_unproved_total",
                "Requests refused, as the configuration was not proved fresh enough for their keys",
                requests.refusedUnproven);
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -31,6 +31,8 @@
   std::uint64_t trials = 0;
   /// Answered with 401; not included in `refused`.
   std::uint64_t rejectedKeys = 0;
+  /// Admitted on a public route as anonymous although they have a key.
+  std::uint64_t anonymousWithKey = 0;
   /// Refused because there was no sufficiently recent freshness proof of the configuration.
   std::uint64_t refusedUnproven = 0;
   /// Answered with 429; not included in `refused`.
--- a/src/programs/gateway/request_intake.cpp
+++ b/src/programs/gateway/request_intake.cpp
@@ -130,6 +130,7 @@
     // the key.
     const Tenant* named = problem != nullptr && key ? view.tenants->findByKey(*key) : incoming.tenant;
     incoming.logged.tenant = named == nullptr ? "" : named->name;
+    counters_.anonymousWithKey += problem == nullptr && key && named == nullptr ? 1 : 0;
     replaceCredentials(incoming.request, incoming.logged.tenant, names_);
   }
   incoming.logged.fingerprint = fingerprintOf(incoming.request);
--- a/tests/serving/programs/gateway_log_test.cpp
+++ b/tests/serving/programs/gateway_log_test.cpp
@@ -38,6 +38,7 @@
   RequestCounters requests;
   requests.received = 7;
   requests.rejectedKeys = 31;
+  requests.anonymousWithKey = 35;
   requests.refusedUnproven = 32;
   requests.refusedOverLimit = 33;
   requests.answerTimes["page"].record(std::chrono::milliseconds(3));
@@ -64,6 +65,7 @@
   for (const char* line : {"oakpier_gateway_requests_total 7",
                            "oakpier_gateway_configuration_version 12",
                            "oakpier_gateway_rejected_keys_total 31",
+                           "oakpier_gateway_anonymous_with_key_total 35",
                            "oakpier_gateway_refusals_unproved_total 32",
                            "oakpier_gateway_refusals_over_limit_total 33",
                            "oakpier_gateway_keys 34",
