Refuse a key that cannot be decided on, also on a public route

Cause: `authorize` decided whose key it is, whether the proof of the configuration still allows to say so, and whether the route needs a key, in an order in which a known key under an old proof fell through to "public, so anyone". An unknown key under an old proof, which may belong to a tenant by now, did the same.

Change: whether a tenant holds the key is decided in one way for all routes; a key that cannot be decided on is refused as not run, with a time. Callers without a key, and those whose key provably no tenant holds, are served as before.

Changed tests: "a public route serves every caller, and tenants as such only under a recent proof" demanded the fault (a known key without a proof is "nobody"). Its cells are in the table that replaces it, which has 22 of them for both kinds of route. The generated test allowed any anonymous caller and no refusal on a public route; it now demands a version that lacks the key, no final refusal there, and no refusal where the key is provably unknown. "a public route serves all callers" proves the configuration first, as an unknown key needs that now; its checks are the same.

--- a/src/coordination/serving/caller_authorization.cpp
+++ b/src/coordination/serving/caller_authorization.cpp
@@ -21,19 +21,16 @@
   if (!key) {
     return route.isPublic ? Authorization(AuthorizedCaller{}) : AuthorizationError::kKeyMissing;
   }
-  const Tenant* tenant = view.tenants->findByKey(*key);
-  if (tenant != nullptr && mayAcceptKnownKey(view, proof, settings, now)) {
-    return AuthorizedCaller{tenant};
+  // Whether a tenant holds the key is decided in the same way for all routes: a tenant's request that ran for
+  // an anonymous caller would bypass the tenant's limit and priority.
+  if (const Tenant* tenant = view.tenants->findByKey(*key)) {
+    return mayAcceptKnownKey(view, proof, settings, now) ? Authorization(AuthorizedCaller{tenant})
+                                                         : AuthorizationError::kProofTooOld;
   }
-  if (route.isPublic) {
-    return AuthorizedCaller{};
-  }
-  if (tenant != nullptr) {
-    return AuthorizationError::kProofTooOld;
+  if (!proof.covers(view.configuration->version, now, settings.maxProofAgeForFinalRefusal)) {
+    return AuthorizationError::kKeyNotYetKnown;
   }
-  return proof.covers(view.configuration->version, now, settings.maxProofAgeForFinalRefusal)
-             ? AuthorizationError::kKeyUnknown
-             : AuthorizationError::kKeyNotYetKnown;
+  return route.isPublic ? Authorization(AuthorizedCaller{}) : AuthorizationError::kKeyUnknown;
 }
 
 }  // namespace oakpier::serving
--- a/src/coordination/serving/caller_authorization.h
+++ b/src/coordination/serving/caller_authorization.h
@@ -4,8 +4,9 @@
 /// forwarded.
 ///
 /// Invariants: without tenants in the configuration every caller may use every route; a non-public route
-/// never accepts a key that no tenant holds; a key is accepted, or refused for good, only while this daemon's
-/// configuration is proven recent enough (see `AuthorizationSettings`).
+/// never accepts a key that no tenant holds; a key is accepted, refused for good, or taken for that of an
+/// anonymous caller on a public route only while this daemon's configuration is proven recent enough (see
+/// `AuthorizationSettings`).
 
 #include <optional>
 #include <string_view>
@@ -20,8 +21,8 @@
 struct AuthorizationSettings {
   /// Greatest age of the proof at which a known key is accepted; empty: no proof is needed.
   std::optional<Duration> maxProofAge;
-  /// Greatest age of the proof at which an unknown key is refused for good: the time in which operators
-  /// expect a new key to reach every daemon.
+  /// Greatest age of the proof at which no tenant is taken to hold an unknown key: the time in which
+  /// operators expect a new key to reach every daemon.
   Duration maxProofAgeForFinalRefusal = std::chrono::milliseconds(2500);
 };
 
@@ -29,7 +30,7 @@
 enum class AuthorizationError {
   /// The route needs a key, and the request has none that can be parsed.
   kKeyMissing,
-  /// No tenant holds the key; permanent.
+  /// No tenant holds the key, and the route needs one; permanent.
   kKeyUnknown,
   /// The key is unknown, but may have been added since this daemon's configuration; retryable.
   kKeyNotYetKnown,
--- a/tests/platform_model/store_standin.cpp
+++ b/tests/platform_model/store_standin.cpp
@@ -132,7 +132,9 @@
 std::function<void()> StoreStandin::onRequest(HttpRequest request, ResponseWriter writer) {
   ++calls_;
   const Query query = queryOf(request.target);
-  if (down_) {
+  if (silent_) {
+    unanswered_.push_back(std::move(writer));
+  } else if (down_) {
     writer.write(withEpoch(textReply(503, "down")));
   } else if (startsWith(request.target, "/kv-range")) {
     writer.write(withEpoch(range(query)));
@@ -199,7 +201,7 @@
     }
     events.push_back(event);
   }
-  if (events.empty() && !evenIfEmpty) {
+  if (silent_ || (events.empty() && !evenIfEmpty)) {
     return false;
   }
   watch.writer.write(withEpoch(jsonReply({{"events", events}, {"at", revision_}})));
--- a/tests/platform_model/store_standin.h
+++ b/tests/platform_model/store_standin.h
@@ -24,6 +24,8 @@
   void remove(const std::string& key);
   /// While the store is down, every call is answered with 503.
   void setDown(bool down) { down_ = down; }
+  /// While the store is silent, no call is answered; calls that came meanwhile are never answered.
+  void setSilent(bool silent) { silent_ = silent; }
   /// Simulates a compaction of the history: watches from an earlier revision are answered with 410.
   void compactHistory();
   /// Restores a backup of this age and begins a new epoch: revisions go back, pending watches are answered
@@ -75,6 +77,9 @@
   std::vector<std::unique_ptr<boost::asio::steady_timer>> timers_;
   std::list<Watch> watches_;
   bool down_ = false;
+  bool silent_ = false;
+  /// Keeps the connections of calls without an answer open.
+  std::vector<ResponseWriter> unanswered_;
   std::size_t calls_ = 0;
 };
 
--- a/tests/serving/coordination/caller_authorization_test.cpp
+++ b/tests/serving/coordination/caller_authorization_test.cpp
@@ -111,16 +111,78 @@
   REQUIRE(call.outcome() == AuthorizationCall::nameOf(Error::kKeyMissing));
 }
 
-TEST_CASE("a public route serves every caller, and tenants as such only under a recent proof", "[serving]") {
-  AuthorizationCall call;
-  call.isPublic = true;
-  REQUIRE(call.outcome() == "nobody");
-  call.key = "key-3";
-  REQUIRE(call.outcome() == "nobody");
-  call.key = "key-1";
-  REQUIRE(call.outcome() == "nobody");
-  call.proof = {kVersion, at(9000)};
-  REQUIRE(call.outcome() == "amber");
+namespace {
+
+/// What is decided on one caller, by the kind of its route.
+struct DecisionRow {
+  std::optional<std::string_view> key;
+  ConfigurationProof proof;
+  std::string restricted;
+  std::string open;
+};
+
+const ConfigurationProof kRecentProof{kVersion, at(9000)};
+const ConfigurationProof kProofTooOldForFinalRefusal{kVersion, at(7000)};
+const ConfigurationProof kProofTooOldForKeys{kVersion, at(5000)};
+const ConfigurationProof kNoProof;
+const ConfigurationProof kProofOfNewerVersion{kVersion + 1, at(10000)};
+
+void requireDecisions(const std::vector<DecisionRow>& rows, const std::optional<Duration>& maxProofAge) {
+  for (std::size_t index = 0; index < rows.size(); ++index) {
+    AuthorizationCall call;
+    call.settings.maxProofAge = maxProofAge;
+    call.key = rows[index].key;
+    call.proof = rows[index].proof;
+    CAPTURE(index);
+    REQUIRE(call.outcome() == rows[index].restricted);
+    call.isPublic = true;
+    REQUIRE(call.outcome() == rows[index].open);
+  }
+}
+
+const std::string kMissing = AuthorizationCall::nameOf(Error::kKeyMissing);
+const std::string kUnknown = AuthorizationCall::nameOf(Error::kKeyUnknown);
+const std::string kNotYetKnown = AuthorizationCall::nameOf(Error::kKeyNotYetKnown);
+const std::string kTooOld = AuthorizationCall::nameOf(Error::kProofTooOld);
+
+}  // namespace
+
+// Guards against a key that cannot be decided on being taken for no key, so that its tenant's request runs
+// for nobody.
+TEST_CASE("a caller with a key is anonymous on a public route only if provably no tenant holds the key",
+          "[serving]") {
+  const std::string_view known = "key-1";
+  const std::string_view unknown = "key-3";
+  requireDecisions({{{}, kRecentProof, kMissing, "nobody"},
+                    {{}, kNoProof, kMissing, "nobody"},
+                    {{}, kProofOfNewerVersion, kMissing, "nobody"},
+                    {known, kRecentProof, "amber", "amber"},
+                    {known, kProofTooOldForFinalRefusal, "amber", "amber"},
+                    {known, kProofTooOldForKeys, kTooOld, kTooOld},
+                    {known, kNoProof, kTooOld, kTooOld},
+                    {known, kProofOfNewerVersion, kTooOld, kTooOld},
+                    {unknown, kRecentProof, kUnknown, "nobody"},
+                    {unknown, kProofTooOldForFinalRefusal, kNotYetKnown, kNotYetKnown},
+                    {unknown, kProofTooOldForKeys, kNotYetKnown, kNotYetKnown},
+                    {unknown, kNoProof, kNotYetKnown, kNotYetKnown},
+                    {unknown, kProofOfNewerVersion, kNotYetKnown, kNotYetKnown}},
+                   std::chrono::milliseconds(4000));
+}
+
+TEST_CASE("without a bound on revoked keys, a known key needs no proof, and an unknown one does",
+          "[serving]") {
+  const std::string_view known = "key-1";
+  const std::string_view unknown = "key-3";
+  requireDecisions({{{}, kNoProof, kMissing, "nobody"},
+                    {known, kRecentProof, "amber", "amber"},
+                    {known, kProofTooOldForKeys, "amber", "amber"},
+                    {known, kNoProof, "amber", "amber"},
+                    {known, kProofOfNewerVersion, "amber", "amber"},
+                    {unknown, kRecentProof, kUnknown, "nobody"},
+                    {unknown, kProofTooOldForFinalRefusal, kNotYetKnown, kNotYetKnown},
+                    {unknown, kNoProof, kNotYetKnown, kNotYetKnown},
+                    {unknown, kProofOfNewerVersion, kNotYetKnown, kNotYetKnown}},
+                   std::nullopt);
 }
 
 namespace {
@@ -277,11 +339,29 @@
   std::optional<int> maxProofAge;
 };
 
+/// A caller with a key may be anonymous only if no tenant held the key in some version that was the newest
+/// within the bound on final refusals.
+void checkAnonymous(const GeneratedHistory& history, const GeneratedCaller& caller,
+                    const AcknowledgedVersion& used) {
+  if (!caller.key) {
+    return;
+  }
+  const auto lacks = [&](const AcknowledgedVersion& version) {
+    return version.holders.count(*caller.key) == 0;
+  };
+  REQUIRE(lacks(used));
+  REQUIRE(history.anyNewest(caller.finalBound, lacks));
+}
+
 void checkServed(const GeneratedHistory& history, const GeneratedCaller& caller,
                  const AcknowledgedVersion& used, const Tenant* tenant) {
-  const bool openToAll = caller.isPublic || used.configuration->tenants.empty();
+  if (used.configuration->tenants.empty()) {
+    REQUIRE(tenant == nullptr);
+    return;
+  }
   if (tenant == nullptr) {
-    REQUIRE(openToAll);
+    REQUIRE(caller.isPublic);
+    checkAnonymous(history, caller, used);
     return;
   }
   const auto holds = [&](const AcknowledgedVersion& version) {
@@ -296,7 +376,8 @@
 
 void checkRefused(const GeneratedHistory& history, const GeneratedCaller& caller,
                   const AcknowledgedVersion& used, Error error) {
-  REQUIRE_FALSE(caller.isPublic);
+  const bool final = error == Error::kKeyMissing || error == Error::kKeyUnknown;
+  REQUIRE_FALSE((caller.isPublic && final));
   REQUIRE_FALSE(used.configuration->tenants.empty());
   REQUIRE((error == Error::kKeyMissing) == !caller.key.has_value());
   if (!caller.key) {
@@ -311,10 +392,13 @@
   }
   const bool proven = history.proof.version != 0;
   const Duration age = at(history.now) - history.proof.provenAt;
+  const bool current = proven && used.number >= history.proof.version;
   const Duration bound = std::chrono::milliseconds(caller.maxProofAge.value_or(0));
-  const bool mustServe = !lacks(used) && (!caller.maxProofAge ||
-                                          (proven && age <= bound && used.number >= history.proof.version));
+  const bool mustServe = !lacks(used) && (!caller.maxProofAge || (current && age <= bound));
   REQUIRE_FALSE(mustServe);
+  const bool knownToBeAnonymous =
+      lacks(used) && current && age <= std::chrono::milliseconds(caller.finalBound);
+  REQUIRE_FALSE((caller.isPublic && knownToBeAnonymous));
 }
 
 }  // namespace
--- a/tests/serving/platform/gateway_process.cpp
+++ b/tests/serving/platform/gateway_process.cpp
@@ -45,29 +45,6 @@
           {"platform", {{"address", store.text()}}}};
 }
 
-std::string configuration(std::uint64_t version) {
-  const nlohmann::json route = {{"name", "route"},
-                                {"host", kHost},
-                                {"path_prefix", "/r/"},
-                                {"route_type", "idempotent"},
-                                {"timeout_ms", 3000},
-                                {"target_latency_ms", 400},
-                                {"priority", 1},
-                                {"attempts", 2},
-                                {"service", GatewayWorld::kService}};
-  const nlohmann::json service = {
-      {"name", GatewayWorld::kService}, {"health_check_path", "/health"}, {"max_connections", 110}};
-  const nlohmann::json body = {{"version", version},
-                               {"routes", nlohmann::json::array({route})},
-                               {"services", nlohmann::json::array({service})},
-                               {"limits",
-                                {{"max_header_bytes", 16384},
-                                 {"max_body_bytes", 262144},
-                                 {"header_timeout_ms", 3000},
-                                 {"idle_timeout_ms", 15000}}}};
-  return body.dump();
-}
-
 }  // namespace
 
 GatewayProcess::GatewayProcess(const Endpoint& store) : folder_(newFolder()) {
@@ -148,7 +125,27 @@
   return address;
 }
 
-void GatewayWorld::putConfiguration(std::uint64_t version) { store.put("op/config", configuration(version)); }
+nlohmann::json GatewayWorld::configuration(std::uint64_t version) {
+  const nlohmann::json route = {{"name", "route"},      {"host", kHost},
+                                {"path_prefix", "/r/"}, {"route_type", "idempotent"},
+                                {"timeout_ms", 3000},   {"target_latency_ms", 400},
+                                {"priority", 1},        {"attempts", 2},
+                                {"service", kService}};
+  const nlohmann::json service = {
+      {"name", kService}, {"health_check_path", "/health"}, {"max_connections", 110}};
+  return {{"version", version},
+          {"routes", nlohmann::json::array({route})},
+          {"services", nlohmann::json::array({service})},
+          {"limits",
+           {{"max_header_bytes", 16384},
+            {"max_body_bytes", 262144},
+            {"header_timeout_ms", 3000},
+            {"idle_timeout_ms", 15000}}}};
+}
+
+void GatewayWorld::putConfiguration(std::uint64_t version) {
+  store.put("op/config", configuration(version).dump());
+}
 
 void GatewayWorld::addLeaf(const std::string& id, const Endpoint& address) {
   const nlohmann::json entry = {
@@ -178,17 +175,19 @@
   context.run_for(duration);
 }
 
-std::optional<HttpReply> GatewayWorld::get(const Endpoint& address, const std::string& target) {
+std::optional<HttpReply> GatewayWorld::get(const Endpoint& address, const std::string& target,
+                                           const HeaderList& headers) {
   const HeaderNames names = platform::headerNames();
   SourceClient client(context, address);
   bool done = false;
   std::optional<HttpReply> answer;
-  const HttpRequest request{"GET",
-                            target,
-                            {{"Host", kHost},
-                             {names.requestId, "request-" + std::to_string(++requests_)},
-                             {names.deadline, "3000"}},
-                            ""};
+  HttpRequest request{"GET",
+                      target,
+                      {{"Host", kHost},
+                       {names.requestId, "request-" + std::to_string(++requests_)},
+                       {names.deadline, "3000"}},
+                      ""};
+  request.headers.insert(request.headers.end(), headers.begin(), headers.end());
   client.call(request, kCallTimeout, [&](std::optional<HttpReply> reply) {
     answer = std::move(reply);
     done = true;
--- a/tests/serving/platform/gateway_process.h
+++ b/tests/serving/platform/gateway_process.h
@@ -65,6 +65,8 @@
 
   GatewayWorld();
 
+  /// The configuration that `putConfiguration` writes, to be changed before it is written.
+  static nlohmann::json configuration(std::uint64_t version);
   /// Writes the configuration, as of this version, to the store.
   void putConfiguration(std::uint64_t version);
   /// Adds a leaf of the service at this address to the store.
@@ -76,7 +78,8 @@
   /// Serves for this long.
   void runFor(Duration duration);
   /// The reply to a GET request to the gateway, or nothing if the connection ended without one.
-  std::optional<HttpReply> get(const Endpoint& address, const std::string& target);
+  std::optional<HttpReply> get(const Endpoint& address, const std::string& target,
+                               const HeaderList& headers = {});
 
   boost::asio::io_context context;
   model::StoreStandin store;
--- a/tests/serving/programs/tenant_requests_test.cpp
+++ b/tests/serving/programs/tenant_requests_test.cpp
@@ -174,15 +174,32 @@
 
 TEST_CASE("a public route serves all callers, and known tenants under their names", "[serving]") {
   GatewayWorld world;
+  world.proveFresh();
   for (const std::string& headers :
        {std::string(), "Authorization: Bearer secret-9\r\n" + kForged, kAmber + kBirch}) {
     const std::string bytes = world.servedAs("/open/x", headers);
     requireClean(bytes);
     REQUIRE_FALSE(contains(bytes, "Oakpier-Tenant"));
   }
+  REQUIRE(world.gateway.counters().anonymousWithKey == 1);
   REQUIRE(contains(world.servedAs("/open/x", kAmber + kForged), "Oakpier-Tenant: amber\r\n"));
 }
 
+// Guards against tenants' requests that run for nobody, and count for no tenant, while the store is silent.
+TEST_CASE("a public route refuses a key that cannot be decided on, with a retry time", "[serving]") {
+  GatewayWorld world;
+  world.demandProof();
+  for (const std::string& headers : {kAmber, std::string("Authorization: Bearer secret-9\r\n")}) {
+    const std::string refusal = world.refusalTo("/open/x", headers);
+    REQUIRE(contains(refusal, "HTTP/1.1 503"));
+    REQUIRE(contains(refusal, "Retry-After: "));
+  }
+  REQUIRE(world.gateway.counters().refusedUnproven == 2);
+  REQUIRE_FALSE(contains(world.servedAs("/open/x", ""), "Oakpier-Tenant"));
+  world.proveFresh();
+  REQUIRE(contains(world.servedAs("/open/x", kAmber), "Oakpier-Tenant: amber\r\n"));
+}
+
 TEST_CASE("pipelined and chunked requests are attributed to their own tenants", "[serving]") {
   GatewayWorld world;
   const std::string chunked = "POST /one/x HTTP/1.1\r\nHost: shop.example\r\n" + world.names.requestId +
