Reject credentials that cannot be read as one key, also on a public route

Cause: `keyOf` told "no key" and "no single key can be read" by the same empty result, and a public route takes the first for an anonymous caller.

Change: the result has three cases (CallerKey). Unreadable credentials of the deployment's scheme get 401 on every route, as they did where a key is needed. Credentials of another scheme are no key, as before.

Failed before, passes now: "a public route rejects credentials that cannot be read as one key" (the leaf ran the request).

Changed tests: "a public route serves all callers" held two keys for an anonymous caller; that case is in the new test, and credentials of another scheme took its place. The tests of keyOf tell "none" from "unreadable" where they told both by one value; all values are kept.

--- a/src/coordination/serving/caller_authorization.cpp
+++ b/src/coordination/serving/caller_authorization.cpp
@@ -13,17 +13,21 @@
 
 }  // namespace
 
-Authorization authorize(const Route& route, std::optional<std::string_view> key, const ServingView& view,
+Authorization authorize(const Route& route, const CallerKey& key, const ServingView& view,
                         const ConfigurationProof& proof, const AuthorizationSettings& settings, Moment now) {
   if (view.tenants == nullptr || view.tenants->empty()) {
     return AuthorizedCaller{};
   }
-  if (!key) {
+  if (std::holds_alternative<UnreadableKey>(key)) {
+    return AuthorizationError::kKeyUnreadable;
+  }
+  const auto* text = std::get_if<std::string_view>(&key);
+  if (text == nullptr) {
     return route.isPublic ? Authorization(AuthorizedCaller{}) : AuthorizationError::kKeyMissing;
   }
   // Whether a tenant holds the key is decided in the same way for all routes: a tenant's request that ran for
   // an anonymous caller would bypass the tenant's limit and priority.
-  if (const Tenant* tenant = view.tenants->findByKey(*key)) {
+  if (const Tenant* tenant = view.tenants->findByKey(*text)) {
     return mayAcceptKnownKey(view, proof, settings, now) ? Authorization(AuthorizedCaller{tenant})
                                                          : AuthorizationError::kProofTooOld;
   }
--- a/src/coordination/serving/caller_authorization.h
+++ b/src/coordination/serving/caller_authorization.h
@@ -26,10 +26,19 @@
   Duration maxProofAgeForFinalRefusal = std::chrono::milliseconds(2500);
 };
 
+/// The request has no credentials of the deployment's scheme.
+struct NoKey {};
+/// The request has credentials of the deployment's scheme from which no single key can be read.
+struct UnreadableKey {};
+/// What a request tells of its caller's key; a `string_view` is the key itself.
+using CallerKey = std::variant<NoKey, UnreadableKey, std::string_view>;
+
 /// Why a caller is refused.
 enum class AuthorizationError {
-  /// The route needs a key, and the request has none that can be parsed.
+  /// The route needs a key, and the request has none; permanent.
   kKeyMissing,
+  /// The request may have the key of a tenant, which cannot be read; permanent.
+  kKeyUnreadable,
   /// No tenant holds the key, and the route needs one; permanent.
   kKeyUnknown,
   /// The key is unknown, but may have been added since this daemon's configuration; retryable.
@@ -45,8 +54,7 @@
 
 using Authorization = std::variant<AuthorizedCaller, AuthorizationError>;
 
-/// `key`: empty if the request has no key, or one that cannot be parsed.
-Authorization authorize(const Route& route, std::optional<std::string_view> key, const ServingView& view,
+Authorization authorize(const Route& route, const CallerKey& key, const ServingView& view,
                         const ConfigurationProof& proof, const AuthorizationSettings& settings, Moment now);
 
 }  // namespace oakpier::serving
--- a/src/programs/gateway/request_intake.cpp
+++ b/src/programs/gateway/request_intake.cpp
@@ -24,6 +24,7 @@
 LossCause causeOf(AuthorizationError problem) {
   switch (problem) {
     case AuthorizationError::kKeyMissing:
+    case AuthorizationError::kKeyUnreadable:
       return LossCause::kKeyMissing;
     case AuthorizationError::kKeyUnknown:
       return LossCause::kKeyUnknown;
@@ -117,10 +118,11 @@
 
 bool RequestGateway::identifyCaller(IncomingRequest& incoming) {
   const ServingView& view = *incoming.view;
-  const auto key = keyOf(incoming.request.headers, names_);
+  const CallerKey callerKey = keyOf(incoming.request.headers, names_);
+  const auto* key = std::get_if<std::string_view>(&callerKey);
   const auto proof = proof_.read();
   const Authorization authorization =
-      authorize(*incoming.route, key, view, *proof, authorization_, incoming.receivedAt);
+      authorize(*incoming.route, callerKey, view, *proof, authorization_, incoming.receivedAt);
   const auto* problem = std::get_if<AuthorizationError>(&authorization);
   if (problem == nullptr) {
     incoming.tenant = std::get<AuthorizedCaller>(authorization).tenant;
@@ -128,9 +130,10 @@
   if (view.tenants != nullptr && !view.tenants->empty()) {
     // Also for refused requests, so that the log line names the tenant and the fingerprint does not depend on
     // the key.
-    const Tenant* named = problem != nullptr && key ? view.tenants->findByKey(*key) : incoming.tenant;
+    const Tenant* named =
+        problem != nullptr && key != nullptr ? view.tenants->findByKey(*key) : incoming.tenant;
     incoming.logged.tenant = named == nullptr ? "" : named->name;
-    counters_.anonymousWithKey += problem == nullptr && key && named == nullptr ? 1 : 0;
+    counters_.anonymousWithKey += problem == nullptr && key != nullptr && named == nullptr ? 1 : 0;
     replaceCredentials(incoming.request, incoming.logged.tenant, names_);
   }
   incoming.logged.fingerprint = fingerprintOf(incoming.request);
@@ -142,8 +145,9 @@
 
 void RequestGateway::rejectCaller(const IncomingRequest& incoming, AuthorizationError problem) {
   const LossCause cause = causeOf(problem);
-  const bool final = problem == AuthorizationError::kKeyMissing || problem == AuthorizationError::kKeyUnknown;
-  if (!final) {
+  const bool retryable =
+      problem == AuthorizationError::kKeyNotYetKnown || problem == AuthorizationError::kProofTooOld;
+  if (retryable) {
     ++counters_.refusedUnproven;
     refuse(incoming.writer, incoming.logged, incoming.route->name, cause, kProofRetryAfter);
     return;
--- a/src/protocol/serving/caller_credentials.cpp
+++ b/src/protocol/serving/caller_credentials.cpp
@@ -14,40 +14,47 @@
   return static_cast<unsigned char>(character) > ' ' && character != kDelete;
 }
 
-/// The value of the only header with that name; null if there is none or more than one.
-const std::string* onlyHeader(const HeaderList& headers, std::string_view name) {
-  const std::string* only = nullptr;
-  for (const Header& header : headers) {
-    if (!sameHeaderName(header.name, name)) {
-      continue;
-    }
-    if (only != nullptr) {
-      return nullptr;
-    }
-    only = &header.value;
+std::string_view withoutLeadingSpaces(std::string_view text) {
+  const std::size_t begin = text.find_first_not_of(' ');
+  return begin == std::string_view::npos ? std::string_view() : text.substr(begin);
+}
+
+bool hasScheme(std::string_view credentials, const std::string& scheme) {
+  const std::string_view text = withoutLeadingSpaces(credentials);
+  // Schemes are case-insensitive, like header names.
+  return sameHeaderName(text.substr(0, text.find_first_of(" \t")), scheme);
+}
+
+CallerKey keyOfCredentials(std::string_view credentials) {
+  const std::size_t schemeEnd = credentials.find(' ');
+  if (schemeEnd == 0 || schemeEnd == std::string_view::npos) {
+    return UnreadableKey{};
+  }
+  const std::string_view key = withoutLeadingSpaces(credentials.substr(schemeEnd));
+  if (key.empty() || !std::all_of(key.begin(), key.end(), isKeyCharacter)) {
+    return UnreadableKey{};
   }
-  return only;
+  return key;
 }
 
 }  // namespace
 
-std::optional<std::string_view> keyOf(const HeaderList& headers, const HeaderNames& names) {
-  const std::string* value = onlyHeader(headers, kAuthorization);
-  if (value == nullptr) {
-    return std::nullopt;
-  }
-  const std::string_view text = *value;
-  const std::size_t schemeEnd = text.find(' ');
-  // Schemes are case-insensitive, like header names.
-  if (schemeEnd == std::string_view::npos || !sameHeaderName(text.substr(0, schemeEnd), names.keyScheme)) {
-    return std::nullopt;
+CallerKey keyOf(const HeaderList& headers, const HeaderNames& names) {
+  std::size_t count = 0;
+  const std::string* credentials = nullptr;
+  for (const Header& header : headers) {
+    if (!sameHeaderName(header.name, kAuthorization)) {
+      continue;
+    }
+    ++count;
+    if (hasScheme(header.value, names.keyScheme)) {
+      credentials = &header.value;
+    }
   }
-  const std::size_t keyBegin = text.find_first_not_of(' ', schemeEnd);
-  if (keyBegin == std::string_view::npos) {
-    return std::nullopt;
+  if (credentials == nullptr) {
+    return NoKey{};
   }
-  const std::string_view key = text.substr(keyBegin);
-  return std::all_of(key.begin(), key.end(), isKeyCharacter) ? std::optional(key) : std::nullopt;
+  return count == 1 ? keyOfCredentials(*credentials) : CallerKey(UnreadableKey{});
 }
 
 void replaceCredentials(HttpRequest& request, const std::string& tenant, const HeaderNames& names) {
