Take a reply whose status HTTP does not have for a broken one

What callers saw: a leaf's answer with the status 600 or 999 reached the caller, with the leaf's stamp; one with 000 to 099 was taken for an interim answer, so the request waited for a better one until its deadline (504) and no other leaf was asked.

Cause: ReplyReader took any three digits, those below 200 for an interim reply and the others for a final one.

Change: a reply is broken as soon as its head is complete unless its status is 100 or 102 to 199 (interim), or 200 to 599. All replies of leafs and of the store pass this reader.

Ruled out: texts that are no three digits (the parser refuses them). Owners and merge servers read by the same reader; not tried with real ones.

askLeaf moved from process_ends_test.cpp to GatewayWorld, unchanged but for the target, which is given now.

--- a/src/transport/serving/reply_reader.cpp
+++ b/src/transport/serving/reply_reader.cpp
@@ -18,7 +18,15 @@
 /// All bytes of a reply that do not belong to its body. Many chunks may each have a short extension.
 constexpr std::size_t kMaxFramingBytes = std::size_t{1024} * 1024;
 constexpr unsigned kMaxInterimReplies = 32;
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastFinalStatus = 599;
+
+/// Whether a reply may have this status. No request asks for another protocol, so 101 replies to none.
+bool isReplyStatus(unsigned status) {
+  return status >= kFirstInterimStatus && status <= kLastFinalStatus && status != kSwitchingProtocols;
+}
 
 }  // namespace
 
@@ -62,6 +70,9 @@
       break;
     }
   }
+  if (parser_->is_header_done() && !isReplyStatus(parser_->get().result_int())) {
+    return State::kBroken;
+  }
   if (parser_->is_done()) {
     return finishMessage();
   }
--- a/src/transport/serving/reply_reader.h
+++ b/src/transport/serving/reply_reader.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Incremental parser for the HTTP replies on one connection. Every part of a reply is bounded: its header,
-/// its body, the framing of its chunks and the interim replies before it. A reply beyond a bound is broken.
+/// its body, the framing of its chunks and the interim replies before it. A reply beyond a bound, or with a
+/// status that HTTP does not have, is broken.
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/tests/serving/platform/gateway_process.cpp
+++ b/tests/serving/platform/gateway_process.cpp
@@ -196,4 +196,30 @@
   return answer;
 }
 
+std::optional<HttpReply> GatewayWorld::askLeaf(const std::string& target, const std::string& answer,
+                                               AfterAnswer after) {
+  const HeaderNames names = platform::headerNames();
+  SourceClient client(context, gateway.callerAddress());
+  bool done = false;
+  std::optional<HttpReply> reply;
+  client.call({"GET", target, {{"Host", kHost}, {names.requestId, "id"}, {names.deadline, "500"}}, ""},
+              kCallTimeout, [&](std::optional<HttpReply> received) {
+                reply = std::move(received);
+                done = true;
+              });
+  runUntil(context, [&] {
+    for (const auto& connection : leaf.connections()) {
+      if (!connection->ended && connection->requests() > 0) {
+        connection->received.clear();
+        connection->write(answer);
+        if (after == AfterAnswer::kClose) {
+          connection->end();
+        }
+      }
+    }
+    return done;
+  });
+  return reply;
+}
+
 }  // namespace oakpier::serving
--- a/tests/serving/platform/gateway_process.h
+++ b/tests/serving/platform/gateway_process.h
@@ -80,6 +80,12 @@
   /// The reply to a GET request to the gateway, or nothing if the connection ended without one.
   std::optional<HttpReply> get(const Endpoint& address, const std::string& target,
                                const HeaderList& headers = {});
+  /// What a leaf does once it has answered.
+  enum class AfterAnswer { kKeepOpen, kClose };
+  /// Sends a request with the id "id" and a deadline of half a second, writes `answer` for each request that
+  /// arrives at the leaf, and returns the caller's reply.
+  std::optional<HttpReply> askLeaf(const std::string& target, const std::string& answer,
+                                   AfterAnswer after = AfterAnswer::kKeepOpen);
 
   boost::asio::io_context context;
   model::StoreStandin store;
--- a/tests/serving/platform/process_ends_test.cpp
+++ b/tests/serving/platform/process_ends_test.cpp
@@ -129,36 +129,6 @@
   bool begun_ = false;
 };
 
-enum class AfterAnswer { kKeepOpen, kClose };
-
-/// Sends a request of the service, lets `answer` write at the leaf, and returns the caller's reply.
-std::optional<HttpReply> askLeaf(GatewayWorld& world, const std::string& answer,
-                                 AfterAnswer after = AfterAnswer::kKeepOpen) {
-  const HeaderNames names = platform::headerNames();
-  SourceClient client(world.context, world.gateway.callerAddress());
-  bool done = false;
-  std::optional<HttpReply> reply;
-  client.call(
-      {"GET", "/r/x", {{"Host", "host.example"}, {names.requestId, "id"}, {names.deadline, "500"}}, ""},
-      std::chrono::seconds(5), [&](std::optional<HttpReply> received) {
-        reply = std::move(received);
-        done = true;
-      });
-  runUntil(world.context, [&] {
-    for (const auto& connection : world.leaf.connections()) {
-      if (!connection->ended && connection->requests() > 0) {
-        connection->received.clear();
-        connection->write(answer);
-        if (after == AfterAnswer::kClose) {
-          connection->end();
-        }
-      }
-    }
-    return done;
-  });
-  return reply;
-}
-
 }  // namespace
 
 TEST_CASE("a gateway whose log has lost its reader serves on", "[process-ends]") {
@@ -283,9 +253,9 @@
   world.gateway.start();
   world.awaitReady();
   const HeaderNames names = platform::headerNames();
-  askLeaf(world, "HTTP/1.1 200 OK\r\n" + names.requestId + ": id\r\n" + names.signature +
-                     ": s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: " +
-                     std::string(kTrailerBytes, 'x') + "\r\n\r\n");
+  world.askLeaf("/r/x", "HTTP/1.1 200 OK\r\n" + names.requestId + ": id\r\n" + names.signature +
+                            ": s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: " +
+                            std::string(kTrailerBytes, 'x') + "\r\n\r\n");
   requireServing(world);
   requireOrderlyStop(world);
 }
@@ -412,7 +382,7 @@
   world.gateway.start();
   world.awaitReady();
   for (std::size_t length = 1; length <= head.size(); length += kStep) {
-    const auto reply = askLeaf(world, head.substr(0, length), AfterAnswer::kClose);
+    const auto reply = world.askLeaf("/r/x", head.substr(0, length), GatewayWorld::AfterAnswer::kClose);
     CAPTURE(length);
     REQUIRE(reply);
     REQUIRE(reply->status >= 500);
--- a/tests/serving/transport/reply_reader_test.cpp
+++ b/tests/serving/transport/reply_reader_test.cpp
@@ -68,6 +68,33 @@
           State::kBroken);
 }
 
+TEST_CASE("a reply with a status that HTTP does not have is broken as soon as its header is complete",
+          "[serving]") {
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    for (const char* framing : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+      ReplyReader reader;
+      reader.begin(false);
+      CAPTURE(status, framing);
+      const std::string head = std::string("HTTP/1.1 ") + status + " X\r\n" + framing;
+      REQUIRE(feed(reader, head) == State::kNeedsMore);
+      REQUIRE(feed(reader, "\r\n") == State::kBroken);
+    }
+  }
+}
+
+TEST_CASE("a reply with any final status of HTTP is complete, also after interim ones", "[serving]") {
+  constexpr unsigned kFirst = 200;
+  constexpr unsigned kLast = 599;
+  for (unsigned status = kFirst; status <= kLast; ++status) {
+    ReplyReader reader;
+    reader.begin(false);
+    CAPTURE(status);
+    REQUIRE(feed(reader, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 " +
+                             std::to_string(status) + " X\r\nContent-Length: 0\r\n\r\n") == State::kComplete);
+    REQUIRE(reader.take().status == status);
+  }
+}
+
 TEST_CASE("a reply in many small chunks, with extensions, a trailer and interim replies is read",
           "[serving]") {
   std::string bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + kChunkedHead;
